feat: lay out the workspace, the protocols and the seams

The packages are cut by concern and compile against each other through thin handles, so that the parts behind them can be built side by side.

--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,2 @@
+//! The `bench` program.
+fn main() {}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,27 @@
+//! The platform's object store: a trait, and a client for its HTTP interface.
+//!
+//! The store holds versioned objects with conditional updates and watches. It may be slow or down,
+//! and it may lose the reply to a write that took effect; [`Failure`] keeps these apart.
+//!
+//! # Examples
+//!
+//! ```
+//! use platform::Failure;
+//!
+//! assert!(Failure::Lost.may_have_taken_effect());
+//! assert!(!Failure::Conflict { current: 3 }.may_have_taken_effect());
+//! ```
+
+pub mod http;
+pub mod store;
+
+pub use store::{
+    Failure,
+    Instance,
+    Listing,
+    Object,
+    Store, //
+};
+
+/// Longest value of an object, in bytes.
+pub const VALUE_MAX: usize = 1024 * 1024;
--- /dev/null
+++ b/crates/platform/src/store.rs
@@ -0,0 +1,123 @@
+//! The store as the rest of the system sees it.
+
+use std::{
+    future::Future,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use serde_json::value::RawValue;
+
+/// One object of the store.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Object {
+    /// Name, unique in its kind.
+    pub name: Arc<str>,
+    /// Version; higher for every later write in the store.
+    pub version: u64,
+    /// The value, as JSON text.
+    pub value: Arc<RawValue>,
+}
+
+/// Objects of one kind, whole or changed.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Listing {
+    /// Revision of the store that the listing reflects.
+    pub revision: u64,
+    /// The objects.
+    pub objects: Vec<Object>,
+    /// Names of objects that were deleted, in a watch's answer.
+    #[serde(default)]
+    pub deleted: Vec<Arc<str>>,
+}
+
+/// One entry of the platform's lagging list of instances.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Instance {
+    /// Name of the instance.
+    pub name: Arc<str>,
+    /// Address of its inner protocol.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: Arc<str>,
+    /// Whether the platform is about to stop it.
+    pub leaving: bool,
+}
+
+/// Why a call to the store failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// The version didn't match; nothing was written.
+    Conflict {
+        /// Version that the object has, 0 if there is none.
+        current: u64,
+    },
+    /// The store refused or can't be reached; nothing was written.
+    Unavailable,
+    /// The reply was lost: a write may have taken effect.
+    Lost,
+    /// The value is over its bound; nothing was written.
+    Oversized,
+    /// The revision to watch from is too old.
+    Compacted,
+    /// The answer can't be understood; a write may have taken effect.
+    Malformed,
+}
+
+impl Failure {
+    /// Returns whether a write that failed this way may have taken effect.
+    pub fn may_have_taken_effect(self) -> bool {
+        matches!(self, Self::Lost | Self::Malformed)
+    }
+}
+
+impl std::fmt::Display for Failure {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Conflict { current } => write!(f, "version conflict, current is {current}"),
+            Self::Unavailable => f.write_str("platform unavailable"),
+            Self::Lost => f.write_str("platform reply lost"),
+            Self::Oversized => f.write_str("value over its bound"),
+            Self::Compacted => f.write_str("revision too old to watch from"),
+            Self::Malformed => f.write_str("platform answer malformed"),
+        }
+    }
+}
+
+impl std::error::Error for Failure {}
+
+/// The platform's object store.
+pub trait Store: 'static {
+    /// Reads one object.
+    fn read(&self, kind: &str, name: &str)
+        -> impl Future<Output = Result<Option<Object>, Failure>>;
+
+    /// Reads all objects of a kind.
+    fn list(&self, kind: &str) -> impl Future<Output = Result<Listing, Failure>>;
+
+    /// Writes `value` if the object's version is `expected`, 0 for an object that doesn't exist;
+    /// returns the new version.
+    fn write(
+        &self,
+        kind: &str,
+        name: &str,
+        expected: u64,
+        value: &RawValue,
+    ) -> impl Future<Output = Result<u64, Failure>>;
+
+    /// Waits for changes of a kind after `after`, for at most `wait`.
+    fn watch(
+        &self,
+        kind: &str,
+        after: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Listing, Failure>>;
+
+    /// Reads the lagging list of instances.
+    fn instances(&self) -> impl Future<Output = Result<Vec<Instance>, Failure>>;
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! The decisions of the answer path, each a small type without I/O.
--- /dev/null
+++ b/crates/tanageryoke/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon `tanageryoke serve` and its commands.
--- /dev/null
+++ b/crates/tanageryoke/src/main.rs
@@ -0,0 +1,2 @@
+//! The `tanageryoke` program.
+fn main() {}
--- /dev/null
+++ b/crates/web/src/framing.rs
@@ -0,0 +1,56 @@
+//! Checks on the lengths that a head declares.
+
+use http::{
+    header::{
+        CONTENT_LENGTH,
+        TRANSFER_ENCODING, //
+    },
+    HeaderMap,
+};
+
+/// Why the length of a message is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// Both `Content-Length` and `Transfer-Encoding` are set.
+    Ambiguous,
+    /// More than one `Content-Length` or `Transfer-Encoding` is set.
+    Repeated,
+    /// `Content-Length` isn't a number.
+    Malformed,
+    /// The declared length is over the bound.
+    Oversized,
+}
+
+/// Checks that `headers` declare one length of at most `bound` bytes.
+///
+/// # Errors
+///
+/// Returns the fault of the first header that breaks the rule.
+pub fn check(headers: &HeaderMap, bound: usize) -> Result<(), Fault> {
+    let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
+    let encodings = headers.get_all(TRANSFER_ENCODING).iter().count();
+    if lengths > 1 || encodings > 1 {
+        return Err(Fault::Repeated);
+    }
+    if lengths == 1 && encodings == 1 {
+        return Err(Fault::Ambiguous);
+    }
+    match declared(headers) {
+        Some(Err(fault)) => Err(fault),
+        Some(Ok(length)) if length > bound => Err(Fault::Oversized),
+        _ => Ok(()),
+    }
+}
+
+fn declared(headers: &HeaderMap) -> Option<Result<usize, Fault>> {
+    let value = headers.get(CONTENT_LENGTH)?;
+    let digits = value
+        .to_str()
+        .ok()
+        .filter(|text| !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit()));
+    Some(
+        digits
+            .and_then(|text| text.parse().ok())
+            .ok_or(Fault::Malformed),
+    )
+}
--- /dev/null
+++ b/crates/web/src/stop.rs
@@ -0,0 +1,84 @@
+//! A signal that many tasks of one thread wait for.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    future::Future,
+    pin::Pin,
+    rc::Rc,
+    task::{
+        Context,
+        Poll,
+        Waker, //
+    },
+};
+
+#[derive(Debug, Default)]
+struct Inner {
+    set: bool,
+    next: u64,
+    wakers: HashMap<u64, Waker>,
+}
+
+/// A flag that is set once and wakes everyone who waits for it.
+#[derive(Debug, Clone, Default)]
+pub struct Stop(Rc<RefCell<Inner>>);
+
+impl Stop {
+    /// Makes a flag that isn't set.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sets the flag and wakes every waiter.
+    pub fn set(&self) {
+        let wakers = {
+            let mut inner = self.0.borrow_mut();
+            inner.set = true;
+            std::mem::take(&mut inner.wakers)
+        };
+        wakers.into_values().for_each(Waker::wake);
+    }
+
+    /// Returns whether the flag is set.
+    pub fn is_set(&self) -> bool {
+        self.0.borrow().set
+    }
+
+    /// Waits until the flag is set.
+    pub fn wait(&self) -> Wait {
+        let mut inner = self.0.borrow_mut();
+        let id = inner.next;
+        inner.next += 1;
+        Wait {
+            id,
+            stop: self.clone(),
+        }
+    }
+}
+
+/// Waits for a [`Stop`] to be set.
+#[derive(Debug)]
+pub struct Wait {
+    id: u64,
+    stop: Stop,
+}
+
+impl Future for Wait {
+    type Output = ();
+
+    fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        let mut inner = self.stop.0.borrow_mut();
+        if inner.set {
+            return Poll::Ready(());
+        }
+        inner.wakers.insert(self.id, cx.waker().clone());
+        Poll::Pending
+    }
+}
+
+impl Drop for Wait {
+    fn drop(&mut self) {
+        self.stop.0.borrow_mut().wakers.remove(&self.id);
+    }
+}
