feat(bench): add the platform, backend server and balancer stand-ins and a thin demo

The stand-ins follow docs/PROTOCOLS.md. The demo starts them and the instances as processes, calls at a rate with a small built-in caller and prints a summary; it hasn't run against instances yet, as there is no program to start. bench becomes a library with a thin main, so that tests and lints reach its modules. rustix (process) is added for signals by child id.

--- /dev/null
+++ b/crates/bench/src/backends/mod.rs
@@ -0,0 +1,159 @@
+//! The backend servers of one user: many listeners in one process.
+
+pub mod catalog;
+pub mod control;
+pub mod fault;
+pub mod garble;
+pub mod handler;
+pub mod held;
+pub mod hits;
+pub mod job;
+pub mod log;
+pub mod server;
+pub mod sizes;
+pub mod slots;
+pub mod worker;
+
+#[cfg(test)]
+mod tests;
+
+use std::{
+    io,
+    net::{
+        IpAddr,
+        SocketAddr,
+        TcpListener, //
+    },
+    process::ExitCode,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+};
+
+use self::{
+    catalog::Layout,
+    log::Log,
+    server::Server,
+    sizes::Spec, //
+};
+pub use self::{
+    fault::Change,
+    log::{
+        Kind,
+        Outcome,
+        Record, //
+    },
+    sizes::{
+        User,
+        ZONES, //
+    },
+};
+
+/// Settings of the backend servers.
+#[derive(Debug, Clone, clap::Args)]
+pub struct Options {
+    /// User whose backend servers run.
+    #[arg(long, value_enum, default_value_t = User::Kestrel)]
+    pub user: User,
+    /// IP address that every backend server listens on.
+    #[arg(long, default_value = "127.0.0.1")]
+    pub listen: IpAddr,
+    /// First port tried for the backend servers; taken ones are passed over.
+    #[arg(long, default_value_t = 20_000)]
+    pub port_base: u16,
+    /// Address of the control interface.
+    #[arg(long, default_value = "127.0.0.1:7080")]
+    pub control: SocketAddr,
+    /// Seed of every random choice.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Share of the requests that are served slowly.
+    #[arg(long, default_value_t = 0.0)]
+    pub slow_share: f64,
+    /// Factor by which a slow request's service time grows.
+    #[arg(long, default_value_t = 20.0)]
+    pub slow_factor: f64,
+    /// Threads that the backend servers are spread over.
+    #[arg(long, default_value_t = 4)]
+    pub threads: usize,
+}
+
+/// Everything that the workers and the control interface share.
+#[derive(Debug)]
+pub struct Site {
+    /// Every backend server.
+    servers: Vec<Arc<Server>>,
+    layout: Mutex<Layout>,
+    log: Mutex<Log>,
+    seed: u64,
+}
+
+impl Site {
+    fn layout(&self) -> MutexGuard<'_, Layout> {
+        self.layout.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn log(&self) -> MutexGuard<'_, Log> {
+        self.log.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Runs the backend servers until the process is killed.
+pub fn run(options: Options) -> ExitCode {
+    match serve(&options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            tracing::error!("backends: {error}.");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn serve(options: &Options) -> io::Result<()> {
+    let mut port = options.port_base;
+    let mut listeners = Vec::new();
+    let mut servers = Vec::new();
+    for spec in sizes::specs(options.user) {
+        let listener = bind(options.listen, &mut port)?;
+        let address = listener.local_addr()?;
+        servers.push(Arc::new(Server::new(spec, address, options)));
+        listeners.push(listener);
+    }
+    let layout = Layout::new(options.user);
+    for server in &servers {
+        server.hold_all(&layout);
+    }
+    let site = Arc::new(Site {
+        servers: servers.clone(),
+        layout: Mutex::new(layout),
+        log: Mutex::default(),
+        seed: options.seed,
+    });
+    let threads = options.threads.max(1);
+    let mut shares: Vec<Vec<_>> = (0..threads).map(|_| Vec::new()).collect();
+    for (index, pair) in servers.into_iter().zip(listeners).enumerate() {
+        shares[index % threads].push(pair);
+    }
+    for share in shares {
+        let site = site.clone();
+        std::thread::spawn(move || worker::run(site, share));
+    }
+    tracing::info!("backends: {} servers are up.", site.servers.len());
+    crate::runtime::run(control::serve(site, options.control))?
+}
+
+fn bind(ip: IpAddr, port: &mut u16) -> io::Result<TcpListener> {
+    loop {
+        let bound = TcpListener::bind(SocketAddr::new(ip, *port));
+        *port = port
+            .checked_add(1)
+            .ok_or_else(|| io::Error::from(io::ErrorKind::AddrInUse))?;
+        match bound {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse => {}
+            bound => return bound,
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/backends/sizes.rs
@@ -0,0 +1,119 @@
+//! Services and backend servers of both users, at today's sizes.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+/// Availability zones.
+pub const ZONES: [&str; 4] = ["a", "b", "c", "d"];
+
+/// Delay of the first response on a new connection to a small server.
+const COST_SMALL: Duration = Duration::from_millis(6);
+/// Delay of the first response on a new connection to a large server.
+const COST_LARGE: Duration = Duration::from_millis(1);
+
+/// Whose backend servers run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
+pub enum User {
+    /// Kestrel Wire Services.
+    Kestrel,
+    /// Prairie Sound Civic Utility.
+    Prairie,
+}
+
+impl User {
+    /// Returns the name that selects the user on the command line.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Kestrel => "kestrel",
+            Self::Prairie => "prairie",
+        }
+    }
+
+    /// Returns the groups, each with its number of services.
+    pub fn groups(self) -> [(&'static str, usize); 2] {
+        match self {
+            Self::Kestrel => [("deskline", 20), ("archivist", 30)],
+            Self::Prairie => [("booking-desk", 20), ("gear-ledger", 30)],
+        }
+    }
+
+    /// Returns the services outside the groups: name, number of servers, connections of each.
+    pub fn singles(self) -> [(&'static str, usize, usize); 2] {
+        match self {
+            Self::Kestrel => [("storyhook", 4, 100), ("tallyroom", 4, 100)],
+            Self::Prairie => [("crew-roster", 7, 40), ("invoice-hall", 4, 40)],
+        }
+    }
+}
+
+/// One backend server, before it has an address.
+#[derive(Debug, Clone)]
+pub struct Spec {
+    /// Name.
+    pub name: Arc<str>,
+    /// Group of its service, if it has one.
+    pub group: Option<Arc<str>>,
+    /// Service.
+    pub service: Arc<str>,
+    /// Availability zone.
+    pub zone: Arc<str>,
+    /// Requests that it serves at the same time.
+    pub slots: usize,
+    /// Connections that it accepts.
+    pub connections: usize,
+    /// Delay of the first response on a new connection.
+    pub cost: Duration,
+}
+
+/// Returns the name of a group's service.
+pub fn service(group: &str, index: usize) -> Arc<str> {
+    Arc::from(format!("{group}-{index:02}"))
+}
+
+/// Returns every backend server of a user.
+pub fn specs(user: User) -> Vec<Spec> {
+    let grouped = user
+        .groups()
+        .into_iter()
+        .flat_map(|(group, count)| (0..count).flat_map(move |index| pair(group, index)));
+    let single = user
+        .singles()
+        .into_iter()
+        .flat_map(|(name, count, connections)| {
+            (0..count).map(move |index| large(name, index, connections))
+        });
+    grouped.chain(single).collect()
+}
+
+fn pair(group: &str, index: usize) -> [Spec; 2] {
+    let first = index % ZONES.len();
+    // The replica's zone differs from the first one's and varies with the index.
+    let second = (first + 1 + (index / ZONES.len()) % (ZONES.len() - 1)) % ZONES.len();
+    [("a", first), ("b", second)].map(|(suffix, zone)| {
+        let service = service(group, index);
+        Spec {
+            name: Arc::from(format!("{service}-{suffix}")),
+            group: Some(Arc::from(group)),
+            service,
+            zone: Arc::from(ZONES[zone]),
+            slots: 2,
+            connections: 25,
+            cost: COST_SMALL,
+        }
+    })
+}
+
+fn large(service: &str, index: usize, connections: usize) -> Spec {
+    let suffix = char::from(b'a' + index as u8);
+    Spec {
+        name: Arc::from(format!("{service}-{suffix}")),
+        group: None,
+        service: Arc::from(service),
+        zone: Arc::from(ZONES[index % ZONES.len()]),
+        slots: 4,
+        connections,
+        cost: COST_LARGE,
+    }
+}
--- /dev/null
+++ b/crates/bench/src/demo/failure.rs
@@ -0,0 +1,44 @@
+//! Why a demo can't be run.
+
+use std::sync::Arc;
+
+/// Why a demo can't be run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Failure {
+    /// The runtime failed.
+    Runtime,
+    /// The signal handlers can't be set.
+    Signal,
+    /// No free port was found.
+    Ports,
+    /// A child can't be started.
+    Start(Arc<str>),
+    /// A child ended before it was ready.
+    Ended(Arc<str>),
+    /// A child wasn't ready in time.
+    Unready(Arc<str>),
+    /// A control call to a stand-in failed.
+    Control(&'static str),
+    /// The preset's file can't be read.
+    Preset,
+    /// The demo was interrupted.
+    Interrupted,
+}
+
+impl std::fmt::Display for Failure {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Runtime => f.write_str("the runtime failed"),
+            Self::Signal => f.write_str("the signal handlers can't be set"),
+            Self::Ports => f.write_str("no free port was found"),
+            Self::Start(name) => write!(f, "{name} can't be started"),
+            Self::Ended(name) => write!(f, "{name} ended before it was ready"),
+            Self::Unready(name) => write!(f, "{name} wasn't ready in time"),
+            Self::Control(call) => write!(f, "the control call {call} failed"),
+            Self::Preset => f.write_str("the preset's file can't be read"),
+            Self::Interrupted => f.write_str("interrupted"),
+        }
+    }
+}
+
+impl std::error::Error for Failure {}
--- /dev/null
+++ b/crates/bench/src/demo/mod.rs
@@ -0,0 +1,160 @@
+//! Starts stand-ins and instances as processes, replays a trace and reports.
+
+pub mod caller;
+pub mod child;
+pub mod cluster;
+pub mod failure;
+pub mod layout;
+pub mod presets;
+pub mod summary;
+pub mod usage;
+
+use std::{
+    path::PathBuf,
+    process::ExitCode,
+    rc::Rc,
+    sync::{
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+        Arc,
+    },
+    time::Duration,
+};
+
+use error_stack::{
+    Report,
+    ResultExt, //
+};
+use futures_util::{
+    future::{
+        select,
+        Either, //
+    },
+    pin_mut,
+};
+use monoio::time::sleep;
+
+use self::{
+    cluster::Cluster,
+    failure::Failure,
+    summary::Summary, //
+};
+use crate::backends::User;
+
+/// Pause between looks at whether the demo is interrupted.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Form of the report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
+pub enum Form {
+    /// One JSON object in the last line.
+    Json,
+    /// Lines for a reader.
+    Table,
+}
+
+/// Settings of the demo.
+#[derive(Debug, Clone, clap::Args)]
+pub struct Options {
+    /// User whose backend servers and trace run.
+    #[arg(long, value_enum, default_value_t = User::Kestrel)]
+    pub user: User,
+    /// Number of instances.
+    #[arg(long, default_value_t = 7)]
+    pub instances: usize,
+    /// Length of the replay, in seconds.
+    #[arg(long, default_value_t = 20)]
+    pub seconds: u64,
+    /// Requests a second.
+    #[arg(long, default_value_t = 100.0)]
+    pub rate: f64,
+    /// Seed of every random choice.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Form of the report.
+    #[arg(long, value_enum, default_value_t = Form::Table)]
+    pub report: Form,
+    /// Stays up until SIGINT in place of a replay.
+    #[arg(long)]
+    pub keep: bool,
+    /// File of one preset, TOML or JSON, to put in force as `ordinary`.
+    #[arg(long)]
+    pub preset: Option<PathBuf>,
+    /// Lets every instance dial the backend servers itself.
+    #[arg(long)]
+    pub direct: bool,
+    /// The program `tanageryoke`; beside this program if it isn't given.
+    #[arg(long)]
+    pub binary: Option<PathBuf>,
+    /// Share of the backend servers' requests that are served slowly.
+    #[arg(long, default_value_t = 0.0)]
+    pub slow_share: f64,
+    /// Factor by which a slow request's service time grows.
+    #[arg(long, default_value_t = 20.0)]
+    pub slow_factor: f64,
+    /// Level of the instances' logs.
+    #[arg(long, default_value = "warn")]
+    pub log_level: String,
+}
+
+/// Runs the demo; fails if a promise was broken.
+pub fn run(options: Options) -> ExitCode {
+    let outcome = crate::runtime::run(demo(options))
+        .change_context(Failure::Runtime)
+        .and_then(|outcome| outcome);
+    match outcome {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(report) => {
+            tracing::error!("demo: {report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn demo(options: Options) -> Result<bool, Report<Failure>> {
+    let interrupted = interrupt()?;
+    let cluster = Cluster::new(options.clone())?;
+    let work = drive(cluster.clone(), &options);
+    let stopped = stopped(&interrupted);
+    let outcome = {
+        pin_mut!(work, stopped);
+        match select(work, stopped).await {
+            Either::Left((outcome, _)) => outcome,
+            Either::Right(_) if options.keep => Ok(true),
+            Either::Right(_) => Err(Report::new(Failure::Interrupted)),
+        }
+    };
+    cluster.close().await;
+    outcome
+}
+
+async fn drive(cluster: Rc<Cluster>, options: &Options) -> Result<bool, Report<Failure>> {
+    cluster.start().await?;
+    if options.keep {
+        println!("{}", cluster.addresses());
+        return std::future::pending().await;
+    }
+    let before = cluster.usage();
+    let calls = cluster.calls().await?;
+    let tally = caller::run(&cluster, options).await;
+    let summary = Summary::collect(&cluster, tally, &before, &calls).await?;
+    summary.print(options.report);
+    Ok(summary.is_clean())
+}
+
+fn interrupt() -> Result<Arc<AtomicBool>, Report<Failure>> {
+    let flag = Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGINT, signal_hook::consts::SIGTERM] {
+        signal_hook::flag::register(signal, flag.clone()).change_context(Failure::Signal)?;
+    }
+    Ok(flag)
+}
+
+async fn stopped(flag: &AtomicBool) {
+    while !flag.load(Ordering::Relaxed) {
+        sleep(LOOK).await;
+    }
+}
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,13 @@
+//! Stand-ins, replay and measurement for `tanageryoke`; never shipped.
+//!
+//! Each subcommand of the program is one module with an `Options` type and a `run` function.
+
+pub mod answer;
+pub mod backends;
+pub mod balancer;
+pub mod client;
+pub mod demo;
+pub mod listen;
+pub mod runtime;
+pub mod socket;
+pub mod store;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,2 +1,43 @@
 //! The `bench` program.
-fn main() {}
+
+use std::process::ExitCode;
+
+use clap::{
+    Parser,
+    Subcommand, //
+};
+
+/// Stand-ins and measurements for tanageryoke.
+#[derive(Debug, Parser)]
+#[command(name = "bench", version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Runs a stand-in for the platform's object store.
+    Platform(bench::store::Options),
+    /// Runs the backend servers of one user in one process.
+    Backends(bench::backends::Options),
+    /// Runs a round-robin balancer over instances.
+    Balancer(bench::balancer::Options),
+    /// Starts stand-ins and instances, replays a trace and reports.
+    Demo(bench::demo::Options),
+}
+
+fn main() -> ExitCode {
+    tracing_subscriber::fmt()
+        .with_writer(std::io::stderr)
+        .with_env_filter(
+            tracing_subscriber::EnvFilter::try_from_default_env().unwrap_or_else(|_| "info".into()),
+        )
+        .init();
+    match Arguments::parse().command {
+        Command::Platform(options) => bench::store::run(options),
+        Command::Backends(options) => bench::backends::run(options),
+        Command::Balancer(options) => bench::balancer::run(options),
+        Command::Demo(options) => bench::demo::run(options),
+    }
+}
--- /dev/null
+++ b/crates/bench/src/socket.rs
@@ -0,0 +1,44 @@
+//! Raw access to the socket under a connection, for faults below HTTP.
+
+use std::{
+    io::Write,
+    mem::ManuallyDrop,
+    net::{
+        Shutdown,
+        TcpStream, //
+    },
+    os::fd::{
+        AsRawFd,
+        FromRawFd,
+        RawFd, //
+    },
+};
+
+/// The socket of a connection that is being served.
+///
+/// It is valid only while the handler of that connection runs.
+#[derive(Debug, Clone, Copy)]
+pub struct Socket(RawFd);
+
+impl Socket {
+    /// Refers to the socket of `stream`.
+    pub fn new(stream: &monoio::net::TcpStream) -> Self {
+        Self(stream.as_raw_fd())
+    }
+
+    fn stream(self) -> ManuallyDrop<TcpStream> {
+        // SAFETY: The connection's task owns the descriptor and is awaiting the handler that holds
+        // `self`, so it is open; `ManuallyDrop` keeps the borrowed stream from closing it.
+        ManuallyDrop::new(unsafe { TcpStream::from_raw_fd(self.0) })
+    }
+
+    /// Writes bytes that bypass the codec; short writes are dropped.
+    pub fn write(self, bytes: &[u8]) {
+        let _ = self.stream().write(bytes);
+    }
+
+    /// Shuts the connection down, so that no reply gets out.
+    pub fn shutdown(self) {
+        let _ = self.stream().shutdown(Shutdown::Both);
+    }
+}
--- /dev/null
+++ b/crates/bench/src/store/tests.rs
@@ -0,0 +1,82 @@
+//! Semantics of conditional updates and watches.
+
+use std::sync::Arc;
+
+use serde_json::value::RawValue;
+
+use super::{
+    Condition,
+    Objects,
+    Refusal, //
+};
+
+fn value(text: &str) -> Arc<RawValue> {
+    Arc::from(RawValue::from_string(text.to_owned()).expect("JSON"))
+}
+
+#[test]
+fn conditional_updates() {
+    let mut objects = Objects::default();
+    let mut write = |condition| objects.write("config", "presets", condition, value("{}"));
+    let results = [
+        write(Condition::Version(1)),
+        write(Condition::Absent),
+        write(Condition::Absent),
+        write(Condition::Version(1)),
+        write(Condition::Version(1)),
+    ];
+    insta::assert_debug_snapshot!(results);
+}
+
+#[test]
+fn versions_grow_over_deletions() {
+    let mut objects = Objects::default();
+    let first = objects.write("a", "x", Condition::Absent, value("1"));
+    let deleted = objects.delete("a", "x", Condition::Version(1));
+    let again = objects.write("a", "x", Condition::Absent, value("2"));
+    assert_eq!((first, deleted, again), (Ok(1), Ok(2), Ok(3)));
+}
+
+#[test]
+fn watches_see_changes_of_their_kind() {
+    let mut objects = Objects::default();
+    objects
+        .write("a", "x", Condition::Absent, value("1"))
+        .expect("written");
+    objects
+        .write("b", "y", Condition::Absent, value("2"))
+        .expect("written");
+    objects
+        .delete("a", "x", Condition::Version(1))
+        .expect("deleted");
+    let seen = [
+        objects.changed("a", 0),
+        objects.changed("a", 3),
+        objects.changed("b", 1),
+        objects.changed("b", 2),
+    ];
+    insta::assert_json_snapshot!(seen.map(|listing| listing.expect("not compacted")));
+}
+
+#[test]
+fn old_revisions_are_compacted() {
+    let mut objects = Objects::default();
+    let mut version = objects
+        .write("a", "x", Condition::Absent, value("0"))
+        .expect("written");
+    for _ in 0..20_000 {
+        version = objects
+            .write("a", "x", Condition::Version(version), value("0"))
+            .expect("written");
+    }
+    assert_eq!(objects.changed("a", 0).err(), Some(Refusal::Compacted));
+    assert!(objects.changed("a", version - 1).is_ok());
+}
+
+#[test]
+fn oversized_values_are_refused() {
+    let mut objects = Objects::default();
+    let large = format!("\"{}\"", "x".repeat(::platform::VALUE_MAX));
+    let refusal = objects.write("a", "x", Condition::Absent, value(&large));
+    assert_eq!(refusal, Err(Refusal::Oversized));
+}
