feat: serve requests through entry, router and drain

A silent owner is probed before its parts move, so that a slow backend server isn't mistaken for a lost instance.

--- /dev/null
+++ b/crates/entry/src/gather.rs
@@ -0,0 +1,391 @@
+//! Gathers the partials of a query, and moves parts away from instances that went silent.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::HashMap,
+    future::Future,
+    pin::Pin,
+    rc::Rc,
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use fleet::Member;
+use futures_util::{
+    future::{
+        select,
+        Either, //
+    },
+    pin_mut,
+    stream::FuturesUnordered,
+    StreamExt, //
+};
+use platform::Store;
+use web::Stop;
+use wire::{
+    client::Error,
+    CancelRequest,
+    Partial,
+    Reason, //
+};
+
+use crate::{
+    router::Router,
+    scatter::{
+        scatter,
+        Batch,
+        Plan, //
+    },
+};
+
+/// Instances that a part is sent to at most.
+const ATTEMPTS: u32 = 3;
+/// Shortest time after which a silent instance is probed.
+const PATIENCE_MIN: Duration = Duration::from_millis(40);
+/// Longest time after which a silent instance is probed.
+const PATIENCE_MAX: Duration = Duration::from_millis(500);
+
+/// How long the batches of a group take, smoothed as a retransmission timer is (RFC 6298).
+#[derive(Debug, Clone, Copy, Default)]
+struct Smoothed {
+    mean: f64,
+    deviation: f64,
+}
+
+/// How long to wait for a silent instance, by group.
+#[derive(Debug, Default)]
+pub struct Patience {
+    groups: RefCell<HashMap<Arc<str>, Smoothed>>,
+}
+
+impl Patience {
+    fn observe(&self, group: &Arc<str>, elapsed: Duration) {
+        let sample = elapsed.as_secs_f64();
+        let mut groups = self.groups.borrow_mut();
+        let smoothed = groups.entry(group.clone()).or_insert(Smoothed {
+            mean: sample,
+            deviation: sample / 2.0,
+        });
+        let error = (sample - smoothed.mean).abs();
+        smoothed.deviation += (error - smoothed.deviation) / 4.0;
+        smoothed.mean += (sample - smoothed.mean) / 8.0;
+    }
+
+    fn wait(&self, group: &str) -> Duration {
+        self.groups
+            .borrow()
+            .get(group)
+            .map_or(PATIENCE_MAX, |smoothed| {
+                Duration::from_secs_f64(smoothed.mean + 4.0 * smoothed.deviation)
+            })
+            .clamp(PATIENCE_MIN, PATIENCE_MAX)
+    }
+}
+
+/// What has arrived of a query so far.
+struct Collector<'a> {
+    plan: &'a Plan,
+    partials: RefCell<Vec<Option<Partial>>>,
+    missing: Cell<usize>,
+    done: RefCell<Stop>,
+}
+
+impl<'a> Collector<'a> {
+    fn new(plan: &'a Plan) -> Self {
+        let shards = plan.snapshot.shards.len();
+        Self {
+            plan,
+            partials: RefCell::new(vec![None; shards]),
+            missing: Cell::new(shards),
+            done: RefCell::new(Stop::new()),
+        }
+    }
+
+    /// Takes in one partial; the first payload of a part wins, a failure gives way to a payload.
+    fn take(&self, batch: &Batch, partial: Partial) {
+        if !self.plan.matches(batch, &partial) {
+            tracing::warn!(
+                "entry: partial dropped, it belongs to another request or snapshot, from {}.",
+                batch.member.name
+            );
+            return;
+        }
+        let mut partials = self.partials.borrow_mut();
+        let Some(slot) = partials.get_mut(partial.index as usize) else {
+            return;
+        };
+        match slot {
+            None => {
+                *slot = Some(partial);
+                self.missing.set(self.missing.get() - 1);
+            }
+            Some(known) if known.failure.is_some() && partial.failure.is_none() => {
+                *slot = Some(partial);
+            }
+            Some(_) => {}
+        }
+        if self.missing.get() == 0 {
+            self.done.borrow().set();
+        }
+    }
+
+    /// Forgets the failure of a part that is tried elsewhere.
+    fn reopen(&self, index: u32) {
+        let mut partials = self.partials.borrow_mut();
+        if partials[index as usize].take().is_some() {
+            self.missing.set(self.missing.get() + 1);
+            self.done.replace(Stop::new());
+        }
+    }
+
+    fn open(&self, batch: &Batch) -> Vec<u32> {
+        let partials = self.partials.borrow();
+        let is_open = |index: &&u32| partials[**index as usize].is_none();
+        batch.parts.iter().filter(is_open).copied().collect()
+    }
+}
+
+struct Running {
+    batch: Batch,
+    started: Instant,
+    check: Instant,
+}
+
+/// What happened to the batch of a number.
+enum Event {
+    Ended(usize, Result<(), Error>),
+    Probed(usize, bool),
+}
+
+/// Runs the parts of `plan` at their owners and returns a partial for each shard that has one.
+///
+/// Always returns by the plan's deadline. Parts of an instance that can't be reached, or that stays
+/// silent and doesn't answer a probe, go to the next owner.
+pub async fn gather<S: Store>(
+    router: &Router<S>,
+    patience: &Patience,
+    plan: &Plan,
+) -> Vec<Option<Partial>> {
+    let collector = Collector::new(plan);
+    let mut gathering = Gathering {
+        router,
+        patience,
+        plan,
+        collector: &collector,
+        running: Vec::new(),
+        futures: FuturesUnordered::new(),
+    };
+    gathering.start();
+    gathering.run().await;
+    gathering.cancel();
+    drop(gathering);
+    collector.partials.into_inner()
+}
+
+struct Gathering<'a, S> {
+    router: &'a Router<S>,
+    patience: &'a Patience,
+    plan: &'a Plan,
+    collector: &'a Collector<'a>,
+    running: Vec<Option<Running>>,
+    futures: FuturesUnordered<Pin<Box<dyn Future<Output = Event> + 'a>>>,
+}
+
+impl<'a, S: Store> Gathering<'a, S> {
+    fn start(&mut self) {
+        let all: Vec<u32> = (0..self.plan.snapshot.shards.len() as u32).collect();
+        self.send(&all, 1);
+    }
+
+    /// Sends `parts` to the owners of rank `attempt`.
+    fn send(&mut self, parts: &[u32], attempt: u32) {
+        let mut batches: Vec<Batch> = Vec::new();
+        for index in parts {
+            let Some(member) = self.target(*index, attempt) else {
+                continue;
+            };
+            match batches
+                .iter_mut()
+                .find(|batch| batch.member.name == member.name)
+            {
+                Some(batch) => batch.parts.push(*index),
+                None => batches.push(Batch {
+                    member,
+                    attempt,
+                    parts: vec![*index],
+                }),
+            }
+        }
+        batches.into_iter().for_each(|batch| self.launch(batch));
+    }
+
+    fn target(&self, index: u32, attempt: u32) -> Option<Rc<Member>> {
+        let service = &self.plan.snapshot.shards[index as usize].service;
+        let owners = self.router.fleet.owners(service);
+        owners.get(attempt as usize - 1).cloned()
+    }
+
+    fn launch(&mut self, batch: Batch) {
+        let id = self.running.len();
+        let now = Instant::now();
+        self.running.push(Some(Running {
+            batch: batch.clone(),
+            started: now,
+            check: now + self.patience.wait(&self.plan.group),
+        }));
+        let (router, plan, collector) = (self.router, self.plan, self.collector);
+        self.futures.push(Box::pin(async move {
+            let take = |partial| collector.take(&batch, partial);
+            Event::Ended(id, scatter(router, plan, &batch, take).await)
+        }));
+    }
+
+    async fn run(&mut self) {
+        while !self.futures.is_empty() {
+            match self.next().await {
+                Step::Event(Event::Ended(id, result)) => self.end(id, result),
+                Step::Event(Event::Probed(id, false)) => self.lose(id),
+                Step::Event(Event::Probed(_, true)) => {}
+                Step::Done if self.retry_refused() => {}
+                Step::Done => return,
+                Step::Timer if Instant::now() >= self.plan.deadline => return,
+                Step::Timer => self.check(),
+            }
+        }
+    }
+
+    async fn next(&mut self) -> Step {
+        let wake = self.next_check().min(self.plan.deadline);
+        let done = self.collector.done.borrow().wait();
+        let timer = monoio::time::sleep_until(wake.into());
+        let next = select(done, self.futures.next());
+        pin_mut!(next, timer);
+        match select(next, timer).await {
+            Either::Left((Either::Left(_), _)) => Step::Done,
+            Either::Left((Either::Right((Some(event), _)), _)) => Step::Event(event),
+            Either::Left((Either::Right((None, _)), _)) => Step::Done,
+            Either::Right(_) => Step::Timer,
+        }
+    }
+
+    fn next_check(&self) -> Instant {
+        self.running
+            .iter()
+            .flatten()
+            .map(|running| running.check)
+            .min()
+            .unwrap_or(self.plan.deadline)
+    }
+
+    fn end(&mut self, id: usize, result: Result<(), Error>) {
+        let Some(running) = self.running[id].take() else {
+            return;
+        };
+        match result {
+            Ok(()) => {
+                let elapsed = running.started.elapsed();
+                self.patience.observe(&self.plan.group, elapsed);
+            }
+            Err(error) => {
+                let name = &running.batch.member.name;
+                tracing::info!("entry: instance {name} lost during a query: {error}.");
+                self.router.fleet.suspect(name);
+                self.move_on(&running.batch);
+            }
+        }
+    }
+
+    /// Sends the open parts of a lost batch to the next owner.
+    fn move_on(&mut self, batch: &Batch) {
+        let open = self.collector.open(batch);
+        if batch.attempt < ATTEMPTS && !open.is_empty() {
+            self.send(&open, batch.attempt + 1);
+        }
+    }
+
+    /// Sends parts that an instance refused to take on to the next owner; returns whether any went.
+    fn retry_refused(&mut self) -> bool {
+        let refused: Vec<(u32, u32)> = self
+            .collector
+            .partials
+            .borrow()
+            .iter()
+            .flatten()
+            .filter(|partial| is_refused_by_instance(partial) && partial.attempt < ATTEMPTS)
+            .map(|partial| (partial.index, partial.attempt + 1))
+            .filter(|(index, attempt)| self.target(*index, *attempt).is_some())
+            .collect();
+        for (index, attempt) in &refused {
+            self.collector.reopen(*index);
+            self.send(&[*index], *attempt);
+        }
+        !refused.is_empty()
+    }
+
+    /// Probes the instances whose batches are overdue.
+    fn check(&mut self) {
+        let now = Instant::now();
+        let router = self.router;
+        for (id, running) in self.running.iter_mut().enumerate() {
+            let Some(running) = running.as_mut().filter(|running| running.check <= now) else {
+                continue;
+            };
+            running.check = now + self.patience.wait(&self.plan.group);
+            let member = running.batch.member.clone();
+            if !router.fleet.is_me(&member) {
+                self.futures.push(Box::pin(async move {
+                    Event::Probed(id, router.is_alive(&member).await)
+                }));
+            }
+        }
+    }
+
+    /// Gives up the batch of an instance that doesn't answer a probe.
+    fn lose(&mut self, id: usize) {
+        if let Some(running) = self.running[id].take() {
+            tracing::info!("entry: instance {} is silent.", running.batch.member.name);
+            self.move_on(&running.batch);
+        }
+    }
+
+    /// Abandons the parts that nobody waits for any more.
+    fn cancel(&mut self) {
+        for running in self.running.iter().flatten() {
+            let parts = self.collector.open(&running.batch);
+            if parts.is_empty() {
+                continue;
+            }
+            let request = CancelRequest {
+                request: self.plan.request.clone(),
+                attempt: running.batch.attempt,
+                parts,
+            };
+            if self.router.fleet.is_me(&running.batch.member) {
+                self.router.pool.cancel(&request);
+                continue;
+            }
+            let peers = self.router.peers.clone();
+            let address = running.batch.member.address;
+            monoio::spawn(async move { peers.cancel(address, request).await });
+        }
+    }
+}
+
+enum Step {
+    Event(Event),
+    Done,
+    Timer,
+}
+
+fn is_refused_by_instance(partial: &Partial) -> bool {
+    partial
+        .failure
+        .as_ref()
+        .is_some_and(|failure| failure.not_run && failure.reason() == Reason::Stopping)
+}
--- /dev/null
+++ b/crates/entry/src/meter.rs
@@ -0,0 +1,104 @@
+//! Metrics of the answer path.
+
+use opentelemetry::{
+    metrics::{
+        Counter,
+        Histogram,
+        Meter as Source, //
+    },
+    KeyValue,
+};
+use wire::Partial;
+
+use crate::{
+    answer::Coverage,
+    problem::Problem, //
+};
+
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCY: [f64; 14] = [
+    0.002, 0.005, 0.01, 0.015, 0.02, 0.03, 0.05, 0.075, 0.1, 0.2, 0.34, 0.5, 1.0, 5.0,
+];
+/// Upper bounds of the coverage buckets, as shares.
+const COVERAGE: [f64; 6] = [0.5, 0.8, 0.9, 0.95, 0.99, 1.0];
+
+/// Instruments of the answer path.
+#[derive(Debug)]
+pub struct Meter {
+    latency: Histogram<f64>,
+    coverage: Histogram<f64>,
+    sub_requests: Counter<u64>,
+    refusals: Counter<u64>,
+    reruns: Counter<u64>,
+}
+
+impl Meter {
+    /// Makes the instruments.
+    pub fn new(source: &Source) -> Self {
+        Self {
+            latency: source
+                .f64_histogram("tanageryoke_request_seconds")
+                .with_description("Time to answer a request, by target.")
+                .with_boundaries(LATENCY.to_vec())
+                .build(),
+            coverage: source
+                .f64_histogram("tanageryoke_coverage_ratio")
+                .with_description("Share of the shards that an answer covers, by group.")
+                .with_boundaries(COVERAGE.to_vec())
+                .build(),
+            sub_requests: source
+                .u64_counter("tanageryoke_sub_requests")
+                .with_description("Sub-requests sent to backend servers, by reason.")
+                .build(),
+            refusals: source
+                .u64_counter("tanageryoke_refusals")
+                .with_description("Requests refused or failed, by reason and by whether they ran.")
+                .build(),
+            reruns: source
+                .u64_counter("tanageryoke_reruns")
+                .with_description("Queries that ran again on another snapshot.")
+                .build(),
+        }
+    }
+
+    /// Counts an answered request.
+    pub fn answered(&self, target: &str, seconds: f64) {
+        let target = KeyValue::new("target", target.to_owned());
+        self.latency.record(seconds, &[target]);
+    }
+
+    /// Counts a refused or failed request.
+    pub fn refused(&self, problem: &Problem) {
+        let reason = KeyValue::new("reason", problem.kind.name());
+        let run = KeyValue::new("run", format!("{:?}", problem.run));
+        self.refusals.add(1, &[reason, run]);
+    }
+
+    /// Counts a second run of a query.
+    pub fn rerun(&self) {
+        self.reruns.add(1, &[]);
+    }
+
+    /// Counts what an answer covers.
+    pub fn coverage(&self, group: &str, coverage: &Coverage<'_>) {
+        let share = coverage.answered as f64 / coverage.shards.max(1) as f64;
+        let group = KeyValue::new("group", group.to_owned());
+        self.coverage.record(share, &[group]);
+    }
+
+    /// Counts the sub-requests of a query.
+    pub fn sub_requests(&self, partials: &[Option<Partial>]) {
+        let sum = |count: fn(&Partial) -> u32| -> u64 {
+            partials.iter().flatten().map(|p| u64::from(count(p))).sum()
+        };
+        let counts = [
+            ("first", sum(|partial| partial.first)),
+            ("hedge", sum(|partial| partial.hedges)),
+            ("retry", sum(|partial| partial.retries)),
+        ];
+        for (reason, count) in counts {
+            self.sub_requests
+                .add(count, &[KeyValue::new("reason", reason)]);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peer.rs
@@ -0,0 +1,122 @@
+//! The work that other instances send here.
+
+use std::{
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use fleet::Fleet;
+use futures_util::{
+    stream::FuturesUnordered,
+    StreamExt, //
+};
+use ledger::Ledger;
+use platform::Store;
+use pool::{
+    Job,
+    Pool, //
+};
+use wire::{
+    server::{
+        Handler,
+        Sink, //
+    },
+    CallReply,
+    CallRequest,
+    CancelReply,
+    CancelRequest,
+    GossipMessage,
+    Head,
+    ProbeReply,
+    ProbeRequest,
+    ScatterRequest,
+    SyncReply,
+    SyncRequest, //
+};
+
+use crate::router::Router;
+
+/// Answers the calls of peers.
+#[derive(Debug)]
+pub struct Peer<S> {
+    fleet: Rc<Fleet<S>>,
+    pool: Rc<Pool>,
+    ledger: Rc<Ledger<S, Router<S>>>,
+    name: String,
+}
+
+impl<S: Store> Peer<S> {
+    /// Makes the handler of the instance `name`.
+    pub fn new(name: String, router: &Router<S>, ledger: Rc<Ledger<S, Router<S>>>) -> Rc<Self> {
+        Rc::new(Self {
+            fleet: router.fleet.clone(),
+            pool: router.pool.clone(),
+            ledger,
+            name,
+        })
+    }
+}
+
+impl<S: Store> Handler for Peer<S> {
+    async fn scatter(&self, request: ScatterRequest, sink: Sink) {
+        self.fleet.hear(&request.marks);
+        let head = request.head.unwrap_or_default();
+        let deadline = deadline(&head);
+        let jobs = request.parts.into_iter().map(|part| Job {
+            head: head.clone(),
+            index: part.index,
+            shard: part.shard.into(),
+            service: part.service.into(),
+            body: request.body.clone(),
+            deadline,
+        });
+        let mut running: FuturesUnordered<_> = jobs.map(|job| self.pool.part(job)).collect();
+        while let Some(partial) = running.next().await {
+            if !sink.send(partial) {
+                self.pool.cancel(&CancelRequest {
+                    request: head.request.clone(),
+                    attempt: head.attempt,
+                    parts: Vec::new(),
+                });
+                return;
+            }
+        }
+    }
+
+    async fn cancel(&self, request: CancelRequest) -> CancelReply {
+        self.pool.cancel(&request);
+        CancelReply {}
+    }
+
+    async fn call(&self, request: CallRequest) -> CallReply {
+        let deadline = request.head.as_ref().map_or_else(Instant::now, deadline);
+        self.ledger.call(request, deadline).await
+    }
+
+    async fn send(&self, request: CallRequest) -> CallReply {
+        let deadline = request.head.as_ref().map_or_else(Instant::now, deadline);
+        self.pool.send(request, deadline).await
+    }
+
+    async fn gossip(&self, message: GossipMessage) -> GossipMessage {
+        self.fleet.gossip(message)
+    }
+
+    async fn probe(&self, request: ProbeRequest) -> ProbeReply {
+        match &request.target {
+            Some(target) if target.name == self.name => ProbeReply { alive: true },
+            _ => self.fleet.probe(request).await,
+        }
+    }
+
+    async fn sync(&self, request: SyncRequest) -> SyncReply {
+        self.fleet.sync(request)
+    }
+}
+
+fn deadline(head: &Head) -> Instant {
+    Instant::now() + Duration::from_micros(head.budget_us)
+}
--- /dev/null
+++ b/crates/entry/src/query.rs
@@ -0,0 +1,217 @@
+//! Runs one query: pins a snapshot, gathers, and answers with what was really merged.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use config::catalog::{
+    Group,
+    Snapshot, //
+};
+use platform::Store;
+use wire::{
+    Partial,
+    Reason, //
+};
+
+use crate::{
+    answer::{
+        self,
+        Coverage,
+        Merged,
+        Missing,
+        Preset, //
+    },
+    entry::Entry,
+    gather::gather,
+    pin,
+    problem::{
+        Kind,
+        Problem,
+        Run, //
+    },
+    request::{
+        Head,
+        Query, //
+    },
+    scatter::Plan,
+};
+
+/// Time before the deadline that is kept for merging and for the way back.
+const MERGE: Duration = Duration::from_millis(3);
+/// Least time left for a second run on another snapshot.
+const RERUN_MIN: Duration = Duration::from_millis(20);
+
+/// Runs the query of `name` and returns the answer's body.
+///
+/// # Errors
+///
+/// Fails if the group is unknown or if fewer shards answered than the preset accepts.
+pub async fn run<S: Store>(
+    entry: &Entry<S>,
+    head: &Head,
+    name: &str,
+    query: &Query,
+) -> Result<Bytes, Problem> {
+    let (name, group) = head
+        .view
+        .catalog
+        .groups
+        .get_key_value(name)
+        .ok_or_else(|| {
+            Problem::new(
+                Kind::UnknownGroup,
+                Run::NotRun,
+                format!("no such group: {name}"),
+            )
+        })?;
+    let snapshot = entry
+        .pins
+        .choose(name, group)
+        .ok_or_else(|| Problem::new(Kind::Unavailable, Run::NotRun, "the group has no snapshot"))?;
+    let mut plan = plan(head, name, snapshot, query);
+    let mut partials = gather(&entry.router, &entry.patience, &plan).await;
+    if let Some(snapshot) = second(entry, head, name, group, &plan, &partials) {
+        entry.meter.rerun();
+        plan.snapshot = snapshot;
+        partials = gather(&entry.router, &entry.patience, &plan).await;
+    }
+    entry.meter.sub_requests(&partials);
+    finish(entry, head, query, &plan, &partials)
+}
+
+fn plan(head: &Head, group: &Arc<str>, snapshot: &Arc<Snapshot>, query: &Query) -> Plan {
+    Plan {
+        request: Bytes::copy_from_slice(head.id.as_bytes()),
+        group: group.clone(),
+        snapshot: snapshot.clone(),
+        presets: head.view.versions.presets,
+        class: head.view.preset.class(group).number(),
+        body: Bytes::copy_from_slice(query.query.get().as_bytes()),
+        deadline: head.deadline - MERGE,
+    }
+}
+
+/// Returns the snapshot for a second run, if a service no longer holds the pinned one.
+fn second<S>(
+    entry: &Entry<S>,
+    head: &Head,
+    name: &Arc<str>,
+    group: &Group,
+    plan: &Plan,
+    partials: &[Option<Partial>],
+) -> Option<Arc<Snapshot>> {
+    let held: Vec<&[u64]> = partials
+        .iter()
+        .flatten()
+        .filter_map(|partial| partial.failure.as_ref())
+        .filter(|failure| failure.reason() == Reason::SnapshotGone)
+        .map(|failure| failure.held.as_slice())
+        .collect();
+    if held.is_empty() {
+        return None;
+    }
+    entry.pins.avoid(name, plan.snapshot.number);
+    if head.left() < RERUN_MIN {
+        return None;
+    }
+    pin::other(group, plan.snapshot.number, &held).cloned()
+}
+
+fn finish<S>(
+    entry: &Entry<S>,
+    head: &Head,
+    query: &Query,
+    plan: &Plan,
+    partials: &[Option<Partial>],
+) -> Result<Bytes, Problem> {
+    let merged = merged(plan, partials);
+    let coverage = coverage(plan, partials, merged.len());
+    entry.meter.coverage(&plan.group, &coverage);
+    let share = merged.len() as f64 / plan.snapshot.shards.len().max(1) as f64;
+    if merged.is_empty() || share < head.view.preset.coverage_min {
+        return Err(too_little(plan, partials, &coverage));
+    }
+    let head = answer::Head {
+        request: head.id.to_string(),
+        group: &plan.group,
+        snapshot: plan.snapshot.number,
+        preset: Preset {
+            name: &head.view.presets.in_force,
+            version: plan.presets,
+        },
+        coverage,
+    };
+    match query.top {
+        Some(top) => answer::write_top(&head, &merged, top),
+        None => answer::write_parts(&head, &merged)
+            .map_err(|error| Problem::new(Kind::BadReply, Run::MayHaveRun, error.to_string())),
+    }
+}
+
+fn merged<'a>(plan: &'a Plan, partials: &'a [Option<Partial>]) -> Vec<Merged<'a>> {
+    let shards = plan.snapshot.shards.iter().zip(partials);
+    shards
+        .filter_map(|(shard, partial)| Some((&*shard.name, partial.as_ref()?)))
+        .filter(|(_, partial)| partial.failure.is_none())
+        .collect()
+}
+
+fn coverage<'a>(plan: &'a Plan, partials: &'a [Option<Partial>], answered: usize) -> Coverage<'a> {
+    let shards = plan.snapshot.shards.iter().zip(partials);
+    let missing = shards.filter_map(|(shard, partial)| {
+        let reason = match partial {
+            None => "deadline".to_owned(),
+            Some(partial) => name(partial.failure.as_ref()?.reason()),
+        };
+        Some(Missing {
+            shard: &shard.name,
+            reason,
+        })
+    });
+    Coverage {
+        shards: plan.snapshot.shards.len(),
+        answered,
+        missing: missing.collect(),
+    }
+}
+
+/// Returns the reason as callers read it, such as `snapshot_gone`.
+fn name(reason: Reason) -> String {
+    let name = reason.as_str_name();
+    name.strip_prefix("REASON_").unwrap_or(name).to_lowercase()
+}
+
+/// Makes the refusal of a query that too few shards answered.
+fn too_little(plan: &Plan, partials: &[Option<Partial>], coverage: &Coverage<'_>) -> Problem {
+    let ran = partials.iter().any(|partial| match partial {
+        None => true,
+        Some(partial) => partial
+            .failure
+            .as_ref()
+            .is_none_or(|failure| !failure.not_run),
+    });
+    let failures = || partials.iter().flatten().filter_map(|p| p.failure.as_ref());
+    let overloaded = failures().any(|failure| {
+        matches!(
+            failure.reason(),
+            Reason::QueueFull | Reason::Shed | Reason::Overloaded
+        )
+    });
+    let late = partials.iter().any(Option::is_none)
+        || failures().any(|failure| failure.reason() == Reason::Deadline);
+    let kind = match (overloaded, late) {
+        (true, _) => Kind::Overloaded,
+        (false, true) => Kind::Deadline,
+        (false, false) => Kind::Coverage,
+    };
+    let after = failures().map(|failure| failure.retry_after_ms).max();
+    let detail = format!(
+        "{} of {} shards of snapshot {} answered",
+        coverage.answered, coverage.shards, plan.snapshot.number
+    );
+    Problem::new(kind, Run::from_not_run(!ran), detail)
+        .retry_after(Duration::from_millis(after.unwrap_or_default().max(1_000)))
+}
--- /dev/null
+++ b/crates/tanageryoke/src/configs/mod.rs
@@ -0,0 +1,3 @@
+//! Settings, one file for each command that has any.
+
+pub mod serve;
--- /dev/null
+++ b/crates/tanageryoke/src/context.rs
@@ -0,0 +1,106 @@
+//! What the parts of an instance share.
+
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use entry::{
+    Entry,
+    Router, //
+};
+use error_stack::Report;
+use fleet::{
+    Fleet,
+    Member, //
+};
+use ledger::Ledger;
+use platform::http::Client;
+use pool::Pool;
+use wire::client::Peers;
+
+use crate::{
+    commands::Error,
+    configs::serve::Settings,
+    metrics::Metrics, //
+};
+
+/// The parts of one instance.
+#[derive(Debug)]
+pub struct Context {
+    /// Settings.
+    pub settings: Settings,
+    /// Members, ownership and documents.
+    pub fleet: Rc<Fleet<Client>>,
+    /// Connections to backend servers.
+    pub pool: Rc<Pool>,
+    /// Keyed calls.
+    pub ledger: Rc<Ledger<Client, Router<Client>>>,
+    /// Finds the instance that does the work.
+    pub router: Rc<Router<Client>>,
+    /// Answers callers.
+    pub entry: Rc<Entry<Client>>,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// When the instance started.
+    pub started: Instant,
+    /// Whether the instance is being stopped.
+    pub leaving: Cell<bool>,
+}
+
+impl Context {
+    /// Makes the parts; nothing runs yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the metrics can't be set up.
+    pub fn new(settings: Settings) -> Result<Rc<Self>, Report<Error>> {
+        let metrics = Metrics::new()?;
+        let store = Rc::new(Client::new(settings.platform, settings.platform_timeout));
+        let peers = Peers::new();
+        let fleet = Fleet::new(members(&settings), store.clone(), peers.clone());
+        let pool = Pool::new(settings.zone.clone());
+        let router = Router::new(fleet.clone(), pool.clone(), peers);
+        let ledger = Ledger::new(store, router.clone(), settings.name.clone());
+        let meter = entry::meter::Meter::new(&metrics.meter());
+        let entry = Entry::new(router.clone(), ledger.clone(), meter);
+        Ok(Rc::new(Self {
+            settings,
+            fleet,
+            pool,
+            ledger,
+            router,
+            entry,
+            metrics,
+            started: Instant::now(),
+            leaving: Cell::new(false),
+        }))
+    }
+
+    /// Returns whether the balancer may send requests here.
+    pub fn is_ready(&self) -> bool {
+        !self.leaving.get() && self.fleet.view().is_ready()
+    }
+
+    /// Returns the longest time that a stop waits for work in flight.
+    pub fn drain(&self) -> Duration {
+        Duration::from_millis(self.fleet.view().preset.drain_ms)
+    }
+}
+
+fn members(settings: &Settings) -> fleet::Settings {
+    fleet::Settings {
+        me: Member {
+            name: settings.name.clone(),
+            address: settings.peer_address,
+            zone: settings.zone.clone(),
+        },
+        seeds: settings.seeds.clone(),
+        heartbeat: settings.heartbeat,
+        direct: settings.direct,
+    }
+}
--- a/crates/tanageryoke/src/main.rs
+++ b/crates/tanageryoke/src/main.rs
@@ -1,2 +1,10 @@
 //! The `tanageryoke` program.
-fn main() {}
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use tanageryoke::cli::Cli;
+
+fn main() -> ExitCode {
+    Cli::parse().run()
+}
--- /dev/null
+++ b/crates/tanageryoke/src/state.rs
@@ -0,0 +1,32 @@
+//! The dump of an instance's state.
+
+use serde_json::{
+    json,
+    Value, //
+};
+
+use crate::context::Context;
+
+/// Returns what the instance does now, as JSON of bounded size.
+pub fn dump(context: &Context) -> Value {
+    let view = context.fleet.view();
+    json!({
+        "instance": {
+            "name": &*context.settings.name,
+            "zone": &*context.settings.zone,
+            "uptime_ms": context.started.elapsed().as_millis() as u64,
+            "ready": context.is_ready(),
+            "leaving": context.leaving.get(),
+        },
+        "versions": {
+            "presets": view.versions.presets,
+            "catalog": view.versions.catalog,
+            "marks": view.versions.marks,
+        },
+        "preset": &*view.presets.in_force,
+        "entry": { "in_flight": context.entry.in_flight() },
+        "fleet": context.fleet.state(),
+        "pool": context.pool.state(),
+        "ledger": context.ledger.state(),
+    })
+}
