--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -197,8 +197,7 @@
             Some(Err(_)) => return Err(Failure::sent(Kind::Malformed)),
             None => return Err(Failure::sent(Kind::Closed)),
         };
-        framing::check(head.headers(), self.limits.body)
-            .map_err(|_| Failure::sent(Kind::Malformed))?;
+        framing::check(head.headers(), &self.limits).map_err(|_| Failure::sent(Kind::Malformed))?;
         let (head, body) = head.into_parts();
         let body = body
             .with_io(&mut self.parts.decoder)
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -198,7 +198,7 @@
                 _ => return Step::End,
             }
         };
-        if let Err(fault) = framing::check(request.headers(), self.limits.body) {
+        if let Err(fault) = framing::check(request.headers(), self.limits) {
             return Step::Reject(Rejection::Framing(fault));
         }
         self.body(request).await
--- /dev/null
+++ b/crates/web/tests/bad_input.rs
@@ -0,0 +1,176 @@
+//! What callers can send wrong, and what they are answered.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use http::{
+    Request,
+    Response, //
+};
+use monoio::{
+    io::{
+        AsyncReadRent,
+        AsyncWriteRentExt, //
+    },
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    LegacyDriver, RuntimeBuilder,
+};
+use web::{
+    server::{
+        serve,
+        Handler, //
+    },
+    Limits,
+    Stop, //
+};
+
+struct Echo;
+
+impl Handler for Echo {
+    async fn handle(&self, request: Request<Bytes>) -> Response<Bytes> {
+        Response::new(request.into_body())
+    }
+}
+
+fn run<T>(test: impl std::future::Future<Output = T>) -> T {
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(test)
+}
+
+fn start() -> (SocketAddr, Stop) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let stop = Stop::new();
+    let limits = Limits {
+        head: 1024,
+        body: 2048,
+        read: Duration::from_millis(50),
+        idle: Duration::from_millis(200),
+        ..Limits::default()
+    };
+    monoio::spawn(serve(listener, Rc::new(Echo), limits, stop.clone()));
+    (address, stop)
+}
+
+/// Sends `bytes` and returns all that comes back until the server closes the connection.
+async fn raw(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    let (sent, _) = stream.write_all(bytes.to_vec()).await;
+    sent.expect("bytes sent");
+    let mut answer = Vec::new();
+    loop {
+        let (read, chunk) = stream.read(vec![0; 4096]).await;
+        match read {
+            Ok(count) if count > 0 => answer.extend_from_slice(&chunk[..count]),
+            _ => return first_line(&answer),
+        }
+    }
+}
+
+fn first_line(answer: &[u8]) -> String {
+    let text = String::from_utf8_lossy(answer);
+    text.lines().next().unwrap_or("closed").to_owned()
+}
+
+fn cases() -> Vec<(&'static str, Vec<u8>)> {
+    let post = |rest: &str| format!("POST / HTTP/1.1\r\nhost: a\r\n{rest}").into_bytes();
+    let long = "x".repeat(5000);
+    vec![
+        (
+            "whole",
+            post("connection: close\r\ncontent-length: 2\r\n\r\nok"),
+        ),
+        (
+            "chunked",
+            post("connection: close\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+        ),
+        ("not HTTP", b"\x00\x01\x02 nonsense\r\n\r\n".to_vec()),
+        (
+            "two lengths",
+            post("content-length: 2\r\ncontent-length: 3\r\n\r\nok"),
+        ),
+        (
+            "length and encoding",
+            post("content-length: 2\r\ntransfer-encoding: chunked\r\n\r\nok"),
+        ),
+        ("signed length", post("content-length: +2\r\n\r\nok")),
+        (
+            "length isn't a number",
+            post("content-length: two\r\n\r\nok"),
+        ),
+        ("declared too long", post("content-length: 4096\r\n\r\n")),
+        (
+            "chunked too long",
+            post(&format!(
+                "transfer-encoding: chunked\r\n\r\n1388\r\n{long}\r\n0\r\n\r\n"
+            )),
+        ),
+        (
+            "chunk size isn't a number",
+            post("transfer-encoding: chunked\r\n\r\nzz\r\nok\r\n"),
+        ),
+        ("head too long", post(&format!("x-long: {long}\r\n\r\n"))),
+        ("unknown encoding", post("transfer-encoding: gzip\r\n\r\n")),
+        ("slow body", post("content-length: 10\r\n\r\nhalf")),
+        (
+            "head never ends",
+            b"POST / HTTP/1.1\r\nhost: a\r\n".to_vec(),
+        ),
+    ]
+}
+
+#[test]
+fn each_fault_is_answered_and_the_server_goes_on() {
+    let answers = run(async {
+        let (address, _stop) = start();
+        let mut answers = String::new();
+        for (name, bytes) in cases() {
+            answers += &format!("{name}: {}\n", raw(address, &bytes).await);
+        }
+        answers
+    });
+    insta::assert_snapshot!(answers);
+}
+
+#[test]
+fn a_stop_lets_the_request_in_flight_end() {
+    let ended = run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        let stop = Stop::new();
+        let server = monoio::spawn(serve(
+            listener,
+            Rc::new(Slow),
+            Limits::default(),
+            stop.clone(),
+        ));
+        let caller = monoio::spawn(async move {
+            let bytes = b"POST / HTTP/1.1\r\ncontent-length: 2\r\n\r\nok";
+            raw(address, bytes).await
+        });
+        monoio::time::sleep(Duration::from_millis(20)).await;
+        stop.set();
+        server.await;
+        caller.await
+    });
+    assert_eq!(ended, "HTTP/1.1 200 OK");
+}
+
+struct Slow;
+
+impl Handler for Slow {
+    async fn handle(&self, request: Request<Bytes>) -> Response<Bytes> {
+        monoio::time::sleep(Duration::from_millis(80)).await;
+        Response::new(request.into_body())
+    }
+}
--- /dev/null
+++ b/crates/web/tests/client.rs
@@ -0,0 +1,93 @@
+//! What a peer can answer wrong, and what the client makes of it.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use monoio::{
+    io::{
+        AsyncReadRent,
+        AsyncWriteRentExt, //
+    },
+    net::TcpListener,
+    LegacyDriver,
+    RuntimeBuilder, //
+};
+use web::{
+    client::Connection,
+    Limits, //
+};
+
+/// Answers the first request with `answer`, then closes the connection.
+async fn exchange(answer: &'static [u8]) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    monoio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let _ = stream.read(vec![0; 4096]).await;
+        let _ = stream.write_all(answer.to_vec()).await;
+        monoio::time::sleep(Duration::from_millis(20)).await;
+    });
+    let limits = Limits {
+        body: 1024,
+        ..Limits::default()
+    };
+    let connection = Connection::open(address, limits).await.expect("connected");
+    let request = Request::post("/")
+        .body(Bytes::from_static(b"{}"))
+        .expect("a request");
+    match connection
+        .exchange(request, Duration::from_millis(200))
+        .await
+    {
+        Ok(exchange) => format!(
+            "{} {:?}, kept: {}",
+            exchange.response.status(),
+            exchange.response.body(),
+            exchange.connection.is_some()
+        ),
+        Err(failure) => failure.to_string(),
+    }
+}
+
+#[test]
+fn each_answer_is_whole_or_a_failure() {
+    let cases: [(&str, &[u8]); 9] = [
+        ("whole", b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"),
+        (
+            "closing",
+            b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 2\r\n\r\nok",
+        ),
+        (
+            "truncated",
+            b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok",
+        ),
+        (
+            "two lengths",
+            b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 1\r\n\r\nok",
+        ),
+        (
+            "too long",
+            b"HTTP/1.1 200 OK\r\ncontent-length: 2000\r\n\r\n",
+        ),
+        ("nonsense", b"\x01\x02\x03\r\n\r\n"),
+        (
+            "chunks cut",
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nab",
+        ),
+        ("head cut", b"HTTP/1.1 200"),
+        ("closed", b""),
+    ];
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("a runtime");
+    let answers = runtime.block_on(async {
+        let mut answers = String::new();
+        for (name, answer) in cases {
+            answers += &format!("{name}: {}\n", exchange(answer).await);
+        }
+        answers
+    });
+    insta::assert_snapshot!(answers);
+}
