feat(bench): add recorded traces, open-loop replay and the report

Latency counts from the intended time of a send, and a test holds every answer until all requests have arrived, which a closed loop never reaches. The verifier is not there yet: the report's violations are empty.

--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,6 @@
+//! The test bench: recorded traces, open-loop replay, verification and reports.
+
+pub mod replay;
+pub mod report;
+pub mod trace;
+pub mod verify;
--- /dev/null
+++ b/crates/bench/src/replay/command.rs
@@ -0,0 +1,90 @@
+//! `bench replay`.
+
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    process::ExitCode,
+    sync::Arc,
+    time::Duration, //
+};
+
+use clap::Args;
+use error_stack::{
+    Report,
+    ResultExt, //
+};
+
+use super::{
+    Error,
+    Plan, //
+};
+use crate::{
+    report,
+    trace,
+    verify, //
+};
+
+/// Arguments of `bench replay`.
+#[derive(Debug, Args)]
+pub struct Arguments {
+    /// Trace to replay.
+    #[arg(long)]
+    trace: PathBuf,
+    /// Addresses to send to, the balancer's first.
+    #[arg(long, value_delimiter = ',', required = true)]
+    to: Vec<SocketAddr>,
+    /// Address of the backends stand-in, for its log.
+    #[arg(long)]
+    backends: Option<SocketAddr>,
+    /// Use all addresses in turn.
+    #[arg(long)]
+    spread: bool,
+    /// Leave out the trace past this many seconds.
+    #[arg(long)]
+    seconds: Option<u64>,
+    /// Connections that may be open at the same time.
+    #[arg(long, default_value_t = 2_000)]
+    connections: usize,
+    /// Threads that share the trace.
+    #[arg(long, default_value_t = 1)]
+    threads: usize,
+    /// Show a progress bar.
+    #[arg(long)]
+    progress: bool,
+}
+
+impl Arguments {
+    /// Runs the command.
+    pub fn run(self) -> ExitCode {
+        match self.replay() {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(report) => {
+                eprintln!("replay: {report:?}");
+                ExitCode::FAILURE
+            }
+        }
+    }
+
+    fn replay(self) -> Result<(), Report<Error>> {
+        let trace = trace::load(&self.trace).change_context(Error::Trace)?;
+        let outcome = super::run(&Plan {
+            trace: Arc::new(trace),
+            callers: self.to,
+            spread: self.spread,
+            limit: self.seconds.map(Duration::from_secs),
+            progress: self.progress,
+            connections: self.connections,
+            threads: self.threads,
+        })?;
+        let log = match self.backends {
+            Some(address) => verify::fetch::run(address, 0).change_context(Error::Log)?,
+            None => verify::Log::default(),
+        };
+        let summary = report::run(&outcome, &log);
+        println!(
+            "{}",
+            serde_json::to_string(&summary).expect("plain structs serialize")
+        );
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/bench/src/replay/mod.rs
@@ -0,0 +1,187 @@
+//! Open-loop replay of a trace.
+//!
+//! Each request is sent at its intended time, whether or not earlier ones are answered, and its
+//! latency counts from that time. A slow answer thus delays no later request and hides none.
+
+pub mod answer;
+pub mod caller;
+pub mod command;
+pub mod pace;
+pub mod record;
+mod send;
+mod worker;
+
+use std::{
+    fmt,
+    net::SocketAddr,
+    sync::{
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        },
+        Arc, //
+    },
+    thread,
+    time::Duration, //
+};
+
+use error_stack::{
+    Report,
+    ResultExt, //
+};
+use indicatif::ProgressBar;
+
+use crate::trace::{
+    Arrival,
+    Trace, //
+};
+
+pub use record::Record;
+
+/// Time between two updates of the progress bar.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(200);
+
+/// What to replay, and where to.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// The trace.
+    pub trace: Arc<Trace>,
+    /// Addresses that requests are sent to, the balancer's first.
+    pub callers: Vec<SocketAddr>,
+    /// Whether all addresses are used in turn, not only the balancer's.
+    pub spread: bool,
+    /// Length after which the rest of the trace is left out.
+    pub limit: Option<Duration>,
+    /// Whether a progress bar is shown.
+    pub progress: bool,
+    /// Connections that may be open at the same time.
+    pub connections: usize,
+    /// Threads that share the trace.
+    pub threads: usize,
+}
+
+impl Plan {
+    /// Plans the replay of a whole trace through the balancer.
+    pub fn new(trace: Arc<Trace>, callers: Vec<SocketAddr>) -> Self {
+        Self {
+            trace,
+            callers,
+            spread: false,
+            limit: None,
+            progress: false,
+            connections: 2_000,
+            threads: 1,
+        }
+    }
+
+    fn arrivals(&self) -> &[Arrival] {
+        let all = &self.trace.arrivals;
+        match self.limit {
+            Some(limit) => {
+                let end = limit.as_micros() as u64;
+                &all[..all.partition_point(|arrival| arrival.at_us < end)]
+            }
+            None => all,
+        }
+    }
+
+    fn addresses(&self) -> &[SocketAddr] {
+        match self.spread {
+            true => &self.callers,
+            false => &self.callers[..1],
+        }
+    }
+}
+
+/// Why a replay can't run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Error {
+    /// No address to send to.
+    Address,
+    /// A thread or its runtime can't be started.
+    Thread,
+    /// The trace can't be loaded.
+    Trace,
+    /// The log of the backend servers can't be read.
+    Log,
+    /// The stated outcomes can't be read.
+    Expectation,
+    /// A file can't be written.
+    Write,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Address => "no address to replay to",
+            Self::Thread => "a replay thread can't run",
+            Self::Trace => "the trace can't be loaded",
+            Self::Log => "the log of the backend servers can't be read",
+            Self::Expectation => "the stated outcomes can't be read",
+            Self::Write => "a file can't be written",
+        })
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Everything that callers saw.
+#[derive(Debug, Clone, Default)]
+pub struct Outcome {
+    /// One record a send, in order of the intended time.
+    pub records: Vec<Record>,
+    /// Start of the replay, in microseconds since the Unix epoch.
+    pub started_us: u64,
+    /// Time of the last answer, in microseconds since the Unix epoch.
+    pub ended_us: u64,
+}
+
+/// Replays a trace and returns when every request is answered or given up.
+///
+/// # Errors
+///
+/// Fails if there is no address or a thread can't run; failed requests are part of the outcome.
+pub fn run(plan: &Plan) -> Result<Outcome, Report<Error>> {
+    if plan.callers.is_empty() {
+        return Err(Report::new(Error::Address));
+    }
+    let pace = pace::Pace::start();
+    let done = Arc::new(AtomicU64::new(0));
+    let threads = plan.threads.max(1);
+    let mut handles = Vec::new();
+    for number in 0..threads {
+        let share = worker::Share::cut(plan, number, threads, pace, done.clone());
+        let handle = thread::Builder::new()
+            .name(format!("replay-{number}"))
+            .spawn(move || share.run())
+            .change_context(Error::Thread)?;
+        handles.push(handle);
+    }
+    if plan.progress {
+        show(plan.arrivals().len() as u64, &done, &handles);
+    }
+    let mut records = Vec::new();
+    for handle in handles {
+        let share = handle.join().map_err(|_| Report::new(Error::Thread))?;
+        records.extend(share?);
+    }
+    records.sort_by_key(|record| (record.intended_us, record.arrival, record.attempt));
+    Ok(Outcome {
+        ended_us: records
+            .iter()
+            .map(|record| record.answered_us)
+            .max()
+            .unwrap_or(pace.epoch_us()),
+        started_us: pace.epoch_us(),
+        records,
+    })
+}
+
+fn show<T>(length: u64, done: &AtomicU64, handles: &[thread::JoinHandle<T>]) {
+    let bar = ProgressBar::new(length);
+    while !handles.iter().all(thread::JoinHandle::is_finished) {
+        bar.set_position(done.load(Ordering::Relaxed));
+        thread::sleep(PROGRESS_INTERVAL);
+    }
+    bar.finish_and_clear();
+}
--- /dev/null
+++ b/crates/bench/src/report/summary.rs
@@ -0,0 +1,297 @@
+//! Counts the records of a replay into a report.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::{
+    latency::{
+        fine,
+        round,
+        Latency,
+        Point, //
+    },
+    load::{
+        Load,
+        Loads, //
+    },
+};
+use crate::{
+    replay::{
+        record::{
+            Fault,
+            Record, //
+        },
+        Outcome,
+    },
+    verify::Log,
+};
+
+/// Time past its deadline after which an answer counts as late, in microseconds.
+pub const LATE_US: u64 = 50_000;
+
+/// The figures of one group or service, or of all.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Target {
+    /// Requests, without the callers' own retries.
+    pub queries: u64,
+    /// Requests with status 200.
+    pub answered: u64,
+    /// Median latency, in milliseconds.
+    pub p50_ms: f64,
+    /// 90th percentile, in milliseconds.
+    pub p90_ms: f64,
+    /// 99th percentile, in milliseconds.
+    pub p99_ms: f64,
+    /// 99.9th percentile, in milliseconds.
+    pub p999_ms: f64,
+    /// Share of the requests with a whole, timely and single answer, over the callers' retries.
+    pub goodput: f64,
+    /// Mean share of the shards in the answers to queries, 1 if there is none.
+    pub coverage: f64,
+    /// Share of the answers to queries that lack a shard.
+    pub partial: f64,
+    /// Requests that were refused.
+    pub refused: u64,
+    /// Requests without a usable answer.
+    pub errors: u64,
+    /// Answers that came late.
+    pub late: u64,
+    /// Sub-requests started on backend servers / needed - 1.
+    pub extra_load: f64,
+    /// Share of the started sub-requests whose request got no result.
+    pub wasted_load: f64,
+}
+
+/// One second of a replay.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Second {
+    /// Seconds since the start.
+    pub at: u64,
+    /// Requests that were due.
+    pub queries: u64,
+    /// Mean coverage of the answers to queries.
+    pub coverage: f64,
+    /// Extra load.
+    pub extra_load: f64,
+    /// 99th percentile, in milliseconds.
+    pub p99_ms: f64,
+}
+
+/// The whole report.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Summary {
+    /// Name of the run, for comparisons.
+    pub label: String,
+    /// Length, in seconds.
+    pub seconds: f64,
+    /// Figures over all requests.
+    #[serde(flatten)]
+    pub all: Target,
+    /// Requests with whole, timely and single answers a second.
+    pub goodput_rate: f64,
+    /// Retries that the callers sent of their own accord.
+    pub caller_retries: u64,
+    /// 99th percentile of the delay between the intended time and the send, in milliseconds.
+    pub send_lag_p99_ms: f64,
+    /// Refusals by problem type.
+    pub refusals: BTreeMap<Arc<str>, u64>,
+    /// Missing answers by cause.
+    pub faults: BTreeMap<Fault, u64>,
+    /// Missing shards by stated reason.
+    pub missing: BTreeMap<Arc<str>, u64>,
+    /// Figures by group or service.
+    pub targets: BTreeMap<Arc<str>, Target>,
+    /// Entries that the backend servers' log had no room for.
+    pub log_dropped: u64,
+    /// Violations by promise.
+    pub violations: BTreeMap<String, u64>,
+    /// Latency by percentile.
+    pub curve: Vec<Point>,
+    /// Figures by second.
+    pub series: Vec<Second>,
+}
+
+/// Counts an outcome and the servers' log into a report, without violations.
+pub fn run(outcome: &Outcome, log: &Log) -> Summary {
+    let loads = Loads::count(log);
+    let mut all = Tally::default();
+    let mut targets: BTreeMap<Arc<str>, Tally> = BTreeMap::new();
+    let mut seconds: BTreeMap<u64, Tally> = BTreeMap::new();
+    let mut lag = Latency::default();
+    let mut summary = Summary::default();
+    for arrival in outcome.records.chunk_by(|a, b| a.arrival == b.arrival) {
+        let first = &arrival[0];
+        let at = first.intended_us.saturating_sub(outcome.started_us) / 1_000_000;
+        all.add(arrival, &loads);
+        targets
+            .entry(first.target.clone())
+            .or_default()
+            .add(arrival, &loads);
+        seconds.entry(at).or_default().add(arrival, &loads);
+        lag.add(first.sent_us.saturating_sub(first.intended_us));
+        summary.caller_retries += arrival.len() as u64 - 1;
+        summary.name(first);
+    }
+    summary.seconds = round(outcome.ended_us.saturating_sub(outcome.started_us) as f64 / 1e6);
+    summary.goodput_rate = match summary.seconds {
+        0.0 => 0.0,
+        seconds => round(all.good as f64 / seconds),
+    };
+    summary.send_lag_p99_ms = lag.ms(99.0);
+    summary.curve = all.latency.curve();
+    summary.all = all.finish();
+    summary.targets = targets
+        .iter()
+        .map(|(name, tally)| (name.clone(), tally.finish()))
+        .collect();
+    summary.series = seconds
+        .iter()
+        .map(|(at, tally)| tally.second(*at))
+        .collect();
+    summary.log_dropped = log.dropped;
+    summary
+}
+
+impl Summary {
+    /// Counts the named causes of a first send.
+    fn name(&mut self, record: &Record) {
+        if let Some(fault) = record.fault {
+            *self.faults.entry(fault).or_default() += 1;
+        }
+        if let Some(problem) = record.problem.as_ref().filter(|_| record.is_refused()) {
+            *self.refusals.entry(problem.clone()).or_default() += 1;
+        }
+        for shard in record
+            .coverage
+            .iter()
+            .flat_map(|coverage| &coverage.missing)
+        {
+            *self.missing.entry(shard.reason.clone()).or_default() += 1;
+        }
+    }
+}
+
+/// Running counts of requests.
+#[derive(Debug, Default)]
+struct Tally {
+    latency: Latency,
+    counts: Target,
+    good: u64,
+    covered: u64,
+    coverage: f64,
+    partial: u64,
+    load: Load,
+    wasted: u64,
+}
+
+impl Tally {
+    /// Adds one arrival: all its sends, the first one first.
+    fn add(&mut self, sends: &[Record], loads: &Loads<'_>) {
+        let first = &sends[0];
+        self.counts.queries += 1;
+        self.counts.answered += u64::from(first.is_answered());
+        self.counts.refused += u64::from(first.is_refused());
+        self.counts.errors += u64::from(first.fault.is_some());
+        self.counts.late += u64::from(is_late(first));
+        self.good += u64::from(is_good(sends, loads));
+        // A request that got no answer at all counts with the time that its caller waited.
+        if !first.is_refused() {
+            self.latency.add(first.latency_us());
+        }
+        if first.is_answered() {
+            self.cover(first);
+        }
+        for send in sends {
+            self.load(send, loads.of(&send.request));
+        }
+    }
+
+    fn cover(&mut self, record: &Record) {
+        let Some(coverage) = &record.coverage else {
+            return;
+        };
+        self.covered += 1;
+        self.partial += u64::from(coverage.answered < coverage.shards);
+        self.coverage += match coverage.shards {
+            0 => 1.0,
+            shards => f64::from(coverage.answered) / f64::from(shards),
+        };
+    }
+
+    fn load(&mut self, record: &Record, load: Load) {
+        self.load.add(load);
+        if !record.is_answered() {
+            self.wasted += load.started;
+        }
+    }
+
+    fn finish(&self) -> Target {
+        Target {
+            p50_ms: self.latency.ms(50.0),
+            p90_ms: self.latency.ms(90.0),
+            p99_ms: self.latency.ms(99.0),
+            p999_ms: self.latency.ms(99.9),
+            goodput: share(self.good, self.counts.queries),
+            coverage: self.coverage(),
+            partial: share(self.partial, self.covered),
+            extra_load: fine(self.load.extra()),
+            wasted_load: share(self.wasted, self.load.started),
+            ..self.counts.clone()
+        }
+    }
+
+    fn coverage(&self) -> f64 {
+        match self.covered {
+            0 => 1.0,
+            covered => fine(self.coverage / covered as f64),
+        }
+    }
+
+    fn second(&self, at: u64) -> Second {
+        Second {
+            at,
+            queries: self.counts.queries,
+            coverage: self.coverage(),
+            extra_load: fine(self.load.extra()),
+            p99_ms: self.latency.ms(99.0),
+        }
+    }
+}
+
+fn share(part: u64, whole: u64) -> f64 {
+    match whole {
+        0 => 0.0,
+        whole => fine(part as f64 / whole as f64),
+    }
+}
+
+/// Returns whether an answer came later than its deadline allows.
+pub fn is_late(record: &Record) -> bool {
+    record.answered_us > record.sent_us + record.timeout_ms * 1_000 + LATE_US
+}
+
+/// Returns whether a caller got a whole answer in time, and the work ran no more than once.
+fn is_good(sends: &[Record], loads: &Loads<'_>) -> bool {
+    let first = &sends[0];
+    let due_us = first.intended_us + first.timeout_ms * 1_000;
+    let single = first.key.as_ref().is_none_or(|key| loads.starts(key) <= 1);
+    single
+        && sends
+            .iter()
+            .any(|send| is_whole(send) && send.answered_us <= due_us)
+}
+
+fn is_whole(record: &Record) -> bool {
+    let covered = |coverage: &crate::replay::record::Coverage| coverage.answered == coverage.shards;
+    record.is_answered() && record.coverage.as_ref().is_none_or(covered)
+}
--- /dev/null
+++ b/crates/bench/src/verify/fetch.rs
@@ -0,0 +1,110 @@
+//! Reads the log of the backends stand-in.
+
+use std::{
+    fmt,
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use error_stack::{
+    Report,
+    ResultExt, //
+};
+use monoio::{
+    LegacyDriver,
+    RuntimeBuilder, //
+};
+use web::client::Connection;
+
+use super::Log;
+
+/// Longest time for one page of the log.
+const PAGE_WAIT: Duration = Duration::from_secs(30);
+/// Longest page of the log, in bytes.
+const PAGE_MAX: usize = 512 * 1024 * 1024;
+
+/// Why the log can't be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Error {
+    /// The runtime can't be started.
+    Runtime,
+    /// The backends stand-in gives no answer.
+    Exchange,
+    /// The backends stand-in refuses.
+    Status {
+        /// Status of its answer.
+        status: u16,
+    },
+    /// The log can't be understood.
+    Decode,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Runtime => f.write_str("runtime can't be started"),
+            Self::Exchange => f.write_str("the backends stand-in gives no answer"),
+            Self::Status { status } => write!(f, "the backends stand-in answers {status}"),
+            Self::Decode => f.write_str("the log can't be understood"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Reads the whole log after entry `after`, page by page.
+///
+/// Runs a runtime of its own, so it can't be called from within one.
+///
+/// # Errors
+///
+/// Fails if a page can't be read or understood.
+pub fn run(address: SocketAddr, after: u64) -> Result<Log, Report<Error>> {
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .change_context(Error::Runtime)?;
+    runtime.block_on(read(address, after))
+}
+
+/// Reads the whole log after entry `after` from within a runtime.
+///
+/// # Errors
+///
+/// Fails if a page can't be read or understood.
+pub async fn read(address: SocketAddr, after: u64) -> Result<Log, Report<Error>> {
+    let mut log = Log::default();
+    let mut after = after;
+    loop {
+        let mut next = page(address, after).await?;
+        let last = next.records.iter().map(|entry| entry.seq).max();
+        next.records.splice(..0, log.records);
+        log = next;
+        match last {
+            Some(seq) if seq > after => after = seq,
+            _ => return Ok(log),
+        }
+    }
+}
+
+async fn page(address: SocketAddr, after: u64) -> Result<Log, Report<Error>> {
+    let limits = web::Limits {
+        body: PAGE_MAX,
+        ..web::Limits::default()
+    };
+    let request = http::Request::get(format!("/control/log?after={after}"))
+        .header("host", address.to_string())
+        .body(Bytes::new())
+        .change_context(Error::Exchange)?;
+    let exchange = Connection::open(address, limits)
+        .await
+        .change_context(Error::Exchange)?
+        .exchange(request, PAGE_WAIT)
+        .await
+        .change_context(Error::Exchange)?;
+    match exchange.response.status().as_u16() {
+        200 => serde_json::from_slice(exchange.response.body()).change_context(Error::Decode),
+        status => Err(Report::new(Error::Status { status })),
+    }
+}
--- /dev/null
+++ b/crates/bench/src/verify/log.rs
@@ -0,0 +1,162 @@
+//! What the backend servers logged, and what the operators of a run did.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    sync::Arc, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::trace::Kind;
+
+/// How a request ended on a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum End {
+    /// It ran and was answered.
+    Done,
+    /// It was cancelled.
+    Cancelled,
+    /// It was shed.
+    Shed,
+    /// Its deadline passed first.
+    Deadline,
+    /// The pinned snapshot isn't held.
+    Snapshot,
+    /// The backend server is draining.
+    Draining,
+    /// It ran, and its answer was lost.
+    Broken,
+}
+
+/// One request on one backend server.
+///
+/// Times are in microseconds since the Unix epoch.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Position in the log.
+    #[serde(default)]
+    pub seq: u64,
+    /// Backend server.
+    pub server: Arc<str>,
+    /// Service of the server.
+    #[serde(default)]
+    pub service: Arc<str>,
+    /// Shard of a query.
+    #[serde(default)]
+    pub shard: Option<Arc<str>>,
+    /// Query or call.
+    pub kind: Kind,
+    /// Request id; for a part, `<UUID>-<part index>`.
+    pub request: Box<str>,
+    /// Attempt number.
+    #[serde(default)]
+    pub attempt: u32,
+    /// Idempotency key.
+    #[serde(default)]
+    pub key: Option<Box<str>>,
+    /// Snapshot that was read.
+    #[serde(default)]
+    pub snapshot: Option<u64>,
+    /// Time of arrival.
+    pub arrived_us: u64,
+    /// Time at which a slot was taken.
+    #[serde(default)]
+    pub started_us: Option<u64>,
+    /// Time of the end.
+    #[serde(default)]
+    pub ended_us: Option<u64>,
+    /// How it ended.
+    #[serde(default)]
+    pub outcome: Option<End>,
+}
+
+impl Entry {
+    /// Returns the request id without the index of the part.
+    pub fn base(&self) -> &str {
+        base(&self.request)
+    }
+}
+
+/// Returns a request id without the index of the part.
+pub fn base(request: &str) -> &str {
+    request
+        .get(..UUID_LENGTH)
+        .filter(|_| request.as_bytes().get(UUID_LENGTH) == Some(&b'-'))
+        .unwrap_or(request)
+}
+
+/// Characters of a UUID's usual form.
+const UUID_LENGTH: usize = 36;
+
+/// One backend server's counters.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Server {
+    /// Name.
+    pub name: Arc<str>,
+    /// Requests that it serves at the same time.
+    pub slots: u64,
+    /// Connections that it accepts.
+    pub connections: u64,
+    /// Connections open now.
+    pub connections_open: u64,
+    /// Most connections that were open at the same time.
+    pub connections_peak: u64,
+    /// Connections that were closed at once.
+    pub connections_refused: u64,
+    /// Most slots that were taken at the same time.
+    pub busy_peak: u64,
+}
+
+/// A backend server that was marked leaving.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Mark {
+    /// Backend server.
+    pub server: Arc<str>,
+    /// Time of the mark.
+    pub at_us: u64,
+    /// Time at which the mark was taken back.
+    #[serde(default)]
+    pub until_us: Option<u64>,
+}
+
+/// A presets document that the platform accepted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Accepted {
+    /// Version of the document.
+    pub version: u64,
+    /// Time at which it was accepted.
+    pub at_us: u64,
+}
+
+/// Names of the shards of each snapshot.
+pub type Snapshots = BTreeMap<u64, BTreeSet<Arc<str>>>;
+
+/// The log of the backend servers, with the events of the run.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Log {
+    /// One entry a request and server.
+    pub records: Vec<Entry>,
+    /// Counters of every server.
+    pub servers: Vec<Server>,
+    /// Entries that the log had no room for.
+    pub dropped: u64,
+    /// Time of the log.
+    pub now_us: u64,
+    /// Backend servers that were marked leaving.
+    pub marks: Vec<Mark>,
+    /// Shards by group and snapshot, where known.
+    pub groups: BTreeMap<Arc<str>, Snapshots>,
+    /// Presets documents that the platform accepted, where known.
+    pub presets: Vec<Accepted>,
+    /// Whether anything but planned stops happened to instances or connections.
+    pub unplanned: bool,
+}
--- /dev/null
+++ b/crates/bench/tests/common/mod.rs
@@ -0,0 +1,188 @@
+//! A fake of the caller interface, on a thread of its own.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    io::{
+        Read,
+        Write, //
+    },
+    net::SocketAddr,
+    rc::Rc,
+    sync::mpsc,
+    thread::JoinHandle, //
+};
+
+use bytes::Bytes;
+use futures_channel::oneshot;
+use http::{
+    Request,
+    Response, //
+};
+use monoio::{
+    net::TcpListener,
+    LegacyDriver,
+    RuntimeBuilder, //
+};
+use serde_json::json;
+use web::{
+    server::{
+        self,
+        Handler, //
+    },
+    Limits,
+    Stop, //
+};
+
+/// How the fake behaves.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Script {
+    /// Requests that have to arrive before any is answered.
+    pub(crate) hold: usize,
+}
+
+/// A running fake.
+#[derive(Debug)]
+pub(crate) struct Fake {
+    address: SocketAddr,
+    stop: oneshot::Sender<()>,
+    thread: JoinHandle<()>,
+}
+
+impl Fake {
+    /// Starts a fake on a free port.
+    pub(crate) fn start(script: Script) -> Self {
+        let (address, started) = mpsc::channel();
+        let (stop, stopped) = oneshot::channel::<()>();
+        let thread = std::thread::spawn(move || {
+            let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+                .enable_timer()
+                .build()
+                .unwrap();
+            runtime.block_on(async move {
+                let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+                address.send(listener.local_addr().unwrap()).unwrap();
+                serve(listener, script, stopped).await;
+            });
+        });
+        Self {
+            address: started.recv().unwrap(),
+            stop,
+            thread,
+        }
+    }
+
+    /// Returns the address that it listens on.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops it and waits until it has stopped.
+    pub(crate) fn close(self) {
+        let _ = self.stop.send(());
+        self.thread.join().unwrap();
+    }
+}
+
+async fn serve(listener: TcpListener, script: Script, stopped: oneshot::Receiver<()>) {
+    let answers = Rc::new(Answers {
+        script,
+        arrived: Cell::default(),
+        held: RefCell::default(),
+    });
+    let stop = Stop::new();
+    let stopping = stop.clone();
+    monoio::spawn(async move {
+        let _ = stopped.await;
+        stopping.set();
+    });
+    server::serve(listener, answers, Limits::default(), stop).await;
+}
+
+struct Answers {
+    script: Script,
+    arrived: Cell<usize>,
+    held: RefCell<Vec<oneshot::Sender<()>>>,
+}
+
+impl Answers {
+    async fn hold(&self) {
+        self.arrived.set(self.arrived.get() + 1);
+        if self.arrived.get() >= self.script.hold {
+            self.held
+                .take()
+                .into_iter()
+                .for_each(|held| drop(held.send(())));
+            return;
+        }
+        let (sender, turn) = oneshot::channel();
+        self.held.borrow_mut().push(sender);
+        let _ = turn.await;
+    }
+}
+
+impl Handler for Answers {
+    async fn handle(&self, request: Request<Bytes>) -> Response<Bytes> {
+        self.hold().await;
+        let id = request.headers()["x-request-id"].to_str().unwrap();
+        let target = request.uri().path().split('/').nth(2).unwrap();
+        let (status, body) = answer(target, id);
+        Response::builder()
+            .status(status)
+            .body(body.into())
+            .unwrap()
+    }
+}
+
+fn answer(target: &str, id: &str) -> (u16, String) {
+    let part = |shard: &str| {
+        let stamps =
+            json!({"request": format!("{id}-0"), "shard": shard, "snapshot": 7, "hits": []});
+        json!({"shard": shard, "server": format!("{shard}-a"), "payload": stamps})
+    };
+    let query = |missing: serde_json::Value, parts: Vec<serde_json::Value>| {
+        let coverage = json!({"shards": 2, "answered": parts.len(), "missing": missing});
+        json!({
+            "request": id, "group": target, "snapshot": 7, "coverage": coverage, "parts": parts,
+            "preset": {"name": "ordinary", "version": 3},
+        })
+    };
+    let problem = |kind: &str, run: &str, status: u16| json!({"type": kind, "title": "", "status": status, "detail": "", "run": run, "request": id});
+    let whole = query(json!([]), vec![part("s0"), part("s1")]).to_string();
+    match target {
+        "tallyroom" => {
+            let call =
+                json!({"request": id, "service": target, "server": "t", "payload": {"n": 1}});
+            (200, call.to_string())
+        }
+        "partial" => {
+            let missing = json!([{"shard": "s1", "reason": "deadline"}]);
+            (200, query(missing, vec![part("s0")]).to_string())
+        }
+        "refused" => (
+            503,
+            problem("/problems/overloaded", "not_run", 503).to_string(),
+        ),
+        "unknown" => (
+            504,
+            problem("/problems/outcome", "may_have_run", 504).to_string(),
+        ),
+        "garbled" => (200, whole[..whole.len() / 2].to_owned()),
+        _ => (200, whole),
+    }
+}
+
+/// Answers one connection with `bytes`, whatever is asked, and closes it.
+pub(crate) fn close_after(bytes: &'static [u8]) -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut head = [0; 4096];
+        let _ = stream.read(&mut head).unwrap();
+        stream.write_all(bytes).unwrap();
+    });
+    address
+}
