--- a/crates/bench/tests/common/mod.rs
+++ b/crates/bench/tests/common/mod.rs
@@ -111,10 +111,9 @@
     async fn hold(&self) {
         self.arrived.set(self.arrived.get() + 1);
         if self.arrived.get() >= self.script.hold {
-            self.held
-                .take()
-                .into_iter()
-                .for_each(|held| drop(held.send(())));
+            for held in self.held.take() {
+                let _ = held.send(());
+            }
             return;
         }
         let (sender, turn) = oneshot::channel();
--- a/crates/bench/tests/replay.rs
+++ b/crates/bench/tests/replay.rs
@@ -88,10 +88,7 @@
 fn sends_do_not_wait_for_answers() {
     // The fake answers nobody before everybody has asked, which a closed loop never reaches.
     let count = 50;
-    let fake = Fake::start(Script {
-        hold: count,
-        ..Script::default()
-    });
+    let fake = Fake::start(Script { hold: count });
     let arrivals = (0..count as u64)
         .map(|n| arrival(n * 1_000, "deskline", Kind::Query))
         .collect();
