--- a/crates/bench/src/backends/mod.rs
+++ b/crates/bench/src/backends/mod.rs
@@ -46,11 +46,9 @@
         Outcome,
         Record, //
     },
-    sizes::{
-        User,
-        ZONES, //
-    },
+    sizes::ZONES,
 };
+use crate::trace::profile::User;
 
 /// Settings of the backend servers.
 #[derive(Debug, Clone, clap::Args)]
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,6 +1,4 @@
-//! Stand-ins, replay and measurement for `tanageryoke`; never shipped.
-//!
-//! Each subcommand of the program is one module with an `Options` type and a `run` function.
+//! The test bench: stand-ins, recorded traces, open-loop replay, verification and reports.
 
 pub mod answer;
 pub mod backends;
@@ -8,6 +6,10 @@
 pub mod client;
 pub mod demo;
 pub mod listen;
+pub mod replay;
+pub mod report;
 pub mod runtime;
 pub mod socket;
 pub mod store;
+pub mod trace;
+pub mod verify;
