--- a/crates/bench/src/demo/mod.rs
+++ b/crates/bench/src/demo/mod.rs
@@ -108,7 +108,7 @@
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(report) => {
-            tracing::error!("demo: {report:?}");
+            tracing::error!("demo: {report:#}.");
             ExitCode::FAILURE
         }
     }
