--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -25,6 +25,11 @@
     Balancer(bench::balancer::Options),
     /// Starts stand-ins and instances, replays a trace and reports.
     Demo(bench::demo::Options),
+    /// Works with recorded traces.
+    #[command(subcommand)]
+    Trace(bench::trace::command::Command),
+    /// Replays a trace against a deployment and reports.
+    Replay(bench::replay::command::Arguments),
 }
 
 fn main() -> ExitCode {
@@ -39,5 +44,7 @@
         Command::Backends(options) => bench::backends::run(options),
         Command::Balancer(options) => bench::balancer::run(options),
         Command::Demo(options) => bench::demo::run(options),
+        Command::Trace(command) => command.run(),
+        Command::Replay(arguments) => arguments.run(),
     }
 }
