--- /dev/null
+++ b/crates/ledger/src/change.rs
@@ -0,0 +1,223 @@
+//! Changes to a partition and what each finds.
+
+use std::{
+    sync::Arc,
+    time::Instant, //
+};
+
+use futures_channel::oneshot;
+
+use crate::{
+    claim::{
+        Claim,
+        Confirmed, //
+    },
+    key::Key,
+    object::{
+        Entry,
+        Object,
+        Outcome, //
+    },
+};
+
+/// What a claim or a look found.
+#[derive(Debug)]
+pub(crate) enum Finding {
+    /// The key is claimed by the one who asked.
+    Granted(Claim<Confirmed>),
+    /// The key has an entry.
+    Entry(Entry),
+    /// The key has no entry.
+    Absent,
+    /// The key is below the partition's floor.
+    Expired,
+    /// The partition takes no more keys for now.
+    Full,
+    /// The platform can't confirm anything for now.
+    Unavailable,
+}
+
+/// What identifies a claim and what it claims.
+#[derive(Debug, Clone)]
+pub(crate) struct Stake {
+    pub(crate) key: Key,
+    pub(crate) claim: Arc<str>,
+    pub(crate) fingerprint: Arc<str>,
+    pub(crate) at_ms: u64,
+}
+
+impl Stake {
+    fn entry(&self, outcome: Option<Outcome>) -> Entry {
+        Entry {
+            claim: self.claim.clone(),
+            fingerprint: self.fingerprint.clone(),
+            at_ms: self.at_ms,
+            outcome,
+        }
+    }
+
+    fn owns(&self, entry: &Entry) -> bool {
+        entry.claim == self.claim
+    }
+}
+
+/// What a change does.
+#[derive(Debug)]
+pub(crate) enum Kind {
+    /// Claims the key if it is free.
+    Claim,
+    /// Voids the key if nobody claimed it.
+    Fence,
+    /// Reads the entry; from the platform if another instance may have changed it.
+    Look { fresh: bool },
+    /// Sets the outcome of the claim.
+    Record(Outcome),
+    /// Sets the outcome of a claim that will not be used, wherever its write ends up.
+    Abandon,
+}
+
+/// A change that waits for its write.
+#[derive(Debug)]
+pub(crate) struct Change {
+    pub(crate) kind: Kind,
+    pub(crate) stake: Stake,
+    /// When nobody waits for it any more.
+    pub(crate) until: Instant,
+    /// Whether a write of it may have taken effect.
+    pub(crate) in_doubt: bool,
+    pub(crate) reply: Option<oneshot::Sender<Finding>>,
+}
+
+/// What a change found, before it is known to be written.
+#[derive(Debug)]
+pub(crate) enum Step {
+    Granted,
+    Entry(Entry),
+    Absent,
+    Expired,
+    Full,
+    Nothing,
+}
+
+impl Change {
+    /// Makes the recording of an outcome.
+    pub(crate) fn recording(stake: Stake, outcome: Outcome, until: Instant) -> Self {
+        Self::lasting(Kind::Record(outcome), stake, until)
+    }
+
+    /// Makes the abandonment of a claim whose write may still take effect.
+    pub(crate) fn abandonment(stake: Stake, until: Instant) -> Self {
+        Self::lasting(Kind::Abandon, stake, until)
+    }
+
+    fn lasting(kind: Kind, stake: Stake, until: Instant) -> Self {
+        Self {
+            kind,
+            stake,
+            until,
+            in_doubt: false,
+            reply: None,
+        }
+    }
+
+    /// Returns whether a cached object won't do.
+    pub(crate) fn needs_read(&self) -> bool {
+        matches!(self.kind, Kind::Look { fresh: true })
+    }
+
+    /// Returns whether the change is to be written although nobody waits for it.
+    pub(crate) fn is_lasting(&self) -> bool {
+        matches!(self.kind, Kind::Record(_) | Kind::Abandon)
+    }
+
+    /// Returns whether nobody waits for the change.
+    pub(crate) fn is_over(&self, now: Instant) -> bool {
+        let is_unheard = self
+            .reply
+            .as_ref()
+            .is_some_and(oneshot::Sender::is_canceled);
+        now >= self.until || is_unheard
+    }
+
+    /// Applies the change to `object`; returns what it finds and whether `object` changed.
+    pub(crate) fn apply(&self, object: &mut Object, room: Room) -> (Step, bool) {
+        if object.is_below_floor(&self.stake.key) {
+            return (Step::Expired, false);
+        }
+        match &self.kind {
+            Kind::Claim => self.claim(object, room),
+            Kind::Fence => self.fence(object),
+            Kind::Look { .. } => (self.look(object), false),
+            Kind::Record(outcome) => self.record(object, outcome.clone(), room),
+            Kind::Abandon => self.abandon(object),
+        }
+    }
+
+    fn claim(&self, object: &mut Object, room: Room) -> (Step, bool) {
+        match object.get(&self.stake.key) {
+            Some(entry) if self.stake.owns(entry) && entry.outcome.is_none() => {
+                (Step::Granted, false)
+            }
+            Some(entry) if !is_free(entry, &self.stake) => (Step::Entry(entry.clone()), false),
+            _ if !room.for_claims => (Step::Full, false),
+            _ => {
+                object.insert(&self.stake.key, self.stake.entry(None));
+                (Step::Granted, true)
+            }
+        }
+    }
+
+    fn fence(&self, object: &mut Object) -> (Step, bool) {
+        match object.get(&self.stake.key) {
+            Some(entry) if !is_free(entry, &self.stake) => (Step::Entry(entry.clone()), false),
+            _ => {
+                let entry = self.stake.entry(Some(Outcome::Void));
+                object.insert(&self.stake.key, entry.clone());
+                (Step::Entry(entry), true)
+            }
+        }
+    }
+
+    fn look(&self, object: &Object) -> Step {
+        object
+            .get(&self.stake.key)
+            .map_or(Step::Absent, |entry| Step::Entry(entry.clone()))
+    }
+
+    fn record(&self, object: &mut Object, outcome: Outcome, room: Room) -> (Step, bool) {
+        match object.get_mut(&self.stake.key) {
+            Some(entry) if self.stake.owns(entry) && entry.outcome.is_none() => {
+                entry.outcome = Some(match room.for_payloads {
+                    true => outcome,
+                    false => outcome.without_payload(),
+                });
+                (Step::Nothing, true)
+            }
+            _ => (Step::Nothing, false),
+        }
+    }
+
+    /// The insertion moves the object's version on, after which a write of the claim that is still
+    /// on its way can't take effect.
+    fn abandon(&self, object: &mut Object) -> (Step, bool) {
+        match object.get(&self.stake.key) {
+            None => {}
+            Some(entry) if self.stake.owns(entry) && entry.outcome.is_none() => {}
+            Some(_) => return (Step::Nothing, false),
+        }
+        let entry = self.stake.entry(Some(Outcome::NotRun));
+        object.insert(&self.stake.key, entry);
+        (Step::Nothing, true)
+    }
+}
+
+/// What the size of the object leaves room for.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Room {
+    pub(crate) for_claims: bool,
+    pub(crate) for_payloads: bool,
+}
+
+fn is_free(entry: &Entry, stake: &Stake) -> bool {
+    entry.outcome == Some(Outcome::NotRun) && entry.fingerprint == stake.fingerprint
+}
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -1,68 +1,369 @@
 //! The handle that runs keyed calls.
 
 use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::BTreeMap,
     future::Future,
     rc::Rc,
     sync::Arc,
-    time::Instant, //
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
-use platform::Store;
+use futures_channel::oneshot;
+use platform::{
+    backoff::Backoff,
+    Store, //
+};
 use wire::{
     CallReply,
-    CallRequest, //
+    CallRequest,
+    Reason, //
+};
+
+use crate::{
+    change::{
+        Change,
+        Finding,
+        Kind,
+        Stake, //
+    },
+    claim::{
+        Claim,
+        Confirmed, //
+    },
+    key::{
+        self,
+        Key, //
+    },
+    object::{
+        Entry,
+        Outcome, //
+    },
+    partition::{
+        count,
+        Counters,
+        Partition, //
+    },
+    reply,
+    runtime::{
+        until,
+        Monoio,
+        Runtime, //
+    },
 };
 
+/// Shortest and longest wait between two looks at a key that somebody else runs.
+const LOOK: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(320));
+/// Time left below which nobody waits for an outcome.
+const SHORT: Duration = Duration::from_millis(20);
+/// Time past the deadline after which a send that has no reply is given up.
+const GRACE: Duration = Duration::from_millis(100);
+/// Wait between two checks of whether everything is recorded.
+const CLOSE_STEP: Duration = Duration::from_millis(10);
+
 /// Sends a claimed call to the owner of its service, once.
 pub trait Dispatch: 'static {
     /// Sends the call; never retries once a byte may have left.
     fn send(&self, request: CallRequest, deadline: Instant) -> impl Future<Output = CallReply>;
 }
 
+#[derive(Debug, Default)]
+struct Calls {
+    in_flight: Cell<u64>,
+    sent: Cell<u64>,
+    repeated: Cell<u64>,
+    refused: RefCell<BTreeMap<&'static str, u64>>,
+    fenced: Cell<u64>,
+}
+
 /// The ledger as this instance sees it.
-#[derive(Debug)]
-pub struct Ledger<S, D> {
+pub struct Ledger<S, D, R = Monoio> {
     store: Rc<S>,
     dispatch: Rc<D>,
+    runtime: Rc<R>,
     me: Arc<str>,
+    /// Drawn at the start, so that claims of an earlier process of the same name differ.
+    run: u64,
+    claims: Cell<u64>,
+    stopping: Cell<bool>,
+    partitions: RefCell<BTreeMap<u32, Rc<Partition<S, R>>>>,
+    counters: Rc<Counters>,
+    calls: Calls,
+}
+
+impl<S, D, R> std::fmt::Debug for Ledger<S, D, R> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Ledger")
+            .field("me", &self.me)
+            .field("counters", &self.counters)
+            .field("calls", &self.calls)
+            .finish_non_exhaustive()
+    }
 }
 
 impl<S: Store, D: Dispatch> Ledger<S, D> {
     /// Makes a ledger over `store` for the instance `me`.
     pub fn new(store: Rc<S>, dispatch: Rc<D>, me: Arc<str>) -> Rc<Self> {
+        Self::with_runtime(store, dispatch, me, Rc::new(Monoio))
+    }
+
+    /// Returns the partition of `key`.
+    pub fn partition(key: &str) -> u32 {
+        key::partition_of(key)
+    }
+}
+
+impl<S: Store, D: Dispatch, R: Runtime> Ledger<S, D, R> {
+    /// Makes a ledger on a runtime of one's own.
+    pub fn with_runtime(store: Rc<S>, dispatch: Rc<D>, me: Arc<str>, runtime: Rc<R>) -> Rc<Self> {
+        let run = runtime.random();
         Rc::new(Self {
             store,
             dispatch,
+            runtime,
             me,
+            run,
+            claims: Cell::new(0),
+            stopping: Cell::new(false),
+            partitions: RefCell::default(),
+            counters: Rc::default(),
+            calls: Calls::default(),
         })
     }
 
-    /// Returns the partition of `key`.
-    pub fn partition(key: &str) -> u32 {
-        let _ = key;
-        0
-    }
-
     /// Runs a keyed call: claims, sends, records.
+    ///
+    /// The reply is handed out before its outcome is recorded. A key that was answered before gets
+    /// the recorded reply; one that somebody else runs is waited for until shortly before
+    /// `deadline`, then answered as one that may have run.
     pub async fn call(&self, request: CallRequest, deadline: Instant) -> CallReply {
-        let _ = (&self.store, &self.me);
-        self.dispatch.send(request, deadline).await
+        if self.stopping.get() {
+            return self.counted(reply::not_run(Reason::Stopping));
+        }
+        self.calls.in_flight.set(self.calls.in_flight.get() + 1);
+        let reply = self.run(request, deadline).await;
+        self.calls.in_flight.set(self.calls.in_flight.get() - 1);
+        self.counted(reply)
     }
 
     /// Settles a keyed call whose home went silent: the recorded outcome, or `may_have_run`, or,
     /// once the key is fenced so that nobody can run it any more, `not_run`.
     pub async fn settle(&self, request: CallRequest, deadline: Instant) -> CallReply {
-        let _ = (request, deadline);
-        CallReply::default()
+        let reply = self.settled(request, deadline).await;
+        self.counted(reply)
+    }
+
+    async fn run(&self, request: CallRequest, deadline: Instant) -> CallReply {
+        let stake = match self.stake(&request) {
+            Ok(stake) => stake,
+            Err(fault) => return reply::bad_key(fault),
+        };
+        let partition = self.open(stake.key.partition());
+        if partition.is_refusing() {
+            return reply::not_run(Reason::Platform);
+        }
+        if !partition.has_room() {
+            return reply::not_run(Reason::Overloaded);
+        }
+        match self.ask(&partition, Kind::Claim, &stake, deadline).await {
+            Some(Finding::Granted(claim)) => self.send(claim, request, deadline).await,
+            Some(Finding::Entry(entry)) => self.follow(&partition, &stake, entry, deadline).await,
+            Some(Finding::Expired) => reply::not_run(Reason::KeyExpired),
+            Some(Finding::Full) => reply::not_run(Reason::Overloaded),
+            // This process alone could use the claim, and its id is dropped here.
+            Some(Finding::Absent | Finding::Unavailable) => reply::not_run(Reason::Platform),
+            None => reply::not_run(Reason::Deadline),
+        }
+    }
+
+    async fn send(
+        &self,
+        claim: Claim<Confirmed>,
+        request: CallRequest,
+        deadline: Instant,
+    ) -> CallReply {
+        if self.runtime.now() >= deadline {
+            claim.close();
+            return reply::not_run(Reason::Deadline);
+        }
+        count(&self.calls.sent);
+        let claim = claim.send();
+        let send = self.dispatch.send(request, deadline);
+        let reply = until(&*self.runtime, deadline + GRACE, send)
+            .await
+            .unwrap_or_else(|| reply::may_have_run(Reason::Deadline));
+        claim.close(reply::outcome(&reply));
+        reply
+    }
+
+    async fn settled(&self, request: CallRequest, deadline: Instant) -> CallReply {
+        let unknown = reply::may_have_run(Reason::OutcomeUnknown);
+        let stake = match self.stake(&request) {
+            Ok(stake) => stake,
+            // A malformed key is refused wherever it goes; an old one may have been claimed in time.
+            Err(key::Fault::Malformed) => return reply::bad_key(key::Fault::Malformed),
+            Err(_) => return unknown,
+        };
+        let partition = self.open(stake.key.partition());
+        match self.ask(&partition, Kind::Fence, &stake, deadline).await {
+            Some(Finding::Entry(entry)) => {
+                count(&self.calls.fenced);
+                self.follow(&partition, &stake, entry, deadline).await
+            }
+            _ => unknown,
+        }
+    }
+
+    /// Answers a key that has an entry, waiting for the outcome of one that somebody runs.
+    async fn follow(
+        &self,
+        partition: &Rc<Partition<S, R>>,
+        stake: &Stake,
+        mut entry: Entry,
+        deadline: Instant,
+    ) -> CallReply {
+        if entry.fingerprint != stake.fingerprint {
+            return reply::not_run(Reason::KeyReused);
+        }
+        let fresh = !entry.claim.starts_with(&*self.prefix());
+        let mut backoff = Backoff::seeded(LOOK.0, LOOK.1, self.runtime.random());
+        loop {
+            match self.answer(&entry) {
+                Some(reply) => return reply,
+                None if self.is_short(deadline) => break,
+                None => {}
+            }
+            self.runtime.sleep(backoff.next_wait()).await;
+            let look = Kind::Look { fresh };
+            match self.ask(partition, look, stake, deadline).await {
+                Some(Finding::Entry(next)) => entry = next,
+                _ => break,
+            }
+        }
+        reply::may_have_run(Reason::OutcomeUnknown)
+    }
+
+    fn answer(&self, entry: &Entry) -> Option<CallReply> {
+        match entry.outcome.as_ref()? {
+            Outcome::Done {
+                status,
+                server,
+                payload,
+                ..
+            } => Some(reply::recorded(*status, server, payload.as_deref())),
+            Outcome::Unknown => Some(reply::may_have_run(Reason::OutcomeUnknown)),
+            Outcome::NotRun => Some(reply::not_run(Reason::Unreachable)),
+            Outcome::Void => Some(reply::not_run(Reason::Cancelled)),
+        }
+    }
+
+    fn is_short(&self, deadline: Instant) -> bool {
+        deadline.saturating_duration_since(self.runtime.now()) <= SHORT
+    }
+
+    async fn ask(
+        &self,
+        partition: &Rc<Partition<S, R>>,
+        kind: Kind,
+        stake: &Stake,
+        deadline: Instant,
+    ) -> Option<Finding> {
+        let (sender, receiver) = oneshot::channel();
+        partition.push(Change {
+            kind,
+            stake: stake.clone(),
+            until: deadline,
+            in_doubt: false,
+            reply: Some(sender),
+        });
+        let found = until(&*self.runtime, deadline, receiver).await?;
+        Some(found.unwrap_or(Finding::Unavailable))
+    }
+
+    fn stake(&self, request: &CallRequest) -> Result<Stake, key::Fault> {
+        let at_ms = self.runtime.unix_ms();
+        let key = Key::parse(&request.key, at_ms)?;
+        let number = self.claims.get();
+        self.claims.set(number + 1);
+        Ok(Stake {
+            key,
+            claim: format!("{}{number:x}", self.prefix()).into(),
+            fingerprint: key::fingerprint(&request.service, &request.body).into(),
+            at_ms,
+        })
+    }
+
+    fn prefix(&self) -> String {
+        format!("{}-{:016x}-", self.me, self.run)
+    }
+
+    fn open(&self, number: u32) -> Rc<Partition<S, R>> {
+        let mut partitions = self.partitions.borrow_mut();
+        let partition = partitions.entry(number).or_insert_with(|| {
+            let store = self.store.clone();
+            let runtime = self.runtime.clone();
+            Partition::new(number, store, runtime, self.counters.clone())
+        });
+        partition.clone()
+    }
+
+    fn counted(&self, reply: CallReply) -> CallReply {
+        if reply.recorded {
+            count(&self.calls.repeated);
+        }
+        if let Some(failure) = &reply.failure {
+            let reason = failure.reason().as_str_name();
+            *self.calls.refused.borrow_mut().entry(reason).or_default() += 1;
+        }
+        reply
     }
 
     /// Returns claims in flight and counters, as JSON of bounded size.
     pub fn state(&self) -> serde_json::Value {
-        serde_json::Value::Null
+        let partitions = self.partitions.borrow();
+        let listed = partitions.iter().map(|(number, partition)| {
+            serde_json::json!({
+                "partition": number,
+                "bytes": partition.size(),
+                "queued": partition.queued(),
+                "refusing": partition.is_refusing(),
+            })
+        });
+        let listed = listed.collect::<Vec<_>>();
+        serde_json::json!({
+            "in_flight": self.calls.in_flight.get(),
+            "sent": self.calls.sent.get(),
+            "repeated": self.calls.repeated.get(),
+            "fenced": self.calls.fenced.get(),
+            "refused": *self.calls.refused.borrow(),
+            "reads": self.counters.reads.get(),
+            "writes": self.counters.writes.get(),
+            "conflicts": self.counters.conflicts.get(),
+            "lost": self.counters.lost.get(),
+            "unavailable": self.counters.unavailable.get(),
+            "malformed": self.counters.malformed.get(),
+            "unrecorded": self.counters.unrecorded.get(),
+            "partitions": listed,
+        })
     }
 
-    /// Waits for the outcomes that are still to be recorded, for at most until `deadline`.
+    /// Refuses new calls and waits for the outcomes that are still to be recorded, for at most
+    /// until `deadline`.
     pub async fn close(self: Rc<Self>, deadline: Instant) {
-        let _ = deadline;
+        self.stopping.set(true);
+        while self.is_busy() && self.runtime.now() < deadline {
+            self.runtime.sleep(CLOSE_STEP).await;
+        }
+    }
+
+    fn is_busy(&self) -> bool {
+        let partitions = self.partitions.borrow();
+        self.calls.in_flight.get() > 0 || partitions.values().any(|partition| partition.is_busy())
     }
 }
--- /dev/null
+++ b/crates/ledger/src/reply.rs
@@ -0,0 +1,76 @@
+//! Replies that the ledger makes itself.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use wire::{
+    CallReply,
+    Failure,
+    Reason, //
+};
+
+use crate::{
+    key::Fault,
+    object::Outcome, //
+};
+
+/// Time after which a refused caller may come back.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Makes a refusal that says that this request was not run.
+pub(crate) fn not_run(reason: Reason) -> CallReply {
+    refusal(reason, true)
+}
+
+/// Makes a refusal that says that the call may have run.
+pub(crate) fn may_have_run(reason: Reason) -> CallReply {
+    refusal(reason, false)
+}
+
+/// Makes the refusal of a key.
+pub(crate) fn bad_key(fault: Fault) -> CallReply {
+    let reason = match fault {
+        Fault::Malformed | Fault::Expired | Fault::Ahead => Reason::KeyExpired,
+    };
+    not_run(reason)
+}
+
+/// Makes the reply that repeats an answered call.
+pub(crate) fn recorded(status: u32, server: &str, payload: Option<&str>) -> CallReply {
+    CallReply {
+        failure: None,
+        status,
+        payload: payload.map_or_else(Bytes::new, |text| Bytes::copy_from_slice(text.as_bytes())),
+        server: server.to_owned(),
+        recorded: true,
+    }
+}
+
+/// Returns the outcome that a backend server's reply stands for.
+pub(crate) fn outcome(reply: &CallReply) -> Outcome {
+    match &reply.failure {
+        None => Outcome::done(reply.status, &reply.server, &reply.payload),
+        Some(failure) if failure.not_run => Outcome::NotRun,
+        Some(_) => Outcome::Unknown,
+    }
+}
+
+fn refusal(reason: Reason, not_run: bool) -> CallReply {
+    let comes_back = matches!(
+        reason,
+        Reason::Platform | Reason::Overloaded | Reason::Stopping | Reason::OutcomeUnknown
+    );
+    let retry_after_ms = match comes_back {
+        true => RETRY_AFTER.as_millis() as u64,
+        false => 0,
+    };
+    CallReply {
+        failure: Some(Failure {
+            reason: reason.into(),
+            not_run,
+            retry_after_ms,
+            held: Vec::new(),
+        }),
+        ..CallReply::default()
+    }
+}
--- /dev/null
+++ b/crates/ledger/tests/common/explore.rs
@@ -0,0 +1,184 @@
+//! Runs a scenario under every schedule.
+
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    time::Duration, //
+};
+
+use wire::{
+    CallReply,
+    Reason, //
+};
+
+use super::{
+    node, request,
+    world::{
+        Faults,
+        World, //
+    },
+};
+
+/// A key that is fresh when a world starts.
+pub(crate) const KEY: &str = "01a3185c-5000-7000-8000-000000000001";
+/// Time that a caller gives.
+pub(crate) const BUDGET: Duration = Duration::from_secs(1);
+/// Most steps of one run.
+const STEPS_MAX: usize = 400;
+
+/// What a caller asks for.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Act {
+    /// Runs the call through the instance of this number.
+    Call(usize),
+    /// Settles the call of the caller with this number through the instance of this number.
+    Settle(usize, usize),
+}
+
+/// Callers of one key and the faults that they may meet.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Scenario<'a> {
+    pub(crate) acts: &'a [Act],
+    pub(crate) faults: Faults,
+    pub(crate) unconditional: bool,
+}
+
+/// What a run or an exploration showed.
+#[derive(Debug, Default)]
+pub(crate) struct Report {
+    pub(crate) runs: usize,
+    pub(crate) executed: usize,
+    pub(crate) violations: Vec<String>,
+}
+
+type Replies = Rc<RefCell<Vec<(u8, CallReply)>>>;
+
+/// Picks the next of `count` steps.
+pub(crate) trait Choose {
+    fn choose(&mut self, count: usize) -> usize;
+}
+
+/// Takes a given path, then the first step each time; notes how many steps there were.
+#[derive(Debug, Default)]
+struct Path {
+    given: Vec<usize>,
+    taken: Vec<(usize, usize)>,
+}
+
+impl Choose for Path {
+    fn choose(&mut self, count: usize) -> usize {
+        let step = self.given.get(self.taken.len()).copied().unwrap_or(0);
+        self.taken.push((step, count));
+        step
+    }
+}
+
+impl Path {
+    /// Returns the next path in depth-first order.
+    fn next(mut self) -> Option<Self> {
+        while let Some((step, count)) = self.taken.pop() {
+            if step + 1 < count {
+                let mut given = self.taken.iter().map(|taken| taken.0).collect::<Vec<_>>();
+                given.push(step + 1);
+                let taken = Vec::new();
+                return Some(Self { given, taken });
+            }
+        }
+        None
+    }
+}
+
+/// Runs `scenario` under every schedule, at most `limit` ones.
+pub(crate) fn explore(scenario: Scenario<'_>, limit: usize) -> Report {
+    let mut report = Report::default();
+    let mut path = Some(Path::default());
+    while let Some(mut current) = path {
+        let run = run(scenario, &mut current);
+        report.runs += 1;
+        report.executed += run.executed;
+        report.violations.extend(run.violations);
+        if report.runs == limit || !report.violations.is_empty() {
+            return report;
+        }
+        path = current.next();
+    }
+    report
+}
+
+/// Runs `scenario` once under the schedule that `choose` makes, then asks once more.
+pub(crate) fn run(scenario: Scenario<'_>, choose: &mut impl Choose) -> Report {
+    let world = World::new(scenario.faults, scenario.unconditional);
+    let replies = Replies::default();
+    let nodes = ["a", "b"].map(|name| node(&world, name));
+    for (index, act) in scenario.acts.iter().enumerate() {
+        let id = index as u8;
+        let (node, id, settles) = match *act {
+            Act::Call(at) => (nodes[at].clone(), id, false),
+            Act::Settle(at, of) => (nodes[at].clone(), of as u8, true),
+        };
+        let replies = replies.clone();
+        let deadline = world.now() + BUDGET;
+        world.spawn(Box::pin(async move {
+            let reply = match settles {
+                true => node.settle(request(id, KEY), deadline).await,
+                false => node.call(request(id, KEY), deadline).await,
+            };
+            replies.borrow_mut().push((id, reply));
+        }));
+    }
+    world.settle();
+    let mut trail = Vec::new();
+    loop {
+        let steps = world.steps();
+        if steps.is_empty() || trail.len() > STEPS_MAX {
+            break;
+        }
+        let step = steps[choose.choose(steps.len())];
+        trail.push(step);
+        world.take(step);
+    }
+    let executed = world.executions.borrow().len();
+    let mut violations = world.violations.borrow().clone();
+    violations.extend(judge(&world, &replies.borrow(), scenario.acts.len()));
+    if !violations.is_empty() {
+        let told = replies.borrow();
+        violations.push(format!("by {trail:?}, replies {told:?}"));
+    }
+    Report {
+        runs: 1,
+        executed,
+        violations,
+    }
+}
+
+/// Compares what callers were told with what the backend server ran.
+fn judge(world: &World, replies: &[(u8, CallReply)], callers: usize) -> Vec<String> {
+    let executions = world.executions.borrow();
+    let mut found = Vec::new();
+    if executions.len() > 1 {
+        found.push(format!("ran {} times", executions.len()));
+    }
+    if replies.len() != callers {
+        found.push(format!("{} of {callers} replies", replies.len()));
+    }
+    for (id, reply) in replies {
+        let own = executions.iter().any(|ran| ran.request[0] == *id);
+        let fault = match &reply.failure {
+            Some(failure) if failure.not_run && own => Some("not_run is untrue"),
+            Some(failure) if is_void(failure) && !executions.is_empty() => Some("void key ran"),
+            None if executions.is_empty() => Some("an answer from nowhere"),
+            None if !is_answer(reply, executions[0].request[0]) => Some("another's answer"),
+            _ => None,
+        };
+        found.extend(fault.map(|fault| format!("caller {id}: {fault}")));
+    }
+    found
+}
+
+fn is_void(failure: &wire::Failure) -> bool {
+    failure.not_run && failure.reason() == Reason::Cancelled
+}
+
+fn is_answer(reply: &CallReply, id: u8) -> bool {
+    reply.payload == format!("{{\"ran\":{id}}}")
+}
--- /dev/null
+++ b/crates/ledger/tests/common/world.rs
@@ -0,0 +1,525 @@
+//! The state that the instances share, and the steps that it can take.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::BTreeMap,
+    rc::Rc,
+    sync::{
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+        Arc, //
+    },
+    task::{
+        Context,
+        Wake,
+        Waker, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use bytes::Bytes;
+use futures_channel::oneshot;
+use futures_util::future::LocalBoxFuture;
+use ledger::object::{
+    Entry,
+    Object as Partition,
+    Outcome, //
+};
+use platform::{
+    Failure,
+    Object, //
+};
+use serde_json::value::RawValue;
+use wire::{
+    CallReply,
+    CallRequest,
+    Reason, //
+};
+
+/// Time of day at which a world starts, in milliseconds since the Unix epoch.
+pub(crate) const START_MS: u64 = 1_800_000_000_000;
+
+/// One step that the world can take next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Step {
+    /// The store carries out a request and replies.
+    Apply(usize),
+    /// The same, but the reply is held up.
+    Hold(usize),
+    /// The same, but the reply is lost.
+    Lose(usize),
+    /// The reply is reported lost and the write is still on its way.
+    Late(usize),
+    /// The store refuses a request.
+    Down(usize),
+    /// A held reply arrives.
+    Release(usize),
+    /// A write that was on its way arrives.
+    Land(usize),
+    /// The backend server runs a call and replies.
+    Run(usize),
+    /// The same, but the reply is lost.
+    Break(usize),
+    /// The backend server refuses a call.
+    Refuse(usize),
+    /// Time passes up to the next timer.
+    Tick,
+    /// Time passes by this many seconds.
+    Jump(u64),
+}
+
+/// How many faults of each kind a run may meet.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Faults {
+    pub(crate) pauses: u32,
+    pub(crate) losses: u32,
+    pub(crate) outages: u32,
+    pub(crate) breaks: u32,
+    pub(crate) refusals: u32,
+    /// Timers that may fire although the store or the server could act.
+    pub(crate) ticks: u32,
+    pub(crate) jumps: u32,
+    /// Length of a jump, in seconds.
+    pub(crate) jump: u64,
+}
+
+enum Ask {
+    Read(oneshot::Sender<Result<Option<Object>, Failure>>),
+    Write {
+        expected: u64,
+        value: Box<RawValue>,
+        reply: oneshot::Sender<Result<u64, Failure>>,
+    },
+    Ghost {
+        expected: u64,
+        value: Box<RawValue>,
+    },
+    Held(Box<dyn FnOnce()>),
+}
+
+struct Task {
+    future: Option<LocalBoxFuture<'static, ()>>,
+    flag: Arc<Flag>,
+}
+
+struct Flag(AtomicBool);
+
+impl Wake for Flag {
+    fn wake(self: Arc<Self>) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+/// A call that was run by the backend server.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Execution {
+    pub(crate) key: String,
+    pub(crate) request: Bytes,
+}
+
+/// Everything outside the instances.
+pub(crate) struct World {
+    start: Instant,
+    elapsed: Cell<Duration>,
+    faults: Cell<Faults>,
+    /// Whether the store takes writes whatever version they expect.
+    unconditional: bool,
+    next: Cell<usize>,
+    version: Cell<u64>,
+    objects: RefCell<BTreeMap<String, Object>>,
+    asks: RefCell<BTreeMap<usize, (String, Ask)>>,
+    sends: RefCell<BTreeMap<usize, (CallRequest, oneshot::Sender<CallReply>)>>,
+    timers: RefCell<BTreeMap<(Duration, usize), oneshot::Sender<()>>>,
+    tasks: RefCell<Vec<Task>>,
+    spawned: RefCell<Vec<Task>>,
+    pub(crate) executions: RefCell<Vec<Execution>>,
+    pub(crate) violations: RefCell<Vec<String>>,
+}
+
+impl World {
+    pub(crate) fn new(faults: Faults, unconditional: bool) -> Rc<Self> {
+        Rc::new(Self {
+            start: Instant::now(),
+            elapsed: Cell::default(),
+            faults: Cell::new(faults),
+            unconditional,
+            next: Cell::default(),
+            version: Cell::default(),
+            objects: RefCell::default(),
+            asks: RefCell::default(),
+            sends: RefCell::default(),
+            timers: RefCell::default(),
+            tasks: RefCell::default(),
+            spawned: RefCell::default(),
+            executions: RefCell::default(),
+            violations: RefCell::default(),
+        })
+    }
+
+    pub(crate) fn now(&self) -> Instant {
+        self.start + self.elapsed.get()
+    }
+
+    pub(crate) fn unix_ms(&self) -> u64 {
+        START_MS + self.elapsed.get().as_millis() as u64
+    }
+
+    pub(crate) fn spawn(&self, future: LocalBoxFuture<'static, ()>) {
+        self.spawned.borrow_mut().push(Task {
+            future: Some(future),
+            flag: Arc::new(Flag(AtomicBool::new(true))),
+        });
+    }
+
+    pub(crate) fn timer(&self, duration: Duration) -> oneshot::Receiver<()> {
+        let (sender, receiver) = oneshot::channel();
+        let at = (self.elapsed.get() + duration, self.id());
+        self.timers.borrow_mut().insert(at, sender);
+        receiver
+    }
+
+    pub(crate) async fn read(&self, name: &str) -> Result<Option<Object>, Failure> {
+        let (sender, receiver) = oneshot::channel();
+        self.ask(name, Ask::Read(sender));
+        receiver.await.unwrap_or(Err(Failure::Lost))
+    }
+
+    pub(crate) async fn write(
+        &self,
+        name: &str,
+        expected: u64,
+        value: &RawValue,
+    ) -> Result<u64, Failure> {
+        let (reply, receiver) = oneshot::channel();
+        let value = value.to_owned();
+        self.ask(
+            name,
+            Ask::Write {
+                expected,
+                value,
+                reply,
+            },
+        );
+        receiver.await.unwrap_or(Err(Failure::Lost))
+    }
+
+    pub(crate) async fn send(&self, request: CallRequest) -> CallReply {
+        let (sender, receiver) = oneshot::channel();
+        let id = self.id();
+        self.sends.borrow_mut().insert(id, (request, sender));
+        receiver.await.unwrap_or_default()
+    }
+
+    /// Puts an object into the store as somebody else would.
+    pub(crate) fn put(&self, name: &str, value: &str) {
+        let value = RawValue::from_string(value.to_owned()).expect("JSON");
+        self.store(name, value);
+    }
+
+    /// Returns the value of an object.
+    pub(crate) fn value(&self, name: &str) -> Option<String> {
+        let objects = self.objects.borrow();
+        objects
+            .get(name)
+            .map(|object| object.value.get().to_owned())
+    }
+
+    /// Polls every task that was woken until none is.
+    pub(crate) fn settle(&self) {
+        loop {
+            self.tasks
+                .borrow_mut()
+                .append(&mut self.spawned.borrow_mut());
+            let mut idle = true;
+            let count = self.tasks.borrow().len();
+            for index in 0..count {
+                idle &= !self.poll(index);
+            }
+            if idle && self.spawned.borrow().is_empty() {
+                return;
+            }
+        }
+    }
+
+    fn poll(&self, index: usize) -> bool {
+        let (future, flag) = {
+            let mut tasks = self.tasks.borrow_mut();
+            let task = &mut tasks[index];
+            match task.flag.0.swap(false, Ordering::Relaxed) {
+                true => (task.future.take(), task.flag.clone()),
+                false => return false,
+            }
+        };
+        let Some(mut future) = future else {
+            return false;
+        };
+        let waker = Waker::from(flag);
+        let polled = future.as_mut().poll(&mut Context::from_waker(&waker));
+        if polled.is_pending() {
+            self.tasks.borrow_mut()[index].future = Some(future);
+        }
+        true
+    }
+
+    /// Returns the steps that can be taken, the plainest first.
+    pub(crate) fn steps(&self) -> Vec<Step> {
+        let faults = self.faults.get();
+        let mut plain = Vec::new();
+        let mut faulty = Vec::new();
+        for (&id, (_, ask)) in &*self.asks.borrow() {
+            match ask {
+                Ask::Held(_) => plain.push(Step::Release(id)),
+                Ask::Ghost { .. } => faulty.push(Step::Land(id)),
+                Ask::Read(_) | Ask::Write { .. } => {
+                    plain.push(Step::Apply(id));
+                    let writes = matches!(ask, Ask::Write { .. });
+                    faulty.extend((faults.pauses > 0).then_some(Step::Hold(id)));
+                    faulty.extend((faults.outages > 0).then_some(Step::Down(id)));
+                    faulty.extend((faults.losses > 0 && writes).then_some(Step::Lose(id)));
+                    faulty.extend((faults.losses > 0 && writes).then_some(Step::Late(id)));
+                }
+            }
+        }
+        for &id in self.sends.borrow().keys() {
+            plain.push(Step::Run(id));
+            faulty.extend((faults.breaks > 0).then_some(Step::Break(id)));
+            faulty.extend((faults.refusals > 0).then_some(Step::Refuse(id)));
+        }
+        if plain.is_empty() && self.has_timer() {
+            plain.push(Step::Tick);
+        }
+        if faults.ticks > 0 && !plain.is_empty() && !plain.contains(&Step::Tick) && self.has_timer()
+        {
+            faulty.push(Step::Tick);
+        }
+        if faults.jumps > 0 && !plain.is_empty() {
+            faulty.push(Step::Jump(faults.jump));
+        }
+        // A write that is still on its way may never arrive: alone it doesn't go on.
+        if plain.is_empty() {
+            return Vec::new();
+        }
+        plain.extend(faulty);
+        plain
+    }
+
+    /// Takes one step and lets the instances go as far as they can.
+    pub(crate) fn take(&self, step: Step) {
+        let mut faults = self.faults.get();
+        match step {
+            Step::Hold(_) => faults.pauses -= 1,
+            Step::Lose(_) | Step::Late(_) => faults.losses -= 1,
+            Step::Down(_) => faults.outages -= 1,
+            Step::Break(_) => faults.breaks -= 1,
+            Step::Refuse(_) => faults.refusals -= 1,
+            Step::Jump(_) => faults.jumps -= 1,
+            Step::Tick => faults.ticks = faults.ticks.saturating_sub(1),
+            _ => {}
+        }
+        self.faults.set(faults);
+        match step {
+            Step::Tick => self.tick(),
+            Step::Jump(seconds) => self.jump(Duration::from_secs(seconds)),
+            Step::Run(id) | Step::Break(id) | Step::Refuse(id) => self.serve(id, step),
+            _ => self.answer(step),
+        }
+        self.settle();
+    }
+
+    fn answer(&self, step: Step) {
+        let (Step::Apply(id)
+        | Step::Hold(id)
+        | Step::Lose(id)
+        | Step::Late(id)
+        | Step::Down(id)
+        | Step::Release(id)
+        | Step::Land(id)) = step
+        else {
+            return;
+        };
+        let Some((name, ask)) = self.asks.borrow_mut().remove(&id) else {
+            return;
+        };
+        let reply: Box<dyn FnOnce()> = match ask {
+            Ask::Held(reply) => reply,
+            Ask::Ghost { expected, value } => {
+                let _ = self.apply(&name, expected, value);
+                return;
+            }
+            Ask::Read(reply) => {
+                let found = match step {
+                    Step::Down(_) => Err(Failure::Unavailable),
+                    _ => Ok(self.objects.borrow().get(&name).cloned()),
+                };
+                Box::new(move || drop(reply.send(found)))
+            }
+            Ask::Write {
+                expected,
+                value,
+                reply,
+            } => {
+                let written = match step {
+                    Step::Down(_) => Err(Failure::Unavailable),
+                    Step::Late(_) => {
+                        let ghost = Ask::Ghost { expected, value };
+                        self.asks.borrow_mut().insert(id, (name.clone(), ghost));
+                        Err(Failure::Lost)
+                    }
+                    Step::Lose(_) => {
+                        let _ = self.apply(&name, expected, value);
+                        Err(Failure::Lost)
+                    }
+                    _ => self.apply(&name, expected, value),
+                };
+                Box::new(move || {
+                    let _ = reply.send(written);
+                })
+            }
+        };
+        match step {
+            Step::Hold(_) => {
+                self.asks.borrow_mut().insert(id, (name, Ask::Held(reply)));
+            }
+            _ => reply(),
+        }
+    }
+
+    fn serve(&self, id: usize, step: Step) {
+        let Some((request, reply)) = self.sends.borrow_mut().remove(&id) else {
+            return;
+        };
+        let answer = match step {
+            Step::Refuse(_) => refusal(Reason::Shed, true),
+            _ => {
+                let request_id = request.head.map(|head| head.request).unwrap_or_default();
+                let payload = format!("{{\"ran\":{}}}", request_id[0]);
+                self.executions.borrow_mut().push(Execution {
+                    key: request.key,
+                    request: request_id,
+                });
+                match step {
+                    Step::Break(_) => refusal(Reason::Broken, false),
+                    _ => CallReply {
+                        status: 200,
+                        payload: payload.into(),
+                        server: "booking-desk-a".to_owned(),
+                        ..CallReply::default()
+                    },
+                }
+            }
+        };
+        drop(reply.send(answer));
+    }
+
+    fn apply(&self, name: &str, expected: u64, value: Box<RawValue>) -> Result<u64, Failure> {
+        let current = self
+            .objects
+            .borrow()
+            .get(name)
+            .map_or(0, |object| object.version);
+        if current != expected && !self.unconditional {
+            return Err(Failure::Conflict { current });
+        }
+        self.check(name, &value);
+        Ok(self.store(name, value))
+    }
+
+    fn store(&self, name: &str, value: Box<RawValue>) -> u64 {
+        let version = self.version.get() + 1;
+        self.version.set(version);
+        let object = Object {
+            name: name.into(),
+            version,
+            value: value.into(),
+        };
+        self.objects.borrow_mut().insert(name.to_owned(), object);
+        version
+    }
+
+    fn check(&self, name: &str, value: &RawValue) {
+        let before = self.value(name);
+        let before = before.and_then(|text| Partition::decode(&text).ok());
+        let after = Partition::decode(value.get()).expect("a partition is written");
+        for (bucket, entries) in before.unwrap_or_default().buckets {
+            for (id, entry) in entries {
+                let next = after.buckets.get(&bucket).and_then(|next| next.get(&id));
+                let dropped = (bucket + 1) * 60_000 <= after.floor_ms;
+                if !follows(&entry, next, dropped) {
+                    let change = format!("{entry:?} became {next:?}");
+                    self.violations.borrow_mut().push(change);
+                }
+            }
+        }
+    }
+
+    fn tick(&self) {
+        let first = self.timers.borrow().keys().next().copied();
+        if let Some((at, id)) = first {
+            self.elapsed.set(at.max(self.elapsed.get()));
+            if let Some(timer) = self.timers.borrow_mut().remove(&(at, id)) {
+                let _ = timer.send(());
+            }
+        }
+    }
+
+    fn jump(&self, by: Duration) {
+        self.elapsed.set(self.elapsed.get() + by);
+        while self.has_timer() {
+            let due = self.timers.borrow().keys().next().copied();
+            match due {
+                Some((at, _)) if at <= self.elapsed.get() => self.tick(),
+                _ => return,
+            }
+        }
+    }
+
+    fn has_timer(&self) -> bool {
+        let mut timers = self.timers.borrow_mut();
+        timers.retain(|_, timer| !timer.is_canceled());
+        !timers.is_empty()
+    }
+
+    fn ask(&self, name: &str, ask: Ask) {
+        let id = self.id();
+        self.asks.borrow_mut().insert(id, (name.to_owned(), ask));
+    }
+
+    /// Returns a number that wasn't returned before.
+    pub(crate) fn id(&self) -> usize {
+        let id = self.next.get();
+        self.next.set(id + 1);
+        id
+    }
+}
+
+/// Makes a backend server's refusal.
+fn refusal(reason: Reason, not_run: bool) -> CallReply {
+    CallReply {
+        failure: Some(wire::Failure {
+            reason: reason.into(),
+            not_run,
+            ..wire::Failure::default()
+        }),
+        ..CallReply::default()
+    }
+}
+
+/// Returns whether an entry may become `next`.
+fn follows(entry: &Entry, next: Option<&Entry>, dropped: bool) -> bool {
+    match (&entry.outcome, next) {
+        (_, None) => dropped,
+        (None, Some(next)) => next.claim == entry.claim,
+        (Some(Outcome::NotRun), Some(_)) => true,
+        (Some(outcome), Some(next)) => {
+            next.claim == entry.claim && next.outcome.as_ref() == Some(outcome)
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/tests/http.rs
@@ -0,0 +1,190 @@
+//! Keyed calls over the platform's HTTP interface.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant,
+        SystemTime, //
+    },
+};
+
+use bytes::Bytes;
+use http::{
+    header::{
+        IF_MATCH,
+        IF_NONE_MATCH, //
+    },
+    Method,
+    Request,
+    Response, //
+};
+use ledger::{
+    Dispatch,
+    Ledger, //
+};
+use monoio::{
+    net::TcpListener,
+    LegacyDriver,
+    RuntimeBuilder, //
+};
+use platform::http::Client;
+use uuid::{
+    NoContext,
+    Timestamp,
+    Uuid, //
+};
+use web::{
+    server::Handler,
+    Limits,
+    Stop, //
+};
+use wire::{
+    CallReply,
+    CallRequest, //
+};
+
+/// A store that loses the reply to every write whose number is in `lost`.
+#[derive(Default)]
+struct Objects {
+    objects: RefCell<HashMap<String, (u64, Bytes)>>,
+    writes: Cell<u64>,
+    lost: Vec<u64>,
+}
+
+impl Objects {
+    fn get(&self, path: &str) -> (u16, String) {
+        match self.objects.borrow().get(path) {
+            Some((version, value)) => {
+                let value = String::from_utf8_lossy(value);
+                let body = format!("{{\"name\":\"x\",\"version\":{version},\"value\":{value}}}");
+                (200, body)
+            }
+            None => (404, String::new()),
+        }
+    }
+
+    fn put(&self, request: &Request<Bytes>) -> (u16, String) {
+        let path = request.uri().path();
+        let current = self.objects.borrow().get(path).map_or(0, |object| object.0);
+        let expected = match request.headers().get(IF_MATCH) {
+            Some(version) => version
+                .to_str()
+                .expect("text")
+                .trim_matches('"')
+                .parse()
+                .expect("a version"),
+            None if request.headers().contains_key(IF_NONE_MATCH) => 0,
+            None => panic!("an unconditional write"),
+        };
+        if expected != current {
+            return (412, format!("{{\"version\":{current}}}"));
+        }
+        let number = self.writes.get() + 1;
+        self.writes.set(number);
+        let object = (number, request.body().clone());
+        self.objects.borrow_mut().insert(path.to_owned(), object);
+        match self.lost.contains(&number) {
+            true => (200, "{\"ver".to_owned()),
+            false => (200, format!("{{\"version\":{number}}}")),
+        }
+    }
+}
+
+impl Handler for Objects {
+    async fn handle(&self, request: Request<Bytes>) -> Response<Bytes> {
+        let (status, body) = match *request.method() {
+            Method::PUT => self.put(&request),
+            _ => self.get(request.uri().path()),
+        };
+        let response = Response::builder().status(status);
+        response.body(body.into()).expect("a response")
+    }
+}
+
+#[derive(Default)]
+struct Server(Cell<u64>);
+
+impl Dispatch for Server {
+    async fn send(&self, _: CallRequest, _: Instant) -> CallReply {
+        self.0.set(self.0.get() + 1);
+        CallReply {
+            status: 200,
+            payload: Bytes::from_static(b"{\"held\":true}"),
+            server: "booking-desk-a".to_owned(),
+            ..CallReply::default()
+        }
+    }
+}
+
+fn fresh_key() -> String {
+    let now = SystemTime::UNIX_EPOCH.elapsed().expect("a time of day");
+    let time = Timestamp::from_unix(NoContext, now.as_secs(), now.subsec_nanos());
+    Uuid::new_v7(time).to_string()
+}
+
+fn request(key: &str) -> CallRequest {
+    CallRequest {
+        service: "booking-desk".to_owned(),
+        key: key.to_owned(),
+        body: Bytes::from_static(b"{\"room\":7}"),
+        ..CallRequest::default()
+    }
+}
+
+/// Runs three calls with two keys and returns the replies and how many were sent.
+fn calls(lost: Vec<u64>) -> (Vec<CallReply>, u64) {
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+        let address: SocketAddr = listener.local_addr().expect("an address");
+        let objects = Rc::new(Objects {
+            lost,
+            ..Objects::default()
+        });
+        let stop = Stop::new();
+        monoio::spawn(web::server::serve(
+            listener,
+            objects,
+            Limits::default(),
+            stop,
+        ));
+        let store = Rc::new(Client::new(address, Duration::from_secs(5)));
+        let server = Rc::new(Server::default());
+        let ledger = Ledger::new(store, server.clone(), "a".into());
+        let deadline = Instant::now() + Duration::from_secs(30);
+        let (first, second) = (fresh_key(), fresh_key());
+        let mut replies = Vec::new();
+        for key in [&first, &first, &second] {
+            replies.push(ledger.call(request(key), deadline).await);
+        }
+        ledger.close(deadline).await;
+        (replies, server.0.get())
+    })
+}
+
+#[test]
+fn a_key_runs_once_and_is_answered_again() {
+    let (replies, sent) = calls(Vec::new());
+    assert_eq!(sent, 2);
+    assert!(replies.iter().all(|reply| reply.failure.is_none()));
+    let recorded = replies.iter().map(|reply| reply.recorded);
+    assert_eq!(recorded.collect::<Vec<_>>(), [false, true, false]);
+    assert_eq!(replies[0].payload, replies[1].payload);
+}
+
+#[test]
+fn lost_replies_change_nothing() {
+    let (replies, sent) = calls(vec![1, 2, 4]);
+    assert_eq!(sent, 2);
+    assert!(replies.iter().all(|reply| reply.failure.is_none()));
+}
--- /dev/null
+++ b/crates/ledger/tests/model.rs
@@ -0,0 +1,210 @@
+//! Every schedule of a few callers of one key, with a few faults.
+
+mod common;
+
+use common::{
+    explore::{
+        explore,
+        run,
+        Act,
+        Choose,
+        Report,
+        Scenario,
+        KEY, //
+    },
+    node, request,
+    world::{
+        Faults,
+        World, //
+    },
+};
+use wire::Reason;
+
+/// Schedules after which an exploration is taken as too large to be whole.
+const LIMIT: usize = 100_000;
+/// A jump past the callers' deadlines, in seconds.
+const DEADLINE: u64 = 2;
+/// A jump past the window, in seconds.
+const WINDOW: u64 = 20 * 60;
+
+const TWO: &[Act] = &[Act::Call(0), Act::Call(1)];
+const SAME: &[Act] = &[Act::Call(0), Act::Call(0), Act::Call(1)];
+const SETTLED: &[Act] = &[Act::Call(0), Act::Settle(1, 0)];
+const RETRIED: &[Act] = &[Act::Call(0), Act::Settle(1, 0), Act::Call(1)];
+
+const NONE: Faults = Faults {
+    pauses: 0,
+    losses: 0,
+    outages: 0,
+    breaks: 0,
+    refusals: 0,
+    ticks: 0,
+    jumps: 0,
+    jump: DEADLINE,
+};
+
+fn explored(acts: &[Act], faults: Faults, unconditional: bool) -> Report {
+    let scenario = Scenario {
+        acts,
+        faults,
+        unconditional,
+    };
+    let report = explore(scenario, LIMIT);
+    println!("{acts:?}, {faults:?}: {} schedules", report.runs);
+    report
+}
+
+fn holds(acts: &[Act], faults: Faults) {
+    let report = explored(acts, faults, false);
+    assert_eq!(report.violations, Vec::<String>::new());
+    assert!(report.runs < LIMIT, "too many schedules");
+    assert!(report.executed > 0);
+}
+
+#[test]
+fn claimants_without_faults() {
+    holds(TWO, NONE);
+    holds(SAME, NONE);
+    holds(RETRIED, NONE);
+}
+
+#[test]
+fn claimants_and_a_lost_reply() {
+    let faults = Faults { losses: 1, ..NONE };
+    holds(TWO, faults);
+    holds(SETTLED, faults);
+}
+
+#[test]
+fn claimants_and_a_pause_past_the_deadline() {
+    let faults = Faults {
+        pauses: 1,
+        jumps: 1,
+        ..NONE
+    };
+    holds(TWO, faults);
+    holds(SETTLED, faults);
+}
+
+#[test]
+fn claimants_and_a_pause_past_the_window() {
+    let faults = Faults {
+        pauses: 1,
+        jumps: 1,
+        jump: WINDOW,
+        ..NONE
+    };
+    holds(TWO, faults);
+    holds(SETTLED, faults);
+}
+
+#[test]
+fn claimants_a_lost_reply_and_a_pause() {
+    let faults = Faults {
+        losses: 1,
+        pauses: 1,
+        ..NONE
+    };
+    holds(TWO, faults);
+    holds(SETTLED, faults);
+}
+
+#[test]
+fn claimants_and_a_store_that_goes_down() {
+    let faults = Faults {
+        outages: 1,
+        losses: 1,
+        ..NONE
+    };
+    holds(TWO, faults);
+    holds(SETTLED, faults);
+}
+
+#[test]
+fn claimants_and_a_server_that_refuses_or_breaks() {
+    let faults = Faults {
+        breaks: 1,
+        refusals: 1,
+        ticks: 1,
+        ..NONE
+    };
+    holds(TWO, faults);
+    holds(SETTLED, faults);
+}
+
+#[test]
+fn a_store_without_conditions_is_caught() {
+    let report = explored(TWO, NONE, true);
+    assert!(!report.violations.is_empty());
+}
+
+struct Bytes<'a>(&'a [u8]);
+
+impl Choose for Bytes<'_> {
+    fn choose(&mut self, count: usize) -> usize {
+        let Some((first, rest)) = self.0.split_first() else {
+            return 0;
+        };
+        self.0 = rest;
+        usize::from(*first) % count
+    }
+}
+
+#[test]
+fn longer_random_schedules() {
+    let faults = Faults {
+        pauses: 3,
+        losses: 3,
+        outages: 2,
+        breaks: 1,
+        refusals: 2,
+        ticks: 6,
+        jumps: 1,
+        jump: DEADLINE,
+    };
+    let acts = [
+        Act::Call(0),
+        Act::Call(1),
+        Act::Settle(1, 0),
+        Act::Call(0),
+        Act::Settle(0, 1),
+    ];
+    let scenario = Scenario {
+        acts: &acts,
+        faults,
+        unconditional: false,
+    };
+    bolero::check!().for_each(|bytes: &[u8]| {
+        let report = run(scenario, &mut Bytes(bytes));
+        assert_eq!(report.violations, Vec::<String>::new());
+    });
+}
+
+#[test]
+fn a_malformed_object_is_left_as_it_is() {
+    let world = World::new(NONE, false);
+    let name = format!(
+        "p{:02}",
+        ledger::Ledger::<common::Side, common::Side>::partition(KEY)
+    );
+    world.put(&name, "{\"floor_ms\":\"none\"}");
+    let node = node(&world, "a");
+    let told = std::rc::Rc::new(std::cell::RefCell::new(None));
+    let deadline = world.now() + common::explore::BUDGET;
+    let heard = told.clone();
+    world.spawn(Box::pin(async move {
+        *heard.borrow_mut() = Some(node.call(request(0, KEY), deadline).await);
+    }));
+    world.settle();
+    while let Some(step) = world.steps().first().copied() {
+        world.take(step);
+    }
+    let reply = told.borrow_mut().take().expect("a reply");
+    let failure = reply.failure.expect("a refusal");
+    assert!(failure.not_run);
+    assert_eq!(failure.reason(), Reason::Platform);
+    assert_eq!(
+        world.value(&name).as_deref(),
+        Some("{\"floor_ms\":\"none\"}")
+    );
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -12,6 +12,7 @@
 //! assert!(!Failure::Conflict { current: 3 }.may_have_taken_effect());
 //! ```
 
+pub mod backoff;
 pub mod http;
 pub mod store;
 
