--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,4 +1,6 @@
-//! The test bench: stand-ins, recorded traces, open-loop replay, verification and reports.
+//! Stand-ins, recorded traces, replay, verification and reports for `tanageryoke`; never shipped.
+//!
+//! Each subcommand of the program is one module with an `Options` type and a `run` function.
 
 pub mod answer;
 pub mod backends;
