feat: run parts and calls over kept connections with a queue a service

The pool keeps connections to the servers of the services that the instance owns, queues work a service by class and deadline, gives it to a replica when a slot is free, hedges and retries within budgets and cancels what is left.

--- /dev/null
+++ b/crates/policy/src/admission.rs
@@ -0,0 +1,102 @@
+//! Whether a request is taken on at all.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use config::{
+    preset::Class,
+    Preset, //
+};
+
+/// The instance runs as many requests of the class as it may.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Full {
+    /// Requests that run.
+    pub in_flight: usize,
+    /// Requests up to which the class is admitted.
+    pub bound: usize,
+}
+
+impl std::fmt::Display for Full {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} requests run, bound {}", self.in_flight, self.bound)
+    }
+}
+
+impl std::error::Error for Full {}
+
+/// Bounds the requests in flight, with the most room for the most urgent class.
+#[derive(Debug, Default)]
+pub struct Gate {
+    preset: RefCell<Arc<Preset>>,
+    in_flight: Rc<Cell<usize>>,
+}
+
+/// The right to run one request, given back on drop.
+#[derive(Debug)]
+pub struct Permit(Rc<Cell<usize>>);
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl Gate {
+    /// Makes a gate with the bounds of `preset`.
+    pub fn new(preset: Arc<Preset>) -> Self {
+        Self {
+            preset: RefCell::new(preset),
+            in_flight: Rc::default(),
+        }
+    }
+
+    /// Takes the bounds of `preset`; what runs already goes on.
+    pub fn update(&self, preset: Arc<Preset>) {
+        *self.preset.borrow_mut() = preset;
+    }
+
+    /// Admits one request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bound of the class is reached.
+    pub fn admit(&self, class: Class) -> Result<Permit, Full> {
+        let in_flight = self.in_flight.get();
+        let bound = bound(&self.preset.borrow(), class);
+        if in_flight >= bound {
+            return Err(Full { in_flight, bound });
+        }
+        self.in_flight.set(in_flight + 1);
+        Ok(Permit(self.in_flight.clone()))
+    }
+
+    /// Returns the requests that run.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.get()
+    }
+}
+
+fn bound(preset: &Preset, class: Class) -> usize {
+    let share = match class {
+        Class::Urgent => 1.0,
+        Class::Normal => preset.normal_share,
+        Class::Bulk => preset.bulk_share,
+    };
+    (preset.in_flight as f64 * share) as usize
+}
+
+/// Returns the time until an item that is queued now has been served.
+///
+/// `ahead` items go first, `slots` are served at a time, each takes `service`.
+pub fn estimate(ahead: usize, slots: usize, service: Duration) -> Duration {
+    let rounds = 1.0 + ahead as f64 / slots.max(1) as f64;
+    service.mul_f64(rounds)
+}
--- /dev/null
+++ b/crates/policy/src/bucket.rs
@@ -0,0 +1,55 @@
+//! A token bucket that is filled by work rather than by time.
+
+/// Earns `share` of a token for each unit of work, up to `burst` tokens.
+#[derive(Debug, Clone)]
+pub(crate) struct Bucket {
+    share: f64,
+    burst: f64,
+    tokens: f64,
+}
+
+/// Rounding of repeated additions must not cost a token.
+const ROUNDING: f64 = 1e-9;
+
+impl Bucket {
+    /// Makes a bucket that holds `tokens`.
+    pub(crate) fn new(share: f64, burst: f64, tokens: f64) -> Self {
+        Self {
+            share,
+            burst,
+            tokens,
+        }
+    }
+
+    /// Sets the share that later work earns; a share of 0 also takes what is held.
+    pub(crate) fn set_share(&mut self, share: f64) {
+        self.share = share;
+        if share <= 0.0 {
+            self.tokens = 0.0;
+        }
+    }
+
+    /// Counts one unit of work.
+    pub(crate) fn earn(&mut self) {
+        self.tokens = (self.tokens + self.share).min(self.burst);
+    }
+
+    /// Takes one token if there is one.
+    pub(crate) fn take(&mut self) -> bool {
+        if self.tokens + ROUNDING < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    /// Gives a token back.
+    pub(crate) fn refund(&mut self) {
+        self.tokens = (self.tokens + 1.0).min(self.burst);
+    }
+
+    /// Returns the tokens held.
+    pub(crate) fn tokens(&self) -> f64 {
+        self.tokens
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,1 +1,42 @@
 //! The decisions of the answer path, each a small type without I/O.
+//!
+//! The types take the current time as an argument and hold no timer, so that they can be embedded
+//! in any runtime and driven by tests.
+//!
+//! # Examples
+//!
+//! ```
+//! use policy::{
+//!     hedge,
+//!     latency,
+//!     queue, //
+//! };
+//! use config::preset::Class;
+//! use std::time::{Duration, Instant};
+//!
+//! let now = Instant::now();
+//! let mut window = latency::Window::new(Duration::from_secs(10));
+//! for ms in 1..=100 {
+//!     window.record(now, Duration::from_millis(ms));
+//! }
+//! assert!(window.quantile(0.95) >= Some(Duration::from_millis(94)));
+//!
+//! let mut budget = hedge::Budget::new(0.05);
+//! (0..20).for_each(|_| budget.earn());
+//! assert!(budget.take());
+//! assert!(!budget.take());
+//!
+//! let mut queue = queue::Deadline::new(8);
+//! let soon = now + Duration::from_millis(10);
+//! assert!(matches!(queue.push(Class::Normal, soon, "part"), queue::Push::Queued(_)));
+//! assert_eq!(queue.pop(), Some("part"));
+//! ```
+
+pub mod admission;
+mod bucket;
+pub mod choice;
+pub mod hedge;
+pub mod latency;
+pub mod queue;
+pub mod ramp;
+pub mod retry;
--- /dev/null
+++ b/crates/policy/src/retry.rs
@@ -0,0 +1,38 @@
+//! How many retries may be sent.
+
+use crate::bucket::Bucket;
+
+/// Retries that may be sent at once, whatever the recent load.
+const BURST: f64 = 4.0;
+
+/// Bounds retries to a share of the sub-requests, so that an outage can't multiply the load.
+#[derive(Debug, Clone)]
+pub struct Budget(Bucket);
+
+impl Budget {
+    /// Makes a full budget that earns `share` of a retry for each sub-request.
+    pub fn new(share: f64) -> Self {
+        let tokens = if share > 0.0 { BURST } else { 0.0 };
+        Self(Bucket::new(share, BURST, tokens))
+    }
+
+    /// Sets the share; 0 stops retries at once.
+    pub fn set_share(&mut self, share: f64) {
+        self.0.set_share(share);
+    }
+
+    /// Counts one sub-request.
+    pub fn earn(&mut self) {
+        self.0.earn();
+    }
+
+    /// Takes the token for one retry.
+    pub fn take(&mut self) -> bool {
+        self.0.take()
+    }
+
+    /// Returns the retries that may be sent now.
+    pub fn tokens(&self) -> f64 {
+        self.0.tokens()
+    }
+}
--- /dev/null
+++ b/crates/pool/src/latency.rs
@@ -0,0 +1,72 @@
+//! Latencies of one service, with the quantiles that are asked for often kept at hand.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use policy::latency::Window;
+
+/// Span of the window.
+const SPAN: Duration = Duration::from_secs(10);
+/// Latency that is assumed while nothing is known.
+const UNKNOWN: Duration = Duration::from_millis(1);
+/// Samples after which the quantiles are computed again.
+const REFRESH: u32 = 32;
+
+/// Latencies of one service.
+#[derive(Debug)]
+pub(crate) struct Latency {
+    window: Window,
+    usual: Option<Duration>,
+    asked: f64,
+    answer: Option<Duration>,
+    fresh: u32,
+}
+
+impl Default for Latency {
+    fn default() -> Self {
+        Self {
+            window: Window::new(SPAN),
+            usual: None,
+            asked: 0.0,
+            answer: None,
+            fresh: 0,
+        }
+    }
+}
+
+impl Latency {
+    pub(crate) fn record(&mut self, now: Instant, latency: Duration) {
+        self.window.record(now, latency);
+        self.fresh += 1;
+        if self.fresh >= REFRESH || self.usual.is_none() {
+            self.refresh();
+        }
+    }
+
+    fn refresh(&mut self) {
+        self.fresh = 0;
+        self.usual = self.window.quantile(0.5);
+        self.answer = self.window.quantile(self.asked);
+    }
+
+    /// Returns the median.
+    pub(crate) fn usual(&self) -> Duration {
+        self.usual.unwrap_or(UNKNOWN)
+    }
+
+    /// Returns the latency at `quantile`, `None` while there are too few samples.
+    pub(crate) fn quantile(&mut self, quantile: f64) -> Option<Duration> {
+        if self.asked != quantile {
+            self.asked = quantile;
+            self.refresh();
+        }
+        self.answer
+    }
+
+    /// Returns the number of samples in the window.
+    pub(crate) fn samples(&self) -> u64 {
+        self.window.samples()
+    }
+}
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -3,9 +3,52 @@
 //! A [`Pool`] runs parts of queries and single calls on backend servers. It keeps within each
 //! server's slots and connections, queues by deadline, hedges and retries within the preset's
 //! budgets, and cancels what nobody waits for.
+//!
+//! Work for a service waits in one queue and is given to a replica only when a slot of that replica
+//! is free, so that queued work moves between replicas at no cost. One task a connection takes work
+//! from there, runs the exchange and reports. A service that the instance doesn't own is served as
+//! well, over a few connections that are opened on demand.
+//!
+//! # Examples
+//!
+//! ```no_run
+//! use std::{sync::Arc, time::{Duration, Instant}};
+//!
+//! # async fn run(view: Arc<config::View>) {
+//! let pool = pool::Pool::new(Arc::from("zone-a"));
+//! pool.update(view, &|service| service.starts_with("deskline"));
+//! let job = pool::Job {
+//!     head: wire::Head {
+//!         request: vec![0; 16].into(),
+//!         attempt: 1,
+//!         snapshot: 7,
+//!         ..wire::Head::default()
+//!     },
+//!     index: 0,
+//!     shard: Arc::from("deskline-00"),
+//!     service: Arc::from("deskline-00"),
+//!     body: bytes::Bytes::from_static(br#"{"query": "storm"}"#),
+//!     deadline: Instant::now() + Duration::from_millis(300),
+//! };
+//! let partial = pool.part(job).await;
+//! assert_eq!(partial.index, 0);
+//! pool.close().await;
+//! # }
+//! ```
 
+mod connection;
+pub mod counters;
+mod latency;
+mod part;
 pub mod pool;
+mod server;
+mod service;
+mod state;
+mod ticket;
+mod update;
+mod upkeep;
 
+pub use counters::Counters;
 pub use pool::{
     Job,
     Pool, //
