fix: close a connection that read beyond its response

Cause: a server that sends a reply twice leaves the second one in the decoder's buffer, where a peek at the socket doesn't see it; it was then read as the response to the next request. The stamps refused it, but a duplicated refusal carries no stamps, so a keyed call could have been said not to have run. The smallest change is in web::client: such a connection isn't handed back.

--- a/crates/pool/tests/common/mod.rs
+++ b/crates/pool/tests/common/mod.rs
@@ -1,5 +1,5 @@
 //! Backend servers in the test's own thread, which answer as each test says.
-#![allow(dead_code)]
+#![allow(dead_code)] // Each test file uses a part of it.
 
 use std::{
     cell::{
@@ -49,7 +49,7 @@
 };
 
 /// Runs a test on a thread of its own kind of runtime.
-pub fn run<F: Future>(future: F) -> F::Output {
+pub(crate) fn run<F: Future>(future: F) -> F::Output {
     RuntimeBuilder::<LegacyDriver>::new()
         .enable_timer()
         .build()
@@ -59,25 +59,25 @@
 
 /// A request that a server received.
 #[derive(Debug, Clone, Default)]
-pub struct Seen {
-    pub path: String,
-    pub request: String,
-    pub attempt: u32,
-    pub snapshot: u64,
-    pub key: String,
+pub(crate) struct Seen {
+    pub(crate) path: String,
+    pub(crate) request: String,
+    pub(crate) attempt: u32,
+    pub(crate) snapshot: u64,
+    pub(crate) key: String,
     /// Number of the request on its server, from 1; cancellations aren't counted.
-    pub number: usize,
+    pub(crate) number: usize,
 }
 
 impl Seen {
-    pub fn shard(&self) -> &str {
+    pub(crate) fn shard(&self) -> &str {
         self.path.split('/').nth(2).unwrap_or("")
     }
 }
 
 /// How a server answers.
 #[derive(Debug, Clone)]
-pub enum Act {
+pub(crate) enum Act {
     /// With the right reply, after a time.
     After(Duration),
     /// With these bytes.
@@ -91,10 +91,10 @@
 }
 
 /// Answers at once.
-pub const NOW: Act = Act::After(Duration::ZERO);
+pub(crate) const NOW: Act = Act::After(Duration::ZERO);
 
 /// Returns the body that the protocol asks for.
-pub fn body(seen: &Seen) -> String {
+pub(crate) fn body(seen: &Seen) -> String {
     let Seen {
         request, attempt, ..
     } = seen;
@@ -111,7 +111,7 @@
 }
 
 /// Makes the bytes of a response.
-pub fn response(status: u16, body: &str) -> String {
+pub(crate) fn response(status: u16, body: &str) -> String {
     format!(
         "HTTP/1.1 {status} X\r\ncontent-length: {}\r\n\r\n{body}",
         body.len()
@@ -121,21 +121,21 @@
 type Behave = Box<dyn Fn(&Seen) -> Act>;
 
 /// A backend server.
-pub struct Fake {
-    pub address: SocketAddr,
-    pub limit: Cell<usize>,
-    pub seen: RefCell<Vec<Seen>>,
-    pub cancelled: RefCell<Vec<String>>,
-    pub open: Cell<usize>,
-    pub open_peak: Cell<usize>,
-    pub accepted: Cell<usize>,
-    pub busy: Cell<usize>,
-    pub busy_peak: Cell<usize>,
+pub(crate) struct Fake {
+    pub(crate) address: SocketAddr,
+    pub(crate) limit: Cell<usize>,
+    pub(crate) seen: RefCell<Vec<Seen>>,
+    pub(crate) cancelled: RefCell<Vec<String>>,
+    pub(crate) open: Cell<usize>,
+    pub(crate) open_peak: Cell<usize>,
+    pub(crate) accepted: Cell<usize>,
+    pub(crate) busy: Cell<usize>,
+    pub(crate) busy_peak: Cell<usize>,
     behave: RefCell<Behave>,
 }
 
 impl Fake {
-    pub fn start(behave: impl Fn(&Seen) -> Act + 'static) -> Rc<Self> {
+    pub(crate) fn start(behave: impl Fn(&Seen) -> Act + 'static) -> Rc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let fake = Rc::new(Self {
             address: listener.local_addr().expect("an address"),
@@ -154,12 +154,12 @@
     }
 
     /// Changes how the server answers.
-    pub fn behave(&self, behave: impl Fn(&Seen) -> Act + 'static) {
+    pub(crate) fn behave(&self, behave: impl Fn(&Seen) -> Act + 'static) {
         *self.behave.borrow_mut() = Box::new(behave);
     }
 
     /// Returns how many requests arrived.
-    pub fn count(&self) -> usize {
+    pub(crate) fn count(&self) -> usize {
         self.seen.borrow().len()
     }
 }
@@ -267,7 +267,7 @@
 }
 
 /// Makes the catalog's entry of a server.
-pub fn server(name: &str, address: SocketAddr) -> Arc<Server> {
+pub(crate) fn server(name: &str, address: SocketAddr) -> Arc<Server> {
     Arc::new(Server {
         name: Arc::from(name),
         address,
@@ -279,7 +279,7 @@
 }
 
 /// Makes a view in which the service `s` has the servers `a`, `b`, and so on.
-pub fn view(fakes: &[&Rc<Fake>], preset: Preset, leaving: &[&str]) -> Arc<View> {
+pub(crate) fn view(fakes: &[&Rc<Fake>], preset: Preset, leaving: &[&str]) -> Arc<View> {
     let servers = fakes
         .iter()
         .zip(["a", "b", "c", "d"])
@@ -309,7 +309,7 @@
 }
 
 /// Makes a pool that owns the service `s`, with its connections open.
-pub async fn pool(fakes: &[&Rc<Fake>], preset: Preset) -> Rc<pool::Pool> {
+pub(crate) async fn pool(fakes: &[&Rc<Fake>], preset: Preset) -> Rc<pool::Pool> {
     let pool = pool::Pool::new(Arc::from("a"));
     pool.update(view(fakes, preset, &[]), &|_| true);
     sleep(Duration::from_millis(20)).await;
@@ -317,7 +317,7 @@
 }
 
 /// Makes part `index` of request `number`.
-pub fn job(number: u128, index: u32, left: Duration) -> pool::Job {
+pub(crate) fn job(number: u128, index: u32, left: Duration) -> pool::Job {
     pool::Job {
         head: head(number),
         index,
@@ -329,7 +329,7 @@
 }
 
 /// Makes call `number`.
-pub fn call(number: u128, key: &str) -> CallRequest {
+pub(crate) fn call(number: u128, key: &str) -> CallRequest {
     CallRequest {
         head: Some(head(number)),
         service: "s".to_owned(),
@@ -350,10 +350,10 @@
 }
 
 /// A deadline that no test reaches.
-pub const LONG: Duration = Duration::from_secs(5);
+pub(crate) const LONG: Duration = Duration::from_secs(5);
 
 /// Returns the reason of a failure.
-pub fn reason(failure: &Option<wire::Failure>) -> Option<(wire::Reason, bool)> {
+pub(crate) fn reason(failure: &Option<wire::Failure>) -> Option<(wire::Reason, bool)> {
     failure
         .as_ref()
         .map(|failure| (failure.reason(), failure.not_run))
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -38,6 +38,7 @@
             FixedPayload,
             Payload, //
         },
+        BorrowFramedRead,
     },
 };
 
@@ -206,13 +207,20 @@
             .await
             .map_err(|_| Failure::sent(Kind::Closed))?;
         let response = Response::from_parts(head, body);
-        let connection = keeps_open(&response).then_some(self);
+        let connection = (keeps_open(&response) && self.is_drained()).then_some(self);
         Ok(Exchange {
             response,
             connection,
         })
     }
 
+    /// Returns whether nothing was read beyond the response.
+    ///
+    /// What is there would be taken for the response to the next request.
+    fn is_drained(&mut self) -> bool {
+        self.parts.decoder.framed_mut().read_buffer().is_empty()
+    }
+
     /// Closes the connection.
     pub fn close(self) {}
 }
