feat(bench): verify every promise from callers' records and the servers' log

The verifier is pure. A refusal as not run is checked for its own request and, with a key, for every send of the key that was sent before the refusal was answered: a later send is the caller's own decision and may run. A log that dropped entries, or lists no server, is partial, and the shards that servers finished are then not checked; the verdict says so.

--- a/crates/bench/src/verify/log.rs
+++ b/crates/bench/src/verify/log.rs
@@ -5,6 +5,7 @@
         BTreeMap,
         BTreeSet, //
     },
+    net::SocketAddr,
     sync::Arc, //
 };
 
@@ -157,6 +158,15 @@
     pub groups: BTreeMap<Arc<str>, Snapshots>,
     /// Presets documents that the platform accepted, where known.
     pub presets: Vec<Accepted>,
+    /// Addresses that are instances', not a balancer's.
+    pub instances: BTreeSet<SocketAddr>,
     /// Whether anything but planned stops happened to instances or connections.
     pub unplanned: bool,
 }
+
+impl Log {
+    /// Returns whether entries may be lacking: some were dropped, or there is no log at all.
+    pub fn is_partial(&self) -> bool {
+        self.dropped > 0 || self.servers.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/bench/src/verify/once.rs
@@ -0,0 +1,73 @@
+//! Whether refusals are true and keys run at most once.
+
+use std::collections::BTreeSet;
+
+use super::{
+    index::{
+        Index,
+        Key, //
+    },
+    log::Entry,
+    violation::{
+        Finding,
+        Violation, //
+    },
+};
+use crate::replay::{
+    record::Run,
+    Record, //
+};
+
+/// Checks that a request that was refused as not run was not run, over the whole log.
+pub(super) fn check_refusal(record: &Record, index: &Index<'_>, violations: &mut Vec<Violation>) {
+    if record.run != Some(Run::NotRun) {
+        return;
+    }
+    let entries = index.request(&record.request).iter();
+    let own = entries
+        .filter(|entry| entry.started_us.is_some())
+        .map(|entry| {
+            let server = entry.server.clone();
+            Finding::RanAnyway { server }
+        });
+    let key = record.key.as_deref().and_then(|key| index.key(key));
+    let others = key.and_then(|key| ran_elsewhere(record, key));
+    let violation = |finding| Violation::new(&record.request, finding);
+    violations.extend(own.take(1).chain(others).map(violation));
+}
+
+/// Finds a start of the refused key by another send, unless that was sent after the refusal.
+fn ran_elsewhere(record: &Record, key: &Key<'_>) -> Option<Finding> {
+    let entry = key
+        .starts
+        .iter()
+        .find(|entry| entry.base() != &*record.request && !is_later_send(record, key, entry))?;
+    let server = entry.server.clone();
+    Some(match entry.started_us {
+        Some(started) if started <= record.answered_us => Finding::RanBefore { server },
+        _ => Finding::RanLater { server },
+    })
+}
+
+fn is_later_send(refused: &Record, key: &Key<'_>, entry: &Entry) -> bool {
+    let mut sends = key.sends.iter();
+    let send = sends.find(|send| &*send.request == entry.base());
+    send.is_some_and(|send| send.sent_us > refused.answered_us)
+}
+
+/// Checks that each key was started at most once and has one outcome.
+pub(super) fn check_keys(index: &Index<'_>, violations: &mut Vec<Violation>) {
+    for (key, known) in index.keys() {
+        if known.starts.len() > 1 {
+            let servers = known.starts.iter().map(|entry| entry.server.clone());
+            let servers = servers.collect();
+            violations.push(Violation::new(key, Finding::Repeated { servers }));
+        }
+        let answered = known.sends.iter().filter(|send| send.is_answered());
+        let payloads: BTreeSet<_> = answered.map(|send| send.payload).collect();
+        let count = payloads.len();
+        if count > 1 {
+            violations.push(Violation::new(key, Finding::Outcomes { count }));
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/verify/violation.rs
@@ -0,0 +1,268 @@
+//! What a violation is.
+
+use std::{
+    fmt,
+    sync::Arc, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// A promise of the system.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Promise {
+    /// An answer reflects one snapshot.
+    Snapshot,
+    /// The coverage of an answer is true.
+    Coverage,
+    /// A caller gets the whole answer to its own request, once.
+    Whole,
+    /// A request that is refused as not run was not run.
+    Refusal,
+    /// A request that isn't idempotent runs at most once.
+    AtMostOnce,
+    /// A key has one outcome.
+    Recorded,
+    /// A leaving backend server gets no new work.
+    Leaving,
+    /// A planned stop cuts no request.
+    Cut,
+    /// A configuration never reverts and is soon in force.
+    Config,
+    /// A backend server's connection limit is kept.
+    Connections,
+}
+
+impl Promise {
+    /// Every promise.
+    pub const ALL: [Self; 10] = [
+        Self::Snapshot,
+        Self::Coverage,
+        Self::Whole,
+        Self::Refusal,
+        Self::AtMostOnce,
+        Self::Recorded,
+        Self::Leaving,
+        Self::Cut,
+        Self::Config,
+        Self::Connections,
+    ];
+
+    /// Returns the name that reports use.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Snapshot => "snapshot",
+            Self::Coverage => "coverage",
+            Self::Whole => "whole",
+            Self::Refusal => "refusal",
+            Self::AtMostOnce => "at_most_once",
+            Self::Recorded => "recorded",
+            Self::Leaving => "leaving",
+            Self::Cut => "cut",
+            Self::Config => "config",
+            Self::Connections => "connections",
+        }
+    }
+}
+
+impl fmt::Display for Promise {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.name())
+    }
+}
+
+/// How a promise was broken.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "finding")]
+pub enum Finding {
+    /// A part was read from another snapshot than the answer states.
+    MixedSnapshot {
+        /// Shard of the part.
+        shard: Arc<str>,
+        /// Snapshot stamped on the part.
+        stamped: u64,
+    },
+    /// An answer names a shard that its snapshot hasn't.
+    ForeignShard {
+        /// The shard.
+        shard: Arc<str>,
+    },
+    /// An answer leaves out a shard of its snapshot without naming it.
+    UnnamedShard {
+        /// The shard.
+        shard: Arc<str>,
+    },
+    /// An answer states a snapshot that the group never had.
+    UnknownSnapshot {
+        /// The snapshot.
+        snapshot: u64,
+    },
+    /// The counts of the coverage contradict each other or the parts.
+    Counts {
+        /// Stated shards.
+        shards: u32,
+        /// Stated answered shards.
+        answered: u32,
+        /// Named missing shards.
+        missing: u32,
+        /// Parts in the answer, if it has parts.
+        parts: Option<u32>,
+    },
+    /// A shard is listed twice.
+    RepeatedShard {
+        /// The shard.
+        shard: Arc<str>,
+    },
+    /// A shard counts as answered, but no backend server finished it for this request and snapshot.
+    Unserved {
+        /// The shard.
+        shard: Arc<str>,
+    },
+    /// More shards count as answered than backend servers finished.
+    UnservedCount {
+        /// Stated answered shards.
+        answered: u32,
+        /// Shards that backend servers finished.
+        served: u32,
+    },
+    /// An answer belongs to another request.
+    WrongRequest {
+        /// Request id in the answer.
+        found: Box<str>,
+    },
+    /// A part belongs to another request.
+    WrongPart {
+        /// Shard of the part.
+        shard: Arc<str>,
+        /// Request id stamped on the part.
+        found: Box<str>,
+    },
+    /// A part belongs to another shard.
+    WrongShard {
+        /// Shard that the part is listed under.
+        shard: Arc<str>,
+        /// Shard stamped on the part.
+        found: Arc<str>,
+    },
+    /// An answer with status 200 can't be understood.
+    Broken,
+    /// A request has more than one answer.
+    Doubled,
+    /// A request that was refused as not run was started.
+    RanAnyway {
+        /// Backend server that started it.
+        server: Arc<str>,
+    },
+    /// A key was refused as not run after it was started.
+    RanBefore {
+        /// Backend server that started it.
+        server: Arc<str>,
+    },
+    /// A key was refused as not run, and an earlier send of it was started later.
+    RanLater {
+        /// Backend server that started it.
+        server: Arc<str>,
+    },
+    /// A key was started more than once.
+    Repeated {
+        /// Backend servers, in order of the starts.
+        servers: Vec<Arc<str>>,
+    },
+    /// Answers to one key differ.
+    Outcomes {
+        /// Number of different payloads.
+        count: usize,
+    },
+    /// Work arrived at a backend server too long after it was marked leaving.
+    Late {
+        /// Request id of the work.
+        request: Box<str>,
+        /// Time since the mark, in microseconds.
+        after_us: u64,
+    },
+    /// A connection was closed before the answer, and only planned stops happened.
+    CutOff,
+    /// An instance answered under an older version than it had shown before.
+    Reverted {
+        /// Version that it had shown.
+        from: u64,
+        /// Version of this answer.
+        to: u64,
+    },
+    /// An answer states a version that the platform never accepted.
+    UnknownVersion {
+        /// The version.
+        version: u64,
+    },
+    /// A request ran under an old version too long after a newer one was accepted.
+    StaleVersion {
+        /// The version.
+        version: u64,
+        /// The newer version.
+        newer: u64,
+    },
+    /// A backend server had more connections than its limit.
+    OverLimit {
+        /// The limit.
+        limit: u64,
+        /// Most connections at the same time.
+        peak: u64,
+        /// Connections that were closed at once.
+        refused: u64,
+    },
+}
+
+impl Finding {
+    /// Returns the promise that is broken.
+    pub fn promise(&self) -> Promise {
+        match self {
+            Self::MixedSnapshot { .. }
+            | Self::ForeignShard { .. }
+            | Self::UnnamedShard { .. }
+            | Self::UnknownSnapshot { .. } => Promise::Snapshot,
+            Self::Counts { .. }
+            | Self::RepeatedShard { .. }
+            | Self::Unserved { .. }
+            | Self::UnservedCount { .. } => Promise::Coverage,
+            Self::WrongRequest { .. }
+            | Self::WrongPart { .. }
+            | Self::WrongShard { .. }
+            | Self::Broken
+            | Self::Doubled => Promise::Whole,
+            Self::RanAnyway { .. } | Self::RanBefore { .. } | Self::RanLater { .. } => {
+                Promise::Refusal
+            }
+            Self::Repeated { .. } => Promise::AtMostOnce,
+            Self::Outcomes { .. } => Promise::Recorded,
+            Self::Late { .. } => Promise::Leaving,
+            Self::CutOff => Promise::Cut,
+            Self::Reverted { .. } | Self::UnknownVersion { .. } | Self::StaleVersion { .. } => {
+                Promise::Config
+            }
+            Self::OverLimit { .. } => Promise::Connections,
+        }
+    }
+}
+
+/// One broken promise.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Violation {
+    /// Request id, idempotency key or backend server that it is about.
+    pub subject: Box<str>,
+    /// How the promise was broken.
+    #[serde(flatten)]
+    pub finding: Finding,
+}
+
+impl Violation {
+    /// Makes a violation.
+    pub(super) fn new(subject: &str, finding: Finding) -> Self {
+        Self {
+            subject: subject.into(),
+            finding,
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/tests/verify.rs
@@ -0,0 +1,329 @@
+//! Tests of the verifier: clean input passes, and each kind of violation is caught.
+
+use std::collections::BTreeMap;
+
+use bench::{
+    replay::{
+        record::{
+            Fault,
+            Run, //
+        },
+        Record, //
+    },
+    verify::{
+        self,
+        log::{
+            Accepted,
+            Entry,
+            Mark, //
+        },
+        Finding,
+        Log,
+        Promise,
+        Verdict, //
+    },
+};
+use serde_json::json;
+
+const QUERY: &str = "01900000-0000-7000-8000-000000000001";
+const CALL: &str = "01900000-0000-7000-8000-000000000002";
+const RETRY: &str = "01900000-0000-7000-8000-000000000003";
+const KEY: &str = "01900000-0000-7000-8000-00000000000a";
+
+/// A query over two shards, and a call whose first send was refused and whose second one ran.
+struct Case {
+    records: Vec<Record>,
+    log: Log,
+}
+
+impl Case {
+    fn clean() -> Self {
+        Self {
+            records: vec![query(), call(CALL, 1, 2_000), call(RETRY, 2, 4_000)],
+            log: log(),
+        }
+    }
+
+    fn verify(&self) -> Verdict {
+        verify::run(&self.records, &self.log)
+    }
+}
+
+fn record(fields: serde_json::Value) -> Record {
+    let mut whole = json!({
+        "arrival": 0, "attempt": 1, "caller": 1, "timeout_ms": 500, "address": "127.0.0.1:1",
+        "status": 200, "instance": "i1",
+    });
+    let whole_fields = whole.as_object_mut().unwrap();
+    whole_fields.extend(fields.as_object().unwrap().clone());
+    serde_json::from_value(whole).unwrap()
+}
+
+fn query() -> Record {
+    let part = |shard: &str, index: u32| {
+        json!({
+            "shard": shard, "server": format!("{shard}-a"), "snapshot": 7, "stamped": shard,
+            "request": format!("{QUERY}-{index}"),
+        })
+    };
+    record(json!({
+        "kind": "query", "target": "deskline", "request": QUERY, "echoed": QUERY,
+        "intended_us": 1_000, "sent_us": 1_000, "answered_us": 1_900, "snapshot": 7, "preset": 3,
+        "coverage": {"shards": 2, "answered": 2, "missing": []},
+        "parts": [part("s0", 0), part("s1", 1)],
+    }))
+}
+
+fn call(request: &str, attempt: u32, sent_us: u64) -> Record {
+    let mut call = record(json!({
+        "arrival": 1, "attempt": attempt, "kind": "call", "target": "tallyroom", "key": KEY,
+        "request": request, "echoed": request, "intended_us": sent_us, "sent_us": sent_us,
+        "answered_us": sent_us + 900,
+    }));
+    match attempt {
+        1 => refuse(&mut call, Run::NotRun),
+        _ => call.payload = Some(1),
+    }
+    call
+}
+
+fn refuse(record: &mut Record, run: Run) {
+    record.status = 503;
+    record.problem = Some("/problems/overloaded".into());
+    record.run = Some(run);
+    record.coverage = None;
+    record.parts = None;
+}
+
+fn log() -> Log {
+    let query = |shard: &str, index: u32| {
+        json!({
+            "seq": index, "server": format!("{shard}-a"), "shard": shard, "kind": "query",
+            "request": format!("{QUERY}-{index}"), "attempt": 1, "snapshot": 7,
+            "arrived_us": 1_100, "started_us": 1_200, "ended_us": 1_500, "outcome": "done",
+        })
+    };
+    let call = json!({
+        "seq": 3, "server": "t-a", "kind": "call", "request": RETRY, "attempt": 1, "key": KEY,
+        "arrived_us": 4_100, "started_us": 4_200, "ended_us": 4_500, "outcome": "done",
+    });
+    serde_json::from_value(json!({
+        "records": [query("s0", 0), query("s1", 1), call],
+        "servers": [{"name": "s0-a", "connections": 25, "connections_peak": 25}],
+        "groups": {"deskline": {"7": ["s0", "s1"], "8": ["s0", "s2"]}},
+        "presets": [{"version": 3, "at_us": 0}],
+    }))
+    .unwrap()
+}
+
+fn start(log: &mut Log, request: &str, key: Option<&str>, started_us: u64) {
+    let entry: Entry = serde_json::from_value(json!({
+        "seq": 9, "server": "t-b", "kind": "call", "request": request, "key": key,
+        "arrived_us": started_us, "started_us": started_us, "outcome": "broken",
+    }))
+    .unwrap();
+    log.records.push(entry);
+}
+
+#[test]
+fn clean_input_has_no_violation() {
+    let verdict = Case::clean().verify();
+    assert_eq!(verdict, Verdict::default());
+    assert!(verdict.counts().values().all(|count| *count == 0));
+    assert_eq!(verdict.counts().len(), Promise::ALL.len());
+}
+
+#[test]
+fn a_log_that_lacks_entries_is_partial() {
+    let mut case = Case::clean();
+    case.log.dropped = 1;
+    assert!(case.verify().partial);
+    case.log = Log::default();
+    assert!(case.verify().partial);
+}
+
+type Change = fn(&mut Case);
+
+const ANSWERS: [(&str, Change); 12] = [
+    ("mixed snapshot", |case| {
+        case.records[0].parts.as_mut().unwrap()[1].snapshot = Some(8);
+    }),
+    ("shards of another snapshot", |case| {
+        case.records[0].parts.as_mut().unwrap()[1].shard = "s2".into();
+        case.records[0].parts.as_mut().unwrap()[1].stamped = None;
+    }),
+    ("unknown snapshot", |case| {
+        case.records[0].snapshot = Some(9);
+        case.records[0].parts = None;
+    }),
+    ("counts that don't add up", |case| {
+        case.records[0].coverage.as_mut().unwrap().shards = 3;
+    }),
+    ("repeated shard", |case| {
+        let parts = case.records[0].parts.as_mut().unwrap();
+        parts[1] = parts[0].clone();
+    }),
+    ("shard that no server finished", |case| {
+        case.log.records[1].outcome = None;
+    }),
+    ("shard that a server finished on another snapshot", |case| {
+        case.log.records[1].snapshot = Some(8);
+    }),
+    ("merged hits of shards that no server finished", |case| {
+        case.records[0].parts = None;
+        case.log.records[1].outcome = None;
+    }),
+    ("answer to another request", |case| {
+        case.records[0].echoed = Some(CALL.into());
+    }),
+    ("part of another request and shard", |case| {
+        let part = &mut case.records[0].parts.as_mut().unwrap()[1];
+        part.request = Some(format!("{CALL}-1").into());
+        part.stamped = Some("s0".into());
+    }),
+    ("truncated answer", |case| {
+        case.records[0].fault = Some(Fault::Malformed);
+    }),
+    ("two answers", |case| {
+        case.records.push(case.records[0].clone());
+    }),
+];
+
+const CALLS: [(&str, Change); 9] = [
+    ("refused query that started", |case| {
+        refuse(&mut case.records[0], Run::NotRun);
+    }),
+    ("refused call that started later", |case| {
+        start(&mut case.log, CALL, None, 90_000);
+        case.log.records.remove(2);
+        case.records.pop();
+    }),
+    ("key refused after its start", |case| {
+        case.records[1].sent_us = 5_000;
+        case.records[1].answered_us = 6_000;
+    }),
+    ("key refused before an earlier send started", |case| {
+        case.records[2].sent_us = 2_500;
+    }),
+    ("key that ran twice", |case| {
+        start(&mut case.log, RETRY, Some(KEY), 9_000);
+    }),
+    ("key that ran twice, once without it", |case| {
+        start(&mut case.log, RETRY, None, 9_000);
+    }),
+    ("key with two outcomes", |case| {
+        let mut other = case.records[2].clone();
+        other.request = CALL.replace('2', "4").into();
+        other.echoed = Some(other.request.clone());
+        other.payload = Some(2);
+        case.records.push(other);
+    }),
+    ("leaving server that gets work", |case| {
+        case.log.marks = vec![Mark {
+            server: "t-a".into(),
+            at_us: 0,
+            until_us: None,
+        }];
+        case.log.records[2].arrived_us = 3_000_001;
+    }),
+    ("server over its connection limit", |case| {
+        case.log.servers[0].connections_peak = 26;
+        case.log.servers[0].connections_refused = 1;
+    }),
+];
+
+const INSTANCES: [(&str, Change); 4] = [
+    ("cut request", |case| {
+        case.records[0].fault = Some(Fault::Cut);
+        case.records[0].status = 0;
+    }),
+    ("reverted preset", |case| {
+        case.log.presets.push(Accepted {
+            version: 2,
+            at_us: 0,
+        });
+        let mut later = case.records[0].clone();
+        later.sent_us = 5_000;
+        later.answered_us = 5_100;
+        later.preset = Some(2);
+        later.request = CALL.replace('2', "5").into();
+        later.echoed = Some(later.request.clone());
+        later.coverage = None;
+        later.parts = None;
+        case.records.push(later);
+    }),
+    ("preset version that was never accepted", |case| {
+        case.records[0].preset = Some(4);
+    }),
+    ("stale preset", |case| {
+        case.log.presets.push(Accepted {
+            version: 4,
+            at_us: 0,
+        });
+        case.records[0].sent_us = 19_000_001;
+        case.records[0].answered_us = 19_000_002;
+    }),
+];
+
+fn found(changes: &[(&str, Change)]) -> BTreeMap<String, Vec<(Promise, Finding)>> {
+    let found = |change: &Change| {
+        let mut case = Case::clean();
+        change(&mut case);
+        let violations = case.verify().violations.into_iter();
+        violations
+            .map(|violation| (violation.finding.promise(), violation.finding))
+            .collect()
+    };
+    changes
+        .iter()
+        .map(|(name, change)| (name.to_string(), found(change)))
+        .collect()
+}
+
+#[test]
+fn every_false_answer_is_caught() {
+    insta::assert_json_snapshot!(found(&ANSWERS));
+}
+
+#[test]
+fn every_false_refusal_and_second_run_is_caught() {
+    insta::assert_json_snapshot!(found(&CALLS));
+}
+
+#[test]
+fn every_cut_and_reverted_configuration_is_caught() {
+    insta::assert_json_snapshot!(found(&INSTANCES));
+}
+
+#[test]
+fn what_is_allowed_is_no_violation() {
+    let allowed: [(&str, Change); 4] = [
+        ("cut request after an unplanned fault", |case| {
+            case.records[0].fault = Some(Fault::Cut);
+            case.records[0].status = 0;
+            case.log.unplanned = true;
+        }),
+        ("missing shard that is named", |case| {
+            let record = &mut case.records[0];
+            let part = record.parts.as_mut().unwrap().pop().unwrap();
+            let coverage = record.coverage.as_mut().unwrap();
+            coverage.answered = 1;
+            coverage.missing.push(bench::replay::record::Missing {
+                shard: part.shard,
+                reason: "deadline".into(),
+            });
+        }),
+        ("work on a server whose mark was taken back", |case| {
+            case.log.marks = vec![Mark {
+                server: "t-a".into(),
+                at_us: 0,
+                until_us: Some(4_000),
+            }];
+        }),
+        ("honest doubt about a key that ran", |case| {
+            case.records[1].sent_us = 5_000;
+            case.records[1].run = Some(Run::MayHaveRun);
+        }),
+    ];
+    assert!(found(&allowed).values().all(Vec::is_empty));
+}
