--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! The test bench: recorded traces, open-loop replay, verification and reports.
 
+pub mod plot;
 pub mod replay;
 pub mod report;
 pub mod trace;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use bench::{
+    plot,
     replay,
     trace, //
 };
@@ -25,11 +26,14 @@
     Trace(trace::command::Command),
     /// Replay a trace against a deployment and report.
     Replay(replay::command::Arguments),
+    /// Plot reports.
+    Plot(plot::command::Arguments),
 }
 
 fn main() -> ExitCode {
     match Cli::parse().command {
         Command::Trace(command) => command.run(),
         Command::Replay(arguments) => arguments.run(),
+        Command::Plot(arguments) => arguments.run(),
     }
 }
--- a/crates/bench/src/replay/command.rs
+++ b/crates/bench/src/replay/command.rs
@@ -51,13 +51,15 @@
     /// Show a progress bar.
     #[arg(long)]
     progress: bool,
+    #[command(flatten)]
+    output: report::Output,
 }
 
 impl Arguments {
     /// Runs the command.
     pub fn run(self) -> ExitCode {
         match self.replay() {
-            Ok(()) => ExitCode::SUCCESS,
+            Ok(code) => code,
             Err(report) => {
                 eprintln!("replay: {report:?}");
                 ExitCode::FAILURE
@@ -65,7 +67,7 @@
         }
     }
 
-    fn replay(self) -> Result<(), Report<Error>> {
+    fn replay(self) -> Result<ExitCode, Report<Error>> {
         let trace = trace::load(&self.trace).change_context(Error::Trace)?;
         let outcome = super::run(&Plan {
             trace: Arc::new(trace),
@@ -80,11 +82,8 @@
             Some(address) => verify::fetch::run(address, 0).change_context(Error::Log)?,
             None => verify::Log::default(),
         };
-        let summary = report::run(&outcome, &log);
-        println!(
-            "{}",
-            serde_json::to_string(&summary).expect("plain structs serialize")
-        );
-        Ok(())
+        let verdict = verify::run(&outcome.records, &log);
+        let summary = report::run(&outcome, &log, &verdict);
+        self.output.finish(summary).change_context(Error::Output)
     }
 }
--- a/crates/bench/src/replay/mod.rs
+++ b/crates/bench/src/replay/mod.rs
@@ -104,10 +104,8 @@
     Trace,
     /// The log of the backend servers can't be read.
     Log,
-    /// The stated outcomes can't be read.
-    Expectation,
-    /// A file can't be written.
-    Write,
+    /// The report can't be finished.
+    Output,
 }
 
 impl fmt::Display for Error {
@@ -117,8 +115,7 @@
             Self::Thread => "a replay thread can't run",
             Self::Trace => "the trace can't be loaded",
             Self::Log => "the log of the backend servers can't be read",
-            Self::Expectation => "the stated outcomes can't be read",
-            Self::Write => "a file can't be written",
+            Self::Output => "the report can't be finished",
         })
     }
 }
--- a/crates/bench/src/replay/record.rs
+++ b/crates/bench/src/replay/record.rs
@@ -1,6 +1,7 @@
 //! What one caller saw of one send.
 
 use std::{
+    fmt,
     net::SocketAddr,
     sync::Arc, //
 };
@@ -36,6 +37,17 @@
     Malformed,
 }
 
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Connect => "connect",
+            Self::Cut => "cut",
+            Self::Timeout => "timeout",
+            Self::Malformed => "malformed",
+        })
+    }
+}
+
 /// Shards of an answer that don't contribute.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Missing {
--- a/crates/bench/src/report/mod.rs
+++ b/crates/bench/src/report/mod.rs
@@ -1,9 +1,13 @@
 //! The report of a replay: latency, goodput, coverage, load and violations.
 
+pub mod expect;
 pub mod latency;
 pub mod load;
+pub mod output;
 pub mod summary;
+pub mod table;
 
+pub use output::Output;
 pub use summary::{
     run,
     Summary,
--- a/crates/bench/src/report/summary.rs
+++ b/crates/bench/src/report/summary.rs
@@ -30,11 +30,18 @@
         },
         Outcome,
     },
-    verify::Log,
+    verify::{
+        Log,
+        Promise,
+        Verdict,
+        Violation, //
+    },
 };
 
 /// Time past its deadline after which an answer counts as late, in microseconds.
 pub const LATE_US: u64 = 50_000;
+/// Violations that a report shows in full, at most.
+const EXAMPLES_MAX: usize = 20;
 
 /// The figures of one group or service, or of all.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -113,16 +120,20 @@
     pub targets: BTreeMap<Arc<str>, Target>,
     /// Entries that the backend servers' log had no room for.
     pub log_dropped: u64,
+    /// Whether the log lacks entries, so that not every promise was checked.
+    pub partial_log: bool,
     /// Violations by promise.
-    pub violations: BTreeMap<String, u64>,
+    pub violations: BTreeMap<Promise, u64>,
+    /// The first violations.
+    pub examples: Vec<Violation>,
     /// Latency by percentile.
     pub curve: Vec<Point>,
     /// Figures by second.
     pub series: Vec<Second>,
 }
 
-/// Counts an outcome and the servers' log into a report, without violations.
-pub fn run(outcome: &Outcome, log: &Log) -> Summary {
+/// Counts an outcome, the servers' log and the verdict on both into a report.
+pub fn run(outcome: &Outcome, log: &Log, verdict: &Verdict) -> Summary {
     let loads = Loads::count(log);
     let mut all = Tally::default();
     let mut targets: BTreeMap<Arc<str>, Tally> = BTreeMap::new();
@@ -159,10 +170,28 @@
         .map(|(at, tally)| tally.second(*at))
         .collect();
     summary.log_dropped = log.dropped;
+    summary.partial_log = verdict.partial;
+    summary.violations = verdict.counts();
+    summary.examples = verdict
+        .violations
+        .iter()
+        .take(EXAMPLES_MAX)
+        .cloned()
+        .collect();
     summary
 }
 
 impl Summary {
+    /// Returns whether no promise was broken and the log had room for every entry.
+    pub fn is_clean(&self) -> bool {
+        self.log_dropped == 0 && self.violations.values().all(|count| *count == 0)
+    }
+
+    /// Returns the report as one line of JSON.
+    pub fn json(&self) -> String {
+        serde_json::to_string(self).expect("plain structs serialize")
+    }
+
     /// Counts the named causes of a first send.
     fn name(&mut self, record: &Record) {
         if let Some(fault) = record.fault {
--- a/crates/bench/tests/replay.rs
+++ b/crates/bench/tests/replay.rs
@@ -28,7 +28,10 @@
         Retry,
         Trace, //
     },
-    verify::Log,
+    verify::{
+        Log,
+        Verdict, //
+    },
 };
 use common::{
     Fake,
@@ -158,7 +161,7 @@
     fake.close();
     let outcome = replay(address, vec![arrival(0, "deskline", Kind::Query)]);
     assert_eq!(outcome.records[0].fault, Some(Fault::Connect));
-    let summary = report::run(&outcome, &Log::default());
+    let summary = report::run(&outcome, &Log::default(), &Verdict::default());
     assert_eq!((summary.all.queries, summary.all.errors), (1, 1));
 }
 
