--- a/crates/bench/src/demo/summary.rs
+++ b/crates/bench/src/demo/summary.rs
@@ -65,7 +65,7 @@
         let cpu_us: u64 = instances.iter().map(|used| used.usage.cpu_us).sum();
         let servers = &log.servers;
         Ok(Self {
-            report: report::run(outcome, &log),
+            report: report::run(outcome, &log, &verify::run(&outcome.records, &log)),
             subrequests,
             cpu_us_per_subrequest: cpu_us as f64 / subrequests.max(1) as f64,
             instances,
