--- a/crates/bench/src/backends/control.rs
+++ b/crates/bench/src/backends/control.rs
@@ -37,7 +37,7 @@
 use crate::answer;
 
 /// A switch of the index to the next snapshot.
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Switch {
     /// Group that switches, all if it isn't given.
--- a/crates/bench/src/backends/fault.rs
+++ b/crates/bench/src/backends/fault.rs
@@ -2,12 +2,15 @@
 
 use std::sync::Arc;
 
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 use super::sizes::Spec;
 
 /// How a reply is spoilt.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Garble {
     /// It isn't.
@@ -26,7 +29,7 @@
 }
 
 /// A change of the faults of some servers; a field that isn't given stays as it is.
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Change {
     /// Name of the server, all if it isn't given.
--- a/crates/bench/src/backends/mod.rs
+++ b/crates/bench/src/backends/mod.rs
@@ -40,13 +40,24 @@
     sizes::Spec, //
 };
 pub use self::{
-    fault::Change,
+    control::Switch,
+    fault::{
+        Change,
+        Garble, //
+    },
     log::{
+        now_us,
         Kind,
         Outcome,
         Record, //
     },
-    sizes::ZONES,
+    server::service_rate,
+    sizes::{
+        groups,
+        service,
+        singles,
+        ZONES, //
+    },
 };
 use crate::trace::profile::User;
 
--- a/crates/bench/src/backends/server.rs
+++ b/crates/bench/src/backends/server.rs
@@ -48,6 +48,14 @@
 /// Time for which `/health` and `/load` repeat themselves.
 const LOAD_LAG: Duration = Duration::from_secs(3);
 
+/// Returns the requests a second that a service of two small servers can serve.
+pub fn service_rate() -> f64 {
+    const SLOTS: f64 = 4.0;
+    // The mean of a lognormal distribution is above its median.
+    let mean_ms = SERVICE_MEDIAN_MS * (SERVICE_SIGMA * SERVICE_SIGMA / 2.0).exp();
+    SLOTS * 1_000.0 / mean_ms
+}
+
 /// Counts and gauges of one server.
 #[derive(Debug, Clone, Default, Serialize)]
 pub struct Status {
--- a/crates/bench/src/demo/layout.rs
+++ b/crates/bench/src/demo/layout.rs
@@ -29,6 +29,8 @@
     pub callers: SocketAddr,
     /// Where peers ask.
     pub peers: SocketAddr,
+    /// The link that stands for `peers`, if there are links.
+    pub link: SocketAddr,
 }
 
 /// Addresses of everything.
@@ -40,6 +42,8 @@
     pub backends: SocketAddr,
     /// First port of the backend servers.
     pub backends_base: u16,
+    /// The control interface of the proxy.
+    pub proxy: SocketAddr,
     /// The balancer.
     pub balancer: SocketAddr,
     /// The instances.
@@ -59,6 +63,7 @@
         Ok(Self {
             platform: free.address()?,
             backends: free.address()?,
+            proxy: free.address()?,
             balancer: free.address()?,
             instances: (0..instances)
                 .map(|_| free.ports())
@@ -88,6 +93,7 @@
         Ok(Ports {
             callers: self.address()?,
             peers: self.address()?,
+            link: self.address()?,
         })
     }
 
--- a/crates/bench/src/demo/mod.rs
+++ b/crates/bench/src/demo/mod.rs
@@ -2,10 +2,17 @@
 
 pub mod child;
 pub mod cluster;
+pub mod control;
+pub mod converge;
+pub mod documents;
+pub mod events;
 pub mod failure;
+pub mod fault;
+pub mod instance;
 pub mod layout;
 pub mod presets;
 pub mod replayer;
+pub mod start;
 pub mod summary;
 pub mod usage;
 
@@ -73,6 +80,9 @@
     /// Seed of every random choice.
     #[arg(long, default_value_t = 1)]
     pub seed: u64,
+    /// Faults during the replay; one that is named twice happens twice.
+    #[arg(long, value_enum)]
+    pub fault: Vec<fault::Name>,
     /// Form of the report.
     #[arg(long, value_enum, default_value_t = Form::Table)]
     pub report: Form,
@@ -95,10 +105,17 @@
     #[arg(long, default_value_t = 20.0)]
     pub slow_factor: f64,
     /// Level of the instances' logs.
-    #[arg(long, default_value = "warn")]
+    #[arg(long, default_value = "error")]
     pub log_level: String,
 }
 
+impl Options {
+    /// Returns whether a fault needs links between the instances.
+    pub fn needs_links(&self) -> bool {
+        self.fault.iter().any(|name| name.needs_links())
+    }
+}
+
 /// Runs the demo; fails if a promise was broken.
 pub fn run(options: Options) -> ExitCode {
     let outcome = crate::runtime::run(demo(options))
@@ -127,7 +144,7 @@
             Either::Right(_) => Err(Report::new(Failure::Interrupted)),
         }
     };
-    cluster.close().await;
+    cluster.close();
     outcome
 }
 
@@ -139,7 +156,10 @@
     }
     let before = cluster.usage();
     let calls = cluster.calls().await?;
-    let outcome = replayer::run(&cluster, options).await?;
+    let replay = replayer::run(&cluster, options);
+    let faults = fault::run(&cluster, options);
+    let (outcome, ()) = futures_util::future::try_join(replay, faults).await?;
+    converge::check(&cluster).await?;
     let summary = Summary::collect(&cluster, &outcome, &before, &calls).await?;
     summary.print(options.report);
     Ok(summary.is_clean())
--- a/crates/bench/src/demo/replayer.rs
+++ b/crates/bench/src/demo/replayer.rs
@@ -11,6 +11,7 @@
 use super::{
     cluster::Cluster,
     failure::Failure,
+    fault,
     Options, //
 };
 use crate::{
@@ -27,7 +28,11 @@
 ///
 /// Fails if the replay's threads can't run.
 pub async fn run(cluster: &Cluster, options: &Options) -> Result<replay::Outcome, Report<Failure>> {
-    let plan = generate::Plan::new(options.user, options.seconds, options.rate, options.seed);
+    let rate = match options.fault.contains(&fault::Name::Overload) {
+        true => fault::overload_rate(options.user),
+        false => options.rate,
+    };
+    let plan = generate::Plan::new(options.user, options.seconds, rate, options.seed);
     let trace = Arc::new(generate::run(&plan));
     let mut plan = replay::Plan::new(trace, vec![cluster.layout.balancer]);
     plan.threads = THREADS;
--- a/crates/bench/src/demo/summary.rs
+++ b/crates/bench/src/demo/summary.rs
@@ -6,14 +6,7 @@
 };
 use serde::Serialize;
 
-use super::{
-    cluster::{
-        Cluster,
-        Used, //
-    },
-    failure::Failure,
-    Form,
-};
+use super::{cluster::Cluster, failure::Failure, instance::Used, Form};
 use crate::{
     replay,
     report,
@@ -54,9 +47,10 @@
         calls: &Calls,
     ) -> Result<Self, Report<Failure>> {
         let instances = used(cluster.usage(), before);
-        let log = verify::fetch::read(cluster.layout.backends, 0)
+        let mut log = verify::fetch::read(cluster.layout.backends, 0)
             .await
             .change_context(Failure::Control("log"))?;
+        cluster.events.borrow().add_to(&mut log);
         let started = log
             .records
             .iter()
@@ -64,8 +58,13 @@
         let subrequests = started.count() as u64;
         let cpu_us: u64 = instances.iter().map(|used| used.usage.cpu_us).sum();
         let servers = &log.servers;
+        let verdict = verify::run(&outcome.records, &log);
+        let mut report = report::run(outcome, &log, &verdict);
+        for (promise, count) in cluster.events.borrow().violations() {
+            *report.violations.entry(*promise).or_default() += count;
+        }
         Ok(Self {
-            report: report::run(outcome, &log, &verify::run(&outcome.records, &log)),
+            report,
             subrequests,
             cpu_us_per_subrequest: cpu_us as f64 / subrequests.max(1) as f64,
             instances,
--- a/crates/bench/src/proxy/fault.rs
+++ b/crates/bench/src/proxy/fault.rs
@@ -5,10 +5,13 @@
     time::Duration, //
 };
 
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 /// Direction of the bytes on a link.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Way {
     /// From whoever connected to the listener.
@@ -27,7 +30,7 @@
 }
 
 /// A change of the faults of some links; a field that isn't given stays as it is.
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Change {
     /// Address that the link listens on, all links if it isn't given.
--- a/crates/bench/src/store/fault.rs
+++ b/crates/bench/src/store/fault.rs
@@ -21,7 +21,7 @@
 }
 
 /// A change of the faults; a field that isn't given stays as it is.
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Fault {
     /// Clears every fault before the other fields apply.
