fix(pool): let the state be dumped without ending the process

GET /debug/state ended an instance: a guard taken inside a struct literal lives until the literal ends, and hedge_wait borrows the same cell mutably. Reports of commands are plain now, without places in the source or colours.

--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -70,12 +70,14 @@
 impl One {
     pub(crate) fn new<D: Dial>(service: &Service<D>, now: Instant) -> Self {
         let usual = service.usual();
+        // A guard taken inside the literal below would live until the literal ends.
+        let samples = service.latency.borrow().samples();
         let servers = service.servers.borrow();
         Self {
             name: service.name.to_string(),
             owned: service.owned.get(),
             queued: service.queue.borrow().len(),
-            samples: service.latency.borrow().samples(),
+            samples,
             median_ms: ms(usual),
             hedge_after_ms: service.hedge_wait().map(ms),
             retry_tokens: service.retries.borrow().tokens(),
--- a/crates/tanageryoke/src/cli.rs
+++ b/crates/tanageryoke/src/cli.rs
@@ -6,6 +6,10 @@
     Parser,
     Subcommand, //
 };
+use error_stack::{
+    fmt::ColorMode,
+    Report, //
+};
 
 use crate::{
     commands,
@@ -42,8 +46,15 @@
             Command::Dump(flags) => commands::dump::run(&flags),
         };
         result.unwrap_or_else(|report| {
+            plain_reports();
             eprintln!("tanageryoke: {report:?}");
             ExitCode::FAILURE
         })
     }
 }
+
+/// Leaves places in the source and colours out of reports, as operators read them.
+fn plain_reports() {
+    Report::set_color_mode(ColorMode::None);
+    Report::install_debug_hook::<std::panic::Location<'static>>(|_, _| {});
+}
