--- a/crates/bench/src/backends/tests.rs
+++ b/crates/bench/src/backends/tests.rs
@@ -11,12 +11,10 @@
 use super::{
     held::Held,
     hits,
-    sizes::{
-        self,
-        User, //
-    },
-    slots::Slots,
+    sizes,
+    slots::Slots, //
 };
+use crate::trace::profile::User;
 
 #[test]
 fn sizes_of_today() {
--- a/crates/bench/src/demo/failure.rs
+++ b/crates/bench/src/demo/failure.rs
@@ -21,6 +21,8 @@
     Control(&'static str),
     /// The preset's file can't be read.
     Preset,
+    /// The replay failed.
+    Replay,
     /// The demo was interrupted.
     Interrupted,
 }
@@ -36,6 +38,7 @@
             Self::Unready(name) => write!(f, "{name} wasn't ready in time"),
             Self::Control(call) => write!(f, "the control call {call} failed"),
             Self::Preset => f.write_str("the preset's file can't be read"),
+            Self::Replay => f.write_str("the replay failed"),
             Self::Interrupted => f.write_str("interrupted"),
         }
     }
--- a/crates/bench/src/demo/presets.rs
+++ b/crates/bench/src/demo/presets.rs
@@ -17,7 +17,7 @@
 };
 
 use super::failure::Failure;
-use crate::backends::User;
+use crate::trace::profile::User;
 
 /// Name of the preset in force at the start.
 pub const ORDINARY: &str = "ordinary";
