--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,7 +1,18 @@
-//! The test bench: recorded traces, open-loop replay, verification and reports.
+//! Stand-ins, recorded traces, replay, verification and reports for `tanageryoke`; never shipped.
+//!
+//! Each subcommand of the program is one module with an `Options` type and a `run` function.
 
+pub mod answer;
+pub mod backends;
+pub mod balancer;
+pub mod client;
+pub mod demo;
+pub mod listen;
 pub mod plot;
 pub mod replay;
 pub mod report;
+pub mod runtime;
+pub mod socket;
+pub mod store;
 pub mod trace;
 pub mod verify;
