--- a/crates/fleet/tests/common/node.rs
+++ b/crates/fleet/tests/common/node.rs
@@ -172,7 +172,7 @@
 
     /// Ends the instance without a word.
     pub(crate) fn crash(mut self) {
-        self.run.take();
+        self.freeze();
         self.serve.take();
     }
 
