fix(fleet): take a good version below a refused one

A refused version hid every lower one, so an instance that saw a bad document first never took the good one that its peers had in force, and would not have become ready. Now only the refused version itself is passed over.

--- a/crates/fleet/src/documents.rs
+++ b/crates/fleet/src/documents.rs
@@ -47,12 +47,14 @@
 struct Slot {
     body: Arc<[u8]>,
     version: u64,
+    /// The version that was refused last, which isn't asked for again.
     refused: u64,
 }
 
 impl Slot {
+    /// Returns whether `version` is to be applied; one below a refused version may be a good one.
     fn is_news(&self, version: u64) -> bool {
-        version > self.version.max(self.refused)
+        version > self.version && version != self.refused
     }
 }
 
@@ -220,3 +222,6 @@
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Invalid> {
     serde_json::from_slice(body).map_err(|_| Invalid::Malformed)
 }
+
+#[cfg(test)]
+mod tests;
