--- a/crates/fleet/src/heartbeat.rs
+++ b/crates/fleet/src/heartbeat.rs
@@ -45,7 +45,7 @@
 };
 
 /// Records in one message, besides the sender's own.
-const UPDATES_MAX: usize = 16;
+pub(crate) const UPDATES_MAX: usize = 16;
 /// Members asked to probe one that doesn't answer.
 const HELPERS: usize = 3;
 /// Heartbeats that a suspected member has to answer, besides one for each doubling of the fleet.
--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -11,7 +11,10 @@
     sync::Arc, //
 };
 
-use config::Catalog;
+use config::{
+    catalog::Service,
+    Catalog, //
+};
 use xxhash_rust::xxh3::{
     xxh3_64,
     xxh3_64_with_seed, //
@@ -21,6 +24,8 @@
 
 /// Members named for one service: the owner and its substitutes.
 const RANKS: usize = 4;
+/// Members that are ranked in full for one service.
+const HEAD: usize = 16;
 /// A member owns at most this many quarters of the mean share.
 const LOAD_QUARTERS: usize = 5;
 
@@ -33,24 +38,43 @@
     pub(crate) is_live: bool,
 }
 
+/// How a candidate ranks for one key; the least is the first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Choice {
+    is_far: bool,
+    score: Reverse<u64>,
+    index: usize,
+}
+
 /// The owners of every service over one set of members.
 #[derive(Debug)]
 pub(crate) struct Ownership {
     candidates: Vec<Candidate>,
-    seeds: Vec<u64>,
+    /// Hash of each candidate's name, and the position of its zone.
+    seeds: Vec<(u64, usize)>,
+    zones: Vec<Arc<str>>,
     services: HashMap<Arc<str>, Rc<[Rc<Member>]>>,
 }
 
 impl Ownership {
     /// Assigns every service of `catalog` to one of `candidates`.
     pub(crate) fn new(candidates: Vec<Candidate>, catalog: &Catalog) -> Self {
-        let seeds = candidates
+        let mut zones: Vec<Arc<str>> = candidates
             .iter()
-            .map(|candidate| xxh3_64(candidate.member.name.as_bytes()))
+            .map(|candidate| candidate.member.zone.clone())
             .collect();
+        zones.sort_unstable();
+        zones.dedup();
+        let seed = |candidate: &Candidate| {
+            let member = &candidate.member;
+            let zone = zones.binary_search(&member.zone).unwrap_or_default();
+            (xxh3_64(member.name.as_bytes()), zone)
+        };
+        let seeds = candidates.iter().map(seed).collect();
         let mut ownership = Self {
             candidates,
             seeds,
+            zones,
             services: HashMap::new(),
         };
         ownership.assign(catalog);
@@ -68,7 +92,8 @@
     /// Returns the members that rank highest for `key`, without a bound on the load.
     pub(crate) fn rank(&self, key: &[u8]) -> Rc<[Rc<Member>]> {
         let order = self.order(key, &[]);
-        self.named(order.first().copied(), &order)
+        let head = &order[..order.len().min(HEAD)];
+        self.named(head.first().map(|choice| choice.index), head)
     }
 
     fn assign(&mut self, catalog: &Catalog) {
@@ -77,34 +102,52 @@
         let bound = bound(services.len(), self.candidates.len());
         let mut loads = vec![0_usize; self.candidates.len()];
         for (name, service) in services {
-            let zones: Vec<&str> = service.servers.iter().map(|server| &*server.zone).collect();
-            let order = self.order(name.as_bytes(), &zones);
-            let owner = order.iter().copied().find(|&index| loads[index] < bound);
+            let order = self.order(name.as_bytes(), &self.near(service));
+            let has_room = |choice: &&Choice| loads[choice.index] < bound;
+            let (head, tail) = order.split_at(order.len().min(HEAD));
+            let owner = head
+                .iter()
+                .find(has_room)
+                .or_else(|| tail.iter().filter(has_room).min())
+                .map(|choice| choice.index);
             if let Some(owner) = owner {
                 loads[owner] += 1;
             }
-            let owners = self.named(owner, &order);
+            let owners = self.named(owner, head);
             self.services.insert(name.clone(), owners);
         }
     }
 
-    /// Returns all candidates by rank for `key`, those in `zones` first.
-    fn order(&self, key: &[u8], zones: &[&str]) -> Vec<usize> {
-        let hash = xxh3_64(key);
-        let mut order: Vec<usize> = (0..self.candidates.len()).collect();
-        order.sort_by_cached_key(|&index| {
-            let is_near = zones.contains(&&*self.candidates[index].member.zone);
-            let score = xxh3_64_with_seed(&hash.to_le_bytes(), self.seeds[index]);
-            Reverse((is_near, score))
-        });
+    /// Returns for each zone whether the service has a backend server there.
+    fn near(&self, service: &Service) -> Vec<bool> {
+        let is_near = |zone: &Arc<str>| service.servers.iter().any(|server| server.zone == *zone);
+        self.zones.iter().map(is_near).collect()
+    }
+
+    /// Returns all candidates, of which the first [`HEAD`] are ranked for `key`, near ones first.
+    fn order(&self, key: &[u8], near: &[bool]) -> Vec<Choice> {
+        let hash = xxh3_64(key).to_le_bytes();
+        let ranked = self.seeds.iter().enumerate();
+        let mut order: Vec<Choice> = ranked
+            .map(|(index, &(seed, zone))| Choice {
+                is_far: !near.get(zone).copied().unwrap_or_default(),
+                score: Reverse(xxh3_64_with_seed(&hash, seed)),
+                index,
+            })
+            .collect();
+        if order.len() > HEAD {
+            order.select_nth_unstable(HEAD);
+        }
+        let head = order.len().min(HEAD);
+        order[..head].sort_unstable();
         order
     }
 
     /// Returns the owner, then the substitutes that rank highest, live ones first.
-    fn named(&self, owner: Option<usize>, order: &[usize]) -> Rc<[Rc<Member>]> {
-        let mut others: Vec<usize> = order
+    fn named(&self, owner: Option<usize>, head: &[Choice]) -> Rc<[Rc<Member>]> {
+        let mut others: Vec<usize> = head
             .iter()
-            .copied()
+            .map(|choice| choice.index)
             .filter(|&index| Some(index) != owner)
             .collect();
         others.sort_by_key(|&index| !self.candidates[index].is_live);
@@ -121,3 +164,6 @@
 fn bound(services: usize, members: usize) -> usize {
     (services * LOAD_QUARTERS).div_ceil(4 * members.max(1))
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -288,3 +288,6 @@
     let bytes: Vec<u8> = key.iter().flat_map(|part| part.to_le_bytes()).collect();
     xxh3_64(&bytes)
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/fleet/src/table/tests.rs
@@ -0,0 +1,135 @@
+//! Which record wins, and how large messages get.
+
+use std::time::Instant;
+
+use bolero::check;
+use prost::Message as _;
+use wire::{
+    GossipMessage,
+    Member,
+    State,
+    SyncReply,
+    Versions, //
+};
+
+use super::Table;
+use crate::heartbeat::UPDATES_MAX;
+
+fn record(index: usize, incarnation: u64, state: State) -> Member {
+    Member {
+        name: format!("kestrel-entry-{index}"),
+        address: format!("10.20.{}.{}:7400", index / 256, index % 256),
+        zone: format!("northmere-{}", index % 8),
+        incarnation,
+        state: state.into(),
+        presets: 1_000_000,
+    }
+}
+
+fn table() -> Table {
+    let me = crate::member::Member {
+        name: "kestrel-entry-0".into(),
+        address: "10.20.0.0:7400".parse().expect("an address"),
+        zone: "northmere-0".into(),
+    };
+    Table::new(me, 10, Instant::now())
+}
+
+fn state(number: u8) -> State {
+    const STATES: [State; 6] = [
+        State::Joining,
+        State::Live,
+        State::Suspect,
+        State::Leaving,
+        State::Failed,
+        State::Left,
+    ];
+    STATES[usize::from(number) % STATES.len()]
+}
+
+#[test]
+fn the_latest_record_of_a_member_wins_in_any_order() {
+    check!().with_type::<Vec<(u8, u8)>>().for_each(|heard| {
+        let now = Instant::now();
+        let mut forth = table();
+        let mut back = table();
+        let first = record(1, 0, State::Joining);
+        forth.merge(&first, now);
+        back.merge(&first, now);
+        for &(incarnation, number) in heard {
+            forth.merge(&record(1, incarnation.into(), state(number)), now);
+        }
+        for &(incarnation, number) in heard.iter().rev() {
+            back.merge(&record(1, incarnation.into(), state(number)), now);
+        }
+        assert_eq!(forth.digest(), back.digest());
+        let highest = heard.iter().map(|(incarnation, _)| *incarnation).max();
+        let known = forth.get("kestrel-entry-1").map(|known| known.incarnation);
+        assert_eq!(known, Some(highest.unwrap_or_default().into()));
+    });
+}
+
+#[test]
+fn an_instance_overrules_whatever_is_said_of_it() {
+    check!().with_type::<Vec<(u8, u8)>>().for_each(|heard| {
+        let now = Instant::now();
+        let mut own = table();
+        own.announce(State::Live, now);
+        for &(incarnation, number) in heard {
+            let said = record(0, incarnation.into(), state(number));
+            own.merge(&said, now);
+            let mut peer = table_of_a_peer();
+            peer.merge(&said, now);
+            peer.merge(&own.me().write(), now);
+            let known = peer.get("kestrel-entry-0").map(|known| known.state);
+            assert_eq!(known, Some(own.me().state));
+            assert!(matches!(own.me().state, State::Live | State::Leaving));
+        }
+    });
+}
+
+fn table_of_a_peer() -> Table {
+    let me = crate::member::Member {
+        name: "kestrel-entry-1".into(),
+        address: "10.20.0.1:7400".parse().expect("an address"),
+        zone: "northmere-1".into(),
+    };
+    Table::new(me, 10, Instant::now())
+}
+
+#[test]
+fn a_heartbeat_is_bounded_whatever_the_size_of_the_fleet() {
+    let sizes: Vec<String> = [7, 50, 200, 520].map(sizes).into();
+    insta::assert_snapshot!(sizes.join("\n"));
+}
+
+/// Returns the encoded sizes of the messages of a fleet of `members`, in bytes.
+fn sizes(members: usize) -> String {
+    let now = Instant::now();
+    let mut table = table();
+    for index in 1..members {
+        table.merge(&record(index, 1_760_000_000_000, State::Live), now);
+    }
+    let message = |members| GossipMessage {
+        sender: Some(record(0, 1_760_000_000_000, State::Live)),
+        members,
+        versions: Some(Versions {
+            presets: 1_000_000,
+            catalog: 1_000_000,
+            marks: 1_000_000,
+        }),
+        digest: u64::MAX,
+        platform_age_ms: 5_000,
+    };
+    let whole = SyncReply {
+        documents: Vec::new(),
+        members: table.records().map(|record| record.write()).collect(),
+    };
+    let busy = message(table.updates(None, UPDATES_MAX)).encoded_len();
+    while !table.updates(None, UPDATES_MAX).is_empty() {}
+    let quiet = message(table.updates(None, UPDATES_MAX)).encoded_len();
+    format!(
+        "{members} members: heartbeat {quiet} quiet, {busy} busy; whole table {}",
+        whole.encoded_len()
+    )
+}
--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -71,3 +71,194 @@
         .await;
     });
 }
+
+#[test]
+fn a_paused_member_is_back_and_declares_nobody_failed() {
+    run(async {
+        let platform = platform();
+        let nodes = fleet_of(&platform, 5);
+        all_live(&nodes).await;
+        let (paused, others) = nodes.split_last().expect("nodes");
+        let name = paused.member.name.to_string();
+        paused.freeze();
+        until("all others have it failed", || {
+            others
+                .iter()
+                .all(|node| node.members("failed").contains(&name))
+        })
+        .await;
+        paused.thaw();
+        all_live(&nodes).await;
+        assert_eq!(paused.members("failed"), Vec::<String>::new());
+    });
+}
+
+#[test]
+fn a_short_pause_changes_no_owner() {
+    run(async {
+        let platform = platform();
+        let nodes = fleet_of(&platform, 5);
+        all_live(&nodes).await;
+        let (paused, others) = nodes.split_last().expect("nodes");
+        let name = paused.member.name.to_string();
+        let owned = paused.fleet.owned();
+        paused.freeze();
+        until("one suspects it", || {
+            others
+                .iter()
+                .any(|node| node.members("suspect").contains(&name))
+        })
+        .await;
+        for node in others {
+            for service in &owned {
+                let owners = node.fleet.owners(service);
+                assert_eq!(*owners[0].name, *name);
+                assert_ne!(*owners[1].name, *name);
+            }
+        }
+        paused.thaw();
+        all_live(&nodes).await;
+        let after = paused.fleet.owned();
+        assert_eq!(owned, after);
+    });
+}
+
+#[test]
+fn a_lagging_list_removes_nobody_and_leaves_the_dead_out() {
+    run(async {
+        let platform = platform();
+        let nodes = fleet_of(&platform, 4);
+        all_live(&nodes).await;
+        let dead = platform::Instance {
+            name: "node-99".into(),
+            address: "127.0.0.1:9".parse().expect("an address"),
+            zone: "zone-a".into(),
+            leaving: false,
+        };
+        platform.list_instances(vec![dead]);
+        let late = Node::start(&platform, "node-4", &[nodes[0].member.address]);
+        until("the late one reads the list and finds all", || {
+            late.members("live").len() == 5
+        })
+        .await;
+        all_live_but(&nodes, &[]).await;
+        for node in nodes.iter().chain([&late]) {
+            assert!(node.fleet.state()["counts"].get("failed").is_none());
+            let all = node.fleet.state()["members"].to_string();
+            assert!(!all.contains("node-99"));
+        }
+    });
+}
+
+async fn all_live_but(nodes: &[Node], names: &[&str]) {
+    until("all see the others live", || {
+        nodes.iter().all(|node| {
+            let live = node.members("live");
+            let expected = nodes.iter().map(|node| node.member.name.to_string());
+            let mut expected = expected.filter(|name| !names.contains(&&**name));
+            expected.all(|name| live.contains(&name))
+                && names.iter().all(|name| !live.contains(&(*name).to_owned()))
+        })
+    })
+    .await;
+}
+
+#[test]
+fn an_instance_that_the_platform_lists_as_leaving_owns_nothing_until_the_list_changes() {
+    run(async {
+        let platform = platform();
+        let nodes = fleet_of(&platform, 4);
+        all_live(&nodes).await;
+        let listed = |leaving| {
+            let lines = nodes.iter().map(Node::instance);
+            let lines = lines.map(|line| platform::Instance {
+                leaving: leaving && &*line.name == "node-2",
+                ..line
+            });
+            lines.collect()
+        };
+        platform.list_instances(listed(true));
+        until("all have it leaving and none names it", || {
+            nodes.iter().all(|node| {
+                node.members("leaving") == ["node-2"]
+                    && (0..40).all(|index| node.owner(&service(index)) != "node-2")
+            })
+        })
+        .await;
+        platform.list_instances(listed(false));
+        all_live(&nodes).await;
+        assert!(!nodes[2].fleet.owned().is_empty());
+    });
+}
+
+fn service(index: usize) -> String {
+    format!("service-{index:04}")
+}
+
+#[test]
+fn an_instance_that_an_operator_marks_as_leaving_owns_nothing() {
+    run(async {
+        let platform = platform();
+        let nodes = fleet_of(&platform, 4);
+        all_live(&nodes).await;
+        let marks = serde_json::json!({"instances": {"node-1": "leaving"}});
+        platform.put("marks", &marks);
+        until("none names it", || {
+            let indexes = 0..40;
+            indexes.into_iter().all(|index| {
+                let service = service(index);
+                nodes.iter().all(|node| node.owner(&service) != "node-1")
+            })
+        })
+        .await;
+        assert!(nodes[1].fleet.owned().is_empty());
+        platform.put("marks", &serde_json::json!({}));
+        until("it is back", || !nodes[1].fleet.owned().is_empty()).await;
+    });
+}
+
+#[test]
+fn a_member_that_leaves_hands_over_at_once_and_then_is_gone() {
+    run(async {
+        let platform = platform();
+        let nodes = fleet_of(&platform, 5);
+        all_live(&nodes).await;
+        let (leaver, others) = nodes.split_last().expect("nodes");
+        leaver.fleet.leave().await;
+        // Each peer heard it before `leave` returned.
+        for node in others {
+            assert_eq!(node.members("leaving"), ["node-4"]);
+            assert!((0..40).all(|index| node.owner(&service(index)) != "node-4"));
+        }
+        leaver.fleet.clone().close().await;
+        for node in others {
+            assert_eq!(node.members("left"), ["node-4"]);
+        }
+    });
+}
+
+#[test]
+fn a_pause_counts_for_no_suspicion_that_was_open_before_it() {
+    run(async {
+        let platform = platform();
+        let nodes = fleet_of(&platform, 5);
+        all_live(&nodes).await;
+        let (suspected, paused) = (&nodes[0], &nodes[1]);
+        let name = suspected.member.name.to_string();
+        suspected.freeze();
+        until("one suspects another", || {
+            paused.members("suspect").contains(&name)
+        })
+        .await;
+        paused.freeze();
+        suspected.thaw();
+        // Longer than any suspicion may last.
+        monoio::time::sleep(common::node::HEARTBEAT * 20).await;
+        paused.thaw();
+        until("it sees all live and declared nobody failed", || {
+            assert_eq!(paused.members("failed"), Vec::<String>::new());
+            paused.members("live").len() == nodes.len()
+        })
+        .await;
+    });
+}
