feat(ledger): fence a key that comes free while it is settled

Settling answered not_run as soon as it saw that the claim it waited for hadn't run, although the settled request itself could still claim the freed key at its home. Claims and fences now repeat their own change until it finds an outcome, so a key that comes free meanwhile is claimed or voided in the same step.

--- a/crates/ledger/src/change.rs
+++ b/crates/ledger/src/change.rs
@@ -20,15 +20,13 @@
     },
 };
 
-/// What a claim or a look found.
+/// What a claim or a fence found.
 #[derive(Debug)]
 pub(crate) enum Finding {
     /// The key is claimed by the one who asked.
     Granted(Claim<Confirmed>),
     /// The key has an entry.
     Entry(Entry),
-    /// The key has no entry.
-    Absent,
     /// The key is below the partition's floor.
     Expired,
     /// The partition takes no more keys for now.
@@ -62,14 +60,12 @@
 }
 
 /// What a change does.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) enum Kind {
     /// Claims the key if it is free.
     Claim,
     /// Voids the key if nobody claimed it.
     Fence,
-    /// Reads the entry; from the platform if another instance may have changed it.
-    Look { fresh: bool },
     /// Sets the outcome of the claim.
     Record(Outcome),
     /// Sets the outcome of a claim that will not be used, wherever its write ends up.
@@ -85,6 +81,8 @@
     pub(crate) until: Instant,
     /// Whether a write of it may have taken effect.
     pub(crate) in_doubt: bool,
+    /// Whether the object has to be read, as another instance may have changed it.
+    pub(crate) is_fresh: bool,
     pub(crate) reply: Option<oneshot::Sender<Finding>>,
 }
 
@@ -93,13 +91,31 @@
 pub(crate) enum Step {
     Granted,
     Entry(Entry),
-    Absent,
     Expired,
     Full,
     Nothing,
 }
 
 impl Change {
+    /// Makes a claim or a fence and what its finding comes from.
+    pub(crate) fn asking(
+        kind: Kind,
+        stake: Stake,
+        until: Instant,
+        is_fresh: bool,
+    ) -> (Self, oneshot::Receiver<Finding>) {
+        let (sender, receiver) = oneshot::channel();
+        let change = Self {
+            kind,
+            stake,
+            until,
+            in_doubt: false,
+            is_fresh,
+            reply: Some(sender),
+        };
+        (change, receiver)
+    }
+
     /// Makes the recording of an outcome.
     pub(crate) fn recording(stake: Stake, outcome: Outcome, until: Instant) -> Self {
         Self::lasting(Kind::Record(outcome), stake, until)
@@ -116,15 +132,11 @@
             stake,
             until,
             in_doubt: false,
+            is_fresh: false,
             reply: None,
         }
     }
 
-    /// Returns whether a cached object won't do.
-    pub(crate) fn needs_read(&self) -> bool {
-        matches!(self.kind, Kind::Look { fresh: true })
-    }
-
     /// Returns whether the change is to be written although nobody waits for it.
     pub(crate) fn is_lasting(&self) -> bool {
         matches!(self.kind, Kind::Record(_) | Kind::Abandon)
@@ -147,7 +159,6 @@
         match &self.kind {
             Kind::Claim => self.claim(object, room),
             Kind::Fence => self.fence(object),
-            Kind::Look { .. } => (self.look(object), false),
             Kind::Record(outcome) => self.record(object, outcome.clone(), room),
             Kind::Abandon => self.abandon(object),
         }
@@ -178,12 +189,6 @@
         }
     }
 
-    fn look(&self, object: &Object) -> Step {
-        object
-            .get(&self.stake.key)
-            .map_or(Step::Absent, |entry| Step::Entry(entry.clone()))
-    }
-
     fn record(&self, object: &mut Object, outcome: Outcome, room: Room) -> (Step, bool) {
         match object.get_mut(&self.stake.key) {
             Some(entry) if self.stake.owns(entry) && entry.outcome.is_none() => {
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -79,7 +79,18 @@
     sent: Cell<u64>,
     repeated: Cell<u64>,
     refused: RefCell<BTreeMap<&'static str, u64>>,
-    fenced: Cell<u64>,
+    settled: Cell<u64>,
+}
+
+/// What became of the wish to claim or to fence a key.
+#[derive(Debug)]
+enum Asked {
+    /// The key is claimed.
+    Granted(Claim<Confirmed>),
+    /// The key's entry gives the reply.
+    Settled(CallReply),
+    /// Nothing is known but that this process doesn't use its claim.
+    Unclaimed(CallReply),
 }
 
 /// The ledger as this instance sees it.
@@ -172,13 +183,8 @@
             return reply::not_run(Reason::Overloaded);
         }
         match self.ask(&partition, Kind::Claim, &stake, deadline).await {
-            Some(Finding::Granted(claim)) => self.send(claim, request, deadline).await,
-            Some(Finding::Entry(entry)) => self.follow(&partition, &stake, entry, deadline).await,
-            Some(Finding::Expired) => reply::not_run(Reason::KeyExpired),
-            Some(Finding::Full) => reply::not_run(Reason::Overloaded),
-            // This process alone could use the claim, and its id is dropped here.
-            Some(Finding::Absent | Finding::Unavailable) => reply::not_run(Reason::Platform),
-            None => reply::not_run(Reason::Deadline),
+            Asked::Granted(claim) => self.send(claim, request, deadline).await,
+            Asked::Settled(reply) | Asked::Unclaimed(reply) => reply,
         }
     }
 
@@ -212,44 +218,50 @@
         };
         let partition = self.open(stake.key.partition());
         match self.ask(&partition, Kind::Fence, &stake, deadline).await {
-            Some(Finding::Entry(entry)) => {
-                count(&self.calls.fenced);
-                self.follow(&partition, &stake, entry, deadline).await
+            Asked::Settled(reply) => {
+                count(&self.calls.settled);
+                reply
             }
-            _ => unknown,
+            // The home may still claim the key.
+            Asked::Granted(_) | Asked::Unclaimed(_) => unknown,
         }
     }
 
-    /// Answers a key that has an entry, waiting for the outcome of one that somebody runs.
-    async fn follow(
+    /// Claims or fences a key, waiting for the outcome of one that somebody runs.
+    ///
+    /// A key that comes free meanwhile is claimed or fenced too: only then is it certain that this
+    /// request doesn't run through another instance.
+    async fn ask(
         &self,
         partition: &Rc<Partition<S, R>>,
+        kind: Kind,
         stake: &Stake,
-        mut entry: Entry,
         deadline: Instant,
-    ) -> CallReply {
-        if entry.fingerprint != stake.fingerprint {
-            return reply::not_run(Reason::KeyReused);
-        }
-        let fresh = !entry.claim.starts_with(&*self.prefix());
+    ) -> Asked {
         let mut backoff = Backoff::seeded(LOOK.0, LOOK.1, self.runtime.random());
+        let mut is_fresh = false;
         loop {
-            match self.answer(&entry) {
-                Some(reply) => return reply,
-                None if self.is_short(deadline) => break,
-                None => {}
+            let change = Change::asking(kind.clone(), stake.clone(), deadline, is_fresh);
+            let entry = match self.push(partition, change, deadline).await {
+                Some(Finding::Granted(claim)) => return Asked::Granted(claim),
+                Some(Finding::Entry(entry)) => entry,
+                other => return Asked::Unclaimed(unclaimed(other)),
+            };
+            if let Some(reply) = self.answer(stake, &entry) {
+                return Asked::Settled(reply);
             }
-            self.runtime.sleep(backoff.next_wait()).await;
-            let look = Kind::Look { fresh };
-            match self.ask(partition, look, stake, deadline).await {
-                Some(Finding::Entry(next)) => entry = next,
-                _ => break,
+            if self.is_short(deadline) {
+                return Asked::Settled(reply::may_have_run(Reason::OutcomeUnknown));
             }
+            is_fresh = !entry.claim.starts_with(&*self.prefix());
+            self.runtime.sleep(backoff.next_wait()).await;
         }
-        reply::may_have_run(Reason::OutcomeUnknown)
     }
 
-    fn answer(&self, entry: &Entry) -> Option<CallReply> {
+    fn answer(&self, stake: &Stake, entry: &Entry) -> Option<CallReply> {
+        if entry.fingerprint != stake.fingerprint {
+            return Some(reply::not_run(Reason::KeyReused));
+        }
         match entry.outcome.as_ref()? {
             Outcome::Done {
                 status,
@@ -258,8 +270,9 @@
                 ..
             } => Some(reply::recorded(*status, server, payload.as_deref())),
             Outcome::Unknown => Some(reply::may_have_run(Reason::OutcomeUnknown)),
-            Outcome::NotRun => Some(reply::not_run(Reason::Unreachable)),
-            Outcome::Void => Some(reply::not_run(Reason::Cancelled)),
+            Outcome::Void => Some(reply::not_run(Reason::KeyExpired)),
+            // It is free and was claimed or fenced in the same step.
+            Outcome::NotRun => None,
         }
     }
 
@@ -267,22 +280,14 @@
         deadline.saturating_duration_since(self.runtime.now()) <= SHORT
     }
 
-    async fn ask(
+    async fn push(
         &self,
         partition: &Rc<Partition<S, R>>,
-        kind: Kind,
-        stake: &Stake,
+        (change, found): (Change, oneshot::Receiver<Finding>),
         deadline: Instant,
     ) -> Option<Finding> {
-        let (sender, receiver) = oneshot::channel();
-        partition.push(Change {
-            kind,
-            stake: stake.clone(),
-            until: deadline,
-            in_doubt: false,
-            reply: Some(sender),
-        });
-        let found = until(&*self.runtime, deadline, receiver).await?;
+        partition.push(change);
+        let found = until(&*self.runtime, deadline, found).await?;
         Some(found.unwrap_or(Finding::Unavailable))
     }
 
@@ -340,7 +345,7 @@
             "in_flight": self.calls.in_flight.get(),
             "sent": self.calls.sent.get(),
             "repeated": self.calls.repeated.get(),
-            "fenced": self.calls.fenced.get(),
+            "settled": self.calls.settled.get(),
             "refused": *self.calls.refused.borrow(),
             "reads": self.counters.reads.get(),
             "writes": self.counters.writes.get(),
@@ -367,3 +372,15 @@
         self.calls.in_flight.get() > 0 || partitions.values().any(|partition| partition.is_busy())
     }
 }
+
+/// Makes the reply to a call whose claim wasn't confirmed.
+///
+/// This process alone could use the claim, and its id is dropped with the change.
+fn unclaimed(found: Option<Finding>) -> CallReply {
+    match found {
+        Some(Finding::Expired) => reply::not_run(Reason::KeyExpired),
+        Some(Finding::Full) => reply::not_run(Reason::Overloaded),
+        Some(_) => reply::not_run(Reason::Platform),
+        None => reply::not_run(Reason::Deadline),
+    }
+}
--- a/crates/ledger/src/object.rs
+++ b/crates/ledger/src/object.rs
@@ -69,7 +69,7 @@
     Unknown,
     /// It didn't run; a later request may claim the key again.
     NotRun,
-    /// It never ran and can't be claimed any more.
+    /// It never ran and can't be claimed any more; the caller takes a new key.
     Void,
 }
 
--- a/crates/ledger/src/partition.rs
+++ b/crates/ledger/src/partition.rs
@@ -227,7 +227,7 @@
 
     async fn write(&self, batch: &[Change]) -> Result<Vec<Step>, Halt> {
         let mut version = match self.cache.take() {
-            Some(version) if !batch.iter().any(Change::needs_read) => version,
+            Some(version) if !batch.iter().any(|change| change.is_fresh) => version,
             _ => self.read().await?,
         };
         let room = Room {
@@ -278,7 +278,6 @@
         let finding = match step {
             Step::Granted => Finding::Granted(Claim::new(self.clone(), change.stake.clone())),
             Step::Entry(entry) => Finding::Entry(entry),
-            Step::Absent => Finding::Absent,
             Step::Expired => Finding::Expired,
             Step::Full => Finding::Full,
             Step::Nothing => return,
