feat(platform): bound the client, type its failures and count its calls

Kinds and names that would change the path are refused before anything is sent (Failure::Invalid, new). An answer about another object, a version that isn't higher than the expected one and a server error after a write are no success and no plain refusal: the write is in doubt. Connect and exchange share one deadline. A read whose kept connection turns out dead is sent again; a write never is.

--- a/crates/ledger/tests/http.rs
+++ b/crates/ledger/tests/http.rs
@@ -62,8 +62,10 @@
     fn get(&self, path: &str) -> (u16, String) {
         match self.objects.borrow().get(path) {
             Some((version, value)) => {
+                let name = path.rsplit('/').next().unwrap_or_default();
                 let value = String::from_utf8_lossy(value);
-                let body = format!("{{\"name\":\"x\",\"version\":{version},\"value\":{value}}}");
+                let body =
+                    format!("{{\"name\":\"{name}\",\"version\":{version},\"value\":{value}}}");
                 (200, body)
             }
             None => (404, String::new()),
--- /dev/null
+++ b/crates/platform/src/counters.rs
@@ -0,0 +1,79 @@
+//! Calls to the platform, by kind and by how they ended.
+
+use std::cell::Cell;
+
+use serde::Serialize;
+
+use crate::store::Failure;
+
+/// Kind of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Call {
+    /// One object is read.
+    Read,
+    /// All objects of a kind are read.
+    List,
+    /// One object is written.
+    Write,
+    /// Changes are waited for.
+    Watch,
+    /// The list of instances is read.
+    Instances,
+}
+
+/// Numbers of calls since the client was made.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Counters {
+    /// Reads of one object.
+    pub reads: u64,
+    /// Reads of all objects of a kind.
+    pub lists: u64,
+    /// Writes.
+    pub writes: u64,
+    /// Watches.
+    pub watches: u64,
+    /// Reads of the list of instances.
+    pub instances: u64,
+    /// Writes whose expected version didn't match.
+    pub conflicts: u64,
+    /// Calls that were refused or couldn't be sent.
+    pub unavailable: u64,
+    /// Calls whose reply was lost.
+    pub lost: u64,
+    /// Calls whose answer couldn't be understood.
+    pub malformed: u64,
+}
+
+/// Counts calls.
+#[derive(Debug, Default)]
+pub(crate) struct Meter(Cell<Counters>);
+
+impl Meter {
+    pub(crate) fn read(&self) -> Counters {
+        self.0.get()
+    }
+
+    pub(crate) fn call(&self, call: Call) {
+        let mut counters = self.0.get();
+        match call {
+            Call::Read => counters.reads += 1,
+            Call::List => counters.lists += 1,
+            Call::Write => counters.writes += 1,
+            Call::Watch => counters.watches += 1,
+            Call::Instances => counters.instances += 1,
+        }
+        self.0.set(counters);
+    }
+
+    pub(crate) fn failure(&self, failure: Failure) {
+        let mut counters = self.0.get();
+        match failure {
+            Failure::Conflict { .. } => counters.conflicts += 1,
+            Failure::Unavailable => counters.unavailable += 1,
+            Failure::Lost => counters.lost += 1,
+            Failure::Malformed => counters.malformed += 1,
+            Failure::Invalid | Failure::Oversized | Failure::Compacted => {}
+        }
+        self.0.set(counters);
+    }
+}
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -3,12 +3,17 @@
 use std::{
     cell::RefCell,
     net::SocketAddr,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use bytes::Bytes;
 use http::{
     header::{
+        CONTENT_TYPE,
+        HOST,
         IF_MATCH,
         IF_NONE_MATCH, //
     },
@@ -25,6 +30,12 @@
 use web::client::Connection;
 
 use crate::{
+    counters::{
+        Call,
+        Counters,
+        Meter, //
+    },
+    path,
     store::{
         Failure,
         Instance,
@@ -37,17 +48,42 @@
 
 /// Longest answer, in bytes: a listing holds several objects.
 const ANSWER_MAX: usize = 16 * VALUE_MAX;
+/// Longest answer to the read of one object, in bytes: the value, its name and its version.
+const OBJECT_MAX: usize = VALUE_MAX + 1024;
 /// Idle connections kept.
 const IDLE_MAX: usize = 4;
+/// Time after which an idle connection isn't used any more.
+const IDLE_FOR: Duration = Duration::from_secs(20);
 /// Time that a watch's answer may take over its wait.
 const WATCH_MARGIN: Duration = Duration::from_secs(2);
 
 /// A client of the store at one address.
+///
+/// A write is sent once. A read whose kept connection turns out to be closed is sent again.
+///
+/// # Examples
+///
+/// ```no_run
+/// use platform::{http::Client, Store};
+/// use std::time::Duration;
+///
+/// # async fn run() -> Result<(), platform::Failure> {
+/// let address = "127.0.0.1:9000".parse().expect("an address");
+/// let client = Client::new(address, Duration::from_secs(2));
+/// if let Some(object) = client.read("config", "presets").await? {
+///     // Nothing is written if somebody else changed the object meanwhile.
+///     client.write("config", "presets", object.version, &object.value).await?;
+/// }
+/// assert_eq!(client.counters().reads, 1);
+/// # Ok(())
+/// # }
+/// ```
 #[derive(Debug)]
 pub struct Client {
     address: SocketAddr,
     timeout: Duration,
-    idle: RefCell<Vec<Connection>>,
+    idle: RefCell<Vec<(Instant, Connection)>>,
+    meter: Meter,
 }
 
 #[derive(Debug, Deserialize)]
@@ -66,16 +102,37 @@
         Self {
             address,
             timeout,
-            idle: RefCell::new(Vec::new()),
+            idle: RefCell::default(),
+            meter: Meter::default(),
         }
     }
 
-    async fn connection(&self) -> Result<Connection, Failure> {
-        while let Some(connection) = self.take_idle() {
-            if !connection.is_stale() {
-                return Ok(connection);
+    /// Returns how many calls of each kind were made.
+    pub fn counters(&self) -> Counters {
+        self.meter.read()
+    }
+
+    /// Closes the connections that are kept.
+    pub fn close(self) {}
+
+    fn kept(&self) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some((since, connection)) = idle.pop() {
+            if since.elapsed() < IDLE_FOR && !connection.is_stale() {
+                return Some(connection);
             }
         }
+        None
+    }
+
+    fn keep(&self, connection: Option<Connection>) {
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() < IDLE_MAX {
+            idle.extend(connection.map(|connection| (Instant::now(), connection)));
+        }
+    }
+
+    async fn open(&self) -> Result<Connection, Failure> {
         let limits = web::Limits {
             body: ANSWER_MAX,
             connect: self.timeout,
@@ -86,15 +143,15 @@
             .map_err(|_| Failure::Unavailable)
     }
 
-    fn take_idle(&self) -> Option<Connection> {
-        self.idle.borrow_mut().pop()
-    }
-
-    fn keep(&self, connection: Option<Connection>) {
-        let mut idle = self.idle.borrow_mut();
-        if idle.len() < IDLE_MAX {
-            idle.extend(connection);
-        }
+    async fn exchange(
+        &self,
+        connection: Connection,
+        request: Request<Bytes>,
+        wait: Duration,
+    ) -> Result<Response<Bytes>, web::client::Failure> {
+        let exchange = connection.exchange(request, wait).await?;
+        self.keep(exchange.connection);
+        Ok(exchange.response)
     }
 
     async fn ask(
@@ -102,48 +159,47 @@
         request: Request<Bytes>,
         wait: Duration,
     ) -> Result<Response<Bytes>, Failure> {
-        let connection = self.connection().await?;
-        match connection.exchange(request, wait).await {
-            Ok(exchange) => {
-                self.keep(exchange.connection);
-                Ok(exchange.response)
+        let deadline = Instant::now() + wait;
+        if let Some(connection) = self.kept() {
+            let is_read = request.method() == Method::GET;
+            match self.exchange(connection, request.clone(), wait).await {
+                Err(failure) if is_read && is_closed(failure.kind) => {}
+                result => return result.map_err(failed),
             }
-            Err(failure) if failure.sent => Err(Failure::Lost),
-            Err(_) => Err(Failure::Unavailable),
         }
+        let connection = self.open().await?;
+        let left = deadline.saturating_duration_since(Instant::now());
+        let result = self.exchange(connection, request, left).await;
+        result.map_err(failed)
     }
 
-    async fn get<T: DeserializeOwned>(&self, path: &str, wait: Duration) -> Result<T, Failure> {
-        let request = request(Method::GET, path)?
-            .body(Bytes::new())
-            .map_err(|_| Failure::Malformed)?;
-        let response = self.ask(request, wait).await?;
+    async fn get(&self, path: &str, wait: Duration) -> Result<Response<Bytes>, Failure> {
+        let request = self.request(Method::GET, path);
+        let request = request.body(Bytes::new()).map_err(|_| Failure::Invalid)?;
+        self.ask(request, wait).await
+    }
+
+    async fn get_all<T: DeserializeOwned>(&self, path: &str, wait: Duration) -> Result<T, Failure> {
+        let response = self.get(path, wait).await?;
         match response.status() {
             StatusCode::OK => parse(response.body()),
             StatusCode::GONE => Err(Failure::Compacted),
             _ => Err(Failure::Unavailable),
         }
     }
-}
 
-impl Store for Client {
-    async fn read(&self, kind: &str, name: &str) -> Result<Option<Object>, Failure> {
-        let request = request(Method::GET, &format!("/v1/objects/{kind}/{name}"))?
-            .body(Bytes::new())
-            .map_err(|_| Failure::Malformed)?;
-        let response = self.ask(request, self.timeout).await?;
+    async fn get_one(&self, kind: &str, name: &str) -> Result<Option<Object>, Failure> {
+        let path = path::object(kind, name)?;
+        let response = self.get(&path, self.timeout).await?;
         match response.status() {
-            StatusCode::OK => parse(response.body()).map(Some),
+            StatusCode::OK if response.body().len() > OBJECT_MAX => Err(Failure::Malformed),
+            StatusCode::OK => object(response.body(), name).map(Some),
             StatusCode::NOT_FOUND => Ok(None),
             _ => Err(Failure::Unavailable),
         }
     }
 
-    async fn list(&self, kind: &str) -> Result<Listing, Failure> {
-        self.get(&format!("/v1/objects/{kind}"), self.timeout).await
-    }
-
-    async fn write(
+    async fn put(
         &self,
         kind: &str,
         name: &str,
@@ -153,47 +209,111 @@
         if value.get().len() > VALUE_MAX {
             return Err(Failure::Oversized);
         }
-        let request = request(Method::PUT, &format!("/v1/objects/{kind}/{name}"))?;
+        let request = self.request(Method::PUT, &path::object(kind, name)?);
         let request = match expected {
             0 => request.header(IF_NONE_MATCH, "*"),
             version => request.header(IF_MATCH, format!("\"{version}\"")),
         };
         let request = request
+            .header(CONTENT_TYPE, "application/json")
             .body(Bytes::copy_from_slice(value.get().as_bytes()))
-            .map_err(|_| Failure::Malformed)?;
+            .map_err(|_| Failure::Invalid)?;
         let response = self.ask(request, self.timeout).await?;
-        match response.status() {
-            StatusCode::OK => parse::<Written>(response.body()).map(|written| written.version),
-            StatusCode::PRECONDITION_FAILED => {
-                let current = parse::<Written>(response.body())?.version;
-                Err(Failure::Conflict { current })
-            }
-            StatusCode::PAYLOAD_TOO_LARGE => Err(Failure::Oversized),
-            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
-                Err(Failure::Unavailable)
-            }
-            _ => Err(Failure::Malformed),
+        written(&response, expected)
+    }
+
+    fn request(&self, method: Method, path: &str) -> http::request::Builder {
+        Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, self.address.to_string())
+    }
+
+    fn counted<T>(&self, call: Call, result: Result<T, Failure>) -> Result<T, Failure> {
+        self.meter.call(call);
+        if let Err(failure) = &result {
+            self.meter.failure(*failure);
         }
+        result
+    }
+}
+
+impl Store for Client {
+    async fn read(&self, kind: &str, name: &str) -> Result<Option<Object>, Failure> {
+        let result = self.get_one(kind, name).await;
+        self.counted(Call::Read, result)
+    }
+
+    async fn list(&self, kind: &str) -> Result<Listing, Failure> {
+        let path = path::objects(kind)?;
+        let result = self.get_all(&path, self.timeout).await;
+        self.counted(Call::List, result)
+    }
+
+    async fn write(
+        &self,
+        kind: &str,
+        name: &str,
+        expected: u64,
+        value: &RawValue,
+    ) -> Result<u64, Failure> {
+        let result = self.put(kind, name, expected, value).await;
+        self.counted(Call::Write, result)
     }
 
     async fn watch(&self, kind: &str, after: u64, wait: Duration) -> Result<Listing, Failure> {
-        let path = format!(
-            "/v1/watch/{kind}?after={after}&wait_ms={}",
-            wait.as_millis()
-        );
-        self.get(&path, wait + WATCH_MARGIN).await
+        let path = path::watch(kind, after, wait)?;
+        let result = self.get_all(&path, wait + WATCH_MARGIN).await;
+        self.counted(Call::Watch, result)
     }
 
     async fn instances(&self) -> Result<Vec<Instance>, Failure> {
-        self.get::<Instances>("/v1/instances", self.timeout)
+        let result = self
+            .get_all::<Instances>("/v1/instances", self.timeout)
             .await
-            .map(|answer| answer.instances)
+            .map(|answer| answer.instances);
+        self.counted(Call::Instances, result)
     }
 }
 
-fn request(method: Method, path: &str) -> Result<http::request::Builder, Failure> {
-    let uri = path.parse::<http::Uri>().map_err(|_| Failure::Malformed)?;
-    Ok(Request::builder().method(method).uri(uri))
+fn is_closed(kind: web::client::Kind) -> bool {
+    use web::client::Kind;
+    matches!(kind, Kind::Write | Kind::Closed)
+}
+
+fn failed(failure: web::client::Failure) -> Failure {
+    match failure.sent {
+        true => Failure::Lost,
+        false => Failure::Unavailable,
+    }
+}
+
+fn written(response: &Response<Bytes>, expected: u64) -> Result<u64, Failure> {
+    match response.status() {
+        StatusCode::OK => match parse::<Written>(response.body())?.version {
+            version if version > expected => Ok(version),
+            _ => Err(Failure::Malformed),
+        },
+        StatusCode::PRECONDITION_FAILED => {
+            let current = parse::<Written>(response.body())?.version;
+            Err(Failure::Conflict { current })
+        }
+        StatusCode::PAYLOAD_TOO_LARGE => Err(Failure::Oversized),
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+            Err(Failure::Unavailable)
+        }
+        // Whatever failed may have failed after the write.
+        status if status.is_server_error() => Err(Failure::Lost),
+        _ => Err(Failure::Malformed),
+    }
+}
+
+fn object(body: &[u8], name: &str) -> Result<Object, Failure> {
+    let object = parse::<Object>(body)?;
+    match object.version > 0 && *object.name == *name {
+        true => Ok(object),
+        false => Err(Failure::Malformed),
+    }
 }
 
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Failure> {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -13,7 +13,9 @@
 //! ```
 
 pub mod backoff;
+pub mod counters;
 pub mod http;
+mod path;
 pub mod store;
 
 pub use store::{
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -63,6 +63,8 @@
     Lost,
     /// The value is over its bound; nothing was written.
     Oversized,
+    /// The kind or name can't stand in a path; nothing was sent.
+    Invalid,
     /// The revision to watch from is too old.
     Compacted,
     /// The answer can't be understood; a write may have taken effect.
@@ -83,6 +85,7 @@
             Self::Unavailable => f.write_str("platform unavailable"),
             Self::Lost => f.write_str("platform reply lost"),
             Self::Oversized => f.write_str("value over its bound"),
+            Self::Invalid => f.write_str("kind or name not allowed"),
             Self::Compacted => f.write_str("revision too old to watch from"),
             Self::Malformed => f.write_str("platform answer malformed"),
         }
