--- a/crates/bench/src/demo/cluster.rs
+++ b/crates/bench/src/demo/cluster.rs
@@ -29,6 +29,7 @@
         Used, //
     },
     layout::Layout,
+    usage::Usage,
     Options,
 };
 use crate::{
@@ -195,6 +196,16 @@
         self.instances.iter().map(Instance::used).collect()
     }
 
+    /// Returns the usage of every stand-in since its start.
+    pub fn stand_usage(&self) -> Vec<Used> {
+        let stands = self.stands.borrow();
+        let used = stands.iter().map(|child| Used {
+            name: child.name().clone(),
+            usage: Usage::read(child.id()).unwrap_or_default(),
+        });
+        used.collect()
+    }
+
     /// Ends every child.
     pub fn close(self: Rc<Self>) {
         let instances = self.instances.iter();
--- a/crates/bench/src/demo/failure.rs
+++ b/crates/bench/src/demo/failure.rs
@@ -21,8 +21,12 @@
     Control(&'static str),
     /// The preset's file can't be read.
     Preset,
+    /// The trace can't be loaded.
+    Trace,
     /// The replay failed.
     Replay,
+    /// The report can't be finished.
+    Report,
     /// The demo was interrupted.
     Interrupted,
 }
@@ -38,6 +42,8 @@
             Self::Unready(name) => write!(f, "{name} wasn't ready in time"),
             Self::Control(call) => write!(f, "the control call {call} failed"),
             Self::Preset => f.write_str("the preset's file can't be read"),
+            Self::Trace => f.write_str("the trace can't be loaded"),
+            Self::Report => f.write_str("the report can't be finished"),
             Self::Replay => f.write_str("the replay failed"),
             Self::Interrupted => f.write_str("interrupted"),
         }
--- a/crates/bench/src/demo/fault/mod.rs
+++ b/crates/bench/src/demo/fault/mod.rs
@@ -155,6 +155,8 @@
     match name {
         Name::Straggler | Name::Overload => (0.0, 1.0),
         Name::LyingLoad => (0.1, 0.9),
+        // Seven graceful shutdowns need most of a short replay.
+        Name::RollingRestart => (0.1, 1.0),
         _ => WINDOWS[time.min(WINDOWS.len() - 1)],
     }
 }
