--- a/crates/bench/src/replay/answer.rs
+++ b/crates/bench/src/replay/answer.rs
@@ -9,7 +9,10 @@
 use http::Response;
 use serde::Deserialize;
 use serde_json::Value;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{
+    xxh3_64,
+    Xxh3, //
+};
 
 use super::record::{
     Coverage,
@@ -19,10 +22,15 @@
     Record,
     Run, //
 };
-use crate::trace::Kind;
+use crate::{
+    backends::hits::Hit,
+    trace::Kind, //
+};
 
 /// Header in which a balancer names the instance that answered.
 pub const INSTANCE: &str = "x-instance";
+/// Header with the caller's own id of a request.
+pub const REQUEST: &str = "x-request-id";
 /// Problem type of a refusal whose body isn't a problem document.
 pub const UNREADABLE: &str = "unreadable";
 
@@ -54,6 +62,7 @@
     request: Option<Box<str>>,
     shard: Option<String>,
     snapshot: Option<u64>,
+    hits: Option<Vec<Hit>>,
 }
 
 #[derive(Deserialize)]
@@ -71,6 +80,7 @@
     preset: Option<Preset>,
     coverage: Coverage,
     parts: Option<Vec<Section>>,
+    hits: Option<Vec<Hit>>,
 }
 
 #[derive(Deserialize)]
@@ -99,6 +109,8 @@
         .get(INSTANCE)
         .and_then(|value| value.to_str().ok())
         .map(|name| names.share(name));
+    let echoed = response.headers().get(REQUEST);
+    record.echoed = echoed.and_then(|value| value.to_str().ok()).map(Box::from);
     let body = response.body();
     let read = match (record.status, record.kind) {
         (200, Kind::Query) => query(record, body, names),
@@ -115,8 +127,9 @@
 
 fn query(record: &mut Record, body: &[u8], names: &mut Names) -> serde_json::Result<()> {
     let answer: Query = serde_json::from_slice(body)?;
-    record.echoed = Some(answer.request);
+    record.id = Some(answer.request);
     record.snapshot = Some(answer.snapshot);
+    record.hits = answer.hits.as_deref().map(hash);
     record.preset = answer.preset.map(|preset| preset.version);
     record.parts = answer.parts.map(|parts| sections(parts, names));
     record.coverage = Some(Coverage {
@@ -131,6 +144,16 @@
     Ok(())
 }
 
+/// Returns a hash of hits in their order.
+pub fn hash(hits: &[Hit]) -> u64 {
+    let mut hasher = Xxh3::new();
+    for hit in hits {
+        hasher.update(hit.id.as_bytes());
+        hasher.update(&hit.score.to_bits().to_le_bytes());
+    }
+    hasher.digest()
+}
+
 fn sections(sections: Vec<Section>, names: &mut Names) -> Vec<Part> {
     sections
         .into_iter()
@@ -147,6 +170,7 @@
     if let Some(stamps) = section.payload {
         part.snapshot = stamps.snapshot;
         part.request = stamps.request;
+        part.hits = stamps.hits.as_deref().map(hash);
         part.stamped = stamps.shard.map(|shard| names.share(&shard));
     }
     part
@@ -161,7 +185,7 @@
 
 fn call(record: &mut Record, body: &[u8]) -> serde_json::Result<()> {
     let answer: Call = serde_json::from_slice(body)?;
-    record.echoed = Some(answer.request);
+    record.id = Some(answer.request);
     record.preset = answer.preset.map(|preset| preset.version);
     record.recorded = answer.recorded;
     // Keys of objects are sorted, so equal payloads have equal texts.
@@ -173,6 +197,6 @@
     let problem: Problem = serde_json::from_slice(body)?;
     record.problem = Some(names.share(&problem.kind));
     record.run = problem.run;
-    record.echoed = problem.request;
+    record.id = problem.request;
     Ok(())
 }
--- a/crates/bench/src/replay/mod.rs
+++ b/crates/bench/src/replay/mod.rs
@@ -8,7 +8,7 @@
 pub mod command;
 pub mod pace;
 pub mod record;
-mod send;
+pub mod send;
 mod worker;
 
 use std::{
--- a/crates/bench/src/replay/record.rs
+++ b/crates/bench/src/replay/record.rs
@@ -81,6 +81,9 @@
     /// Snapshot stamped on the payload.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub snapshot: Option<u64>,
+    /// Hash of the payload's hits.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hits: Option<u64>,
     /// Request stamped on the payload.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub request: Option<Box<str>>,
@@ -125,9 +128,12 @@
     /// Status, 0 if there is none.
     #[serde(default)]
     pub status: u16,
-    /// Request id in the answer.
+    /// Caller's request id as the answer's header repeats it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub echoed: Option<Box<str>>,
+    /// Request id in the answer's body, under which backend servers saw the request.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub id: Option<Box<str>>,
     /// Problem type of a refusal.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub problem: Option<Arc<str>>,
@@ -146,6 +152,12 @@
     /// Parts, or none if the answer holds merged hits.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub parts: Option<Vec<Part>>,
+    /// Merged hits that the caller asked for.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub top: Option<u32>,
+    /// Hash of the merged hits.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hits: Option<u64>,
     /// Whether a call's outcome was recorded by an earlier request.
     #[serde(default)]
     pub recorded: bool,
@@ -168,6 +180,11 @@
         self.fault.is_none() && self.status != 200
     }
 
+    /// Returns the id under which backend servers saw the request, as far as it is known.
+    pub fn logged(&self) -> &str {
+        self.id.as_ref().unwrap_or(&self.request)
+    }
+
     /// Latency from the intended time, in microseconds.
     pub fn latency_us(&self) -> u64 {
         self.answered_us.saturating_sub(self.intended_us)
--- a/crates/bench/src/replay/send.rs
+++ b/crates/bench/src/replay/send.rs
@@ -104,6 +104,9 @@
         fault: None,
         status: 0,
         echoed: None,
+        id: None,
+        top: arrival.top,
+        hits: None,
         problem: None,
         run: None,
         snapshot: None,
@@ -150,20 +153,27 @@
     let mut request = Request::post(format!("/v1/{}/{verb}", arrival.target))
         .header("host", record.address.to_string())
         .header(CONTENT_TYPE, "application/json")
-        .header("x-request-id", &*record.request)
+        .header(answer::REQUEST, &*record.request)
         .header("request-timeout-ms", arrival.timeout_ms);
     if let Some(key) = &record.key {
         request = request.header("idempotency-key", &**key);
     }
     request
-        .body(body(arrival))
+        .body(body(arrival, record))
         .expect("names of the trace make a valid request")
 }
 
-fn body(arrival: &Arrival) -> Bytes {
-    let mut body = serde_json::json!({ "query": { "caller": arrival.caller } });
-    if let Some(top) = arrival.top {
-        body["top"] = top.into();
-    }
-    body.to_string().into()
+fn body(arrival: &Arrival, record: &Record) -> Bytes {
+    let body = match arrival.top {
+        Some(top) => format!(r#"{{"query":{},"top":{top}}}"#, query(record)),
+        None => format!(r#"{{"query":{}}}"#, query(record)),
+    };
+    body.into()
+}
+
+/// Returns the query that a record's request asked, as JSON.
+///
+/// No two arrivals of a trace ask the same, so that an answer to another request shows.
+pub fn query(record: &Record) -> String {
+    serde_json::json!({ "arrival": record.arrival, "caller": record.caller }).to_string()
 }
--- a/crates/bench/src/report/summary.rs
+++ b/crates/bench/src/report/summary.rs
@@ -241,7 +241,7 @@
             self.cover(first);
         }
         for send in sends {
-            self.load(send, loads.of(&send.request));
+            self.load(send, loads.of(send.logged()));
         }
     }
 
--- a/crates/bench/src/verify/answer.rs
+++ b/crates/bench/src/verify/answer.rs
@@ -29,6 +29,9 @@
     if record.fault == Some(Fault::Malformed) {
         found.push(Finding::Broken);
     }
+    if record.is_answered() && record.echoed.is_none() {
+        found.push(Finding::Unechoed);
+    }
     if let Some(echoed) = record
         .echoed
         .as_ref()
@@ -61,7 +64,7 @@
     if let Some(request) = part
         .request
         .as_ref()
-        .filter(|id| base(id) != &*record.request)
+        .filter(|id| base(id) != record.logged())
     {
         found.push(Finding::WrongPart {
             shard: part.shard.clone(),
@@ -107,11 +110,14 @@
     }
 }
 
-/// Checks that no request has two answers.
+/// Checks that no request has two answers, and no two requests have one.
 pub(super) fn check_single(records: &[Record], violations: &mut Vec<Violation>) {
-    let mut seen = HashSet::new();
+    let mut requests = HashSet::new();
+    let mut ids = HashSet::new();
     for record in records.iter().filter(|record| record.status != 0) {
-        if !seen.insert(&record.request) {
+        let is_new = requests.insert(&record.request);
+        let is_own = record.id.as_ref().is_none_or(|id| ids.insert(id));
+        if !is_new || !is_own {
             violations.push(Violation::new(&record.request, Finding::Doubled));
         }
     }
--- a/crates/bench/src/verify/coverage.rs
+++ b/crates/bench/src/verify/coverage.rs
@@ -87,7 +87,7 @@
 
 /// Returns the shards and servers that finished the request on the answer's snapshot.
 fn served(record: &Record, index: &Index<'_>) -> BTreeSet<(Arc<str>, Arc<str>)> {
-    let entries = index.request(&record.request).iter();
+    let entries = index.request(record.logged()).iter();
     entries
         .filter(|entry| entry.outcome == Some(End::Done) && entry.snapshot == record.snapshot)
         .filter_map(|entry| Some((entry.shard.clone()?, entry.server.clone())))
--- a/crates/bench/src/verify/fetch.rs
+++ b/crates/bench/src/verify/fetch.rs
@@ -7,6 +7,7 @@
 };
 
 use bytes::Bytes;
+use config::Catalog;
 use error_stack::{
     Report,
     ResultExt, //
@@ -15,14 +16,17 @@
     LegacyDriver,
     RuntimeBuilder, //
 };
+use serde::de::DeserializeOwned;
 use web::client::Connection;
 
 use super::Log;
 
 /// Longest time for one page of the log.
 const PAGE_WAIT: Duration = Duration::from_secs(30);
+/// Entries of a page of the log.
+const PAGE_RECORDS: u64 = 100_000;
 /// Longest page of the log, in bytes.
-const PAGE_MAX: usize = 512 * 1024 * 1024;
+const PAGE_MAX: usize = 128 * 1024 * 1024;
 
 /// Why the log can't be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -77,23 +81,36 @@
     let mut log = Log::default();
     let mut after = after;
     loop {
-        let mut next = page(address, after).await?;
+        let path = format!("/control/log?after={after}&limit={PAGE_RECORDS}");
+        let mut next: Log = get(address, &path).await?;
         let last = next.records.iter().map(|entry| entry.seq).max();
-        next.records.splice(..0, log.records);
-        log = next;
+        log.records.append(&mut next.records);
         match last {
             Some(seq) if seq > after => after = seq,
-            _ => return Ok(log),
+            _ => {
+                next.records = log.records;
+                next.learn(&catalog(address).await?);
+                return Ok(next);
+            }
         }
     }
 }
 
-async fn page(address: SocketAddr, after: u64) -> Result<Log, Report<Error>> {
+/// Reads the catalog of the backend servers from within a runtime.
+///
+/// # Errors
+///
+/// Fails if it can't be read or understood.
+pub async fn catalog(address: SocketAddr) -> Result<Catalog, Report<Error>> {
+    get(address, "/control/catalog").await
+}
+
+async fn get<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Result<T, Report<Error>> {
     let limits = web::Limits {
         body: PAGE_MAX,
         ..web::Limits::default()
     };
-    let request = http::Request::get(format!("/control/log?after={after}"))
+    let request = http::Request::get(path)
         .header("host", address.to_string())
         .body(Bytes::new())
         .change_context(Error::Exchange)?;
--- a/crates/bench/src/verify/index.rs
+++ b/crates/bench/src/verify/index.rs
@@ -58,7 +58,7 @@
         let owners: HashMap<&str, &str> = self
             .keys
             .iter()
-            .flat_map(|(key, known)| known.sends.iter().map(|send| (&*send.request, *key)))
+            .flat_map(|(key, known)| known.sends.iter().map(|send| (send.logged(), *key)))
             .collect();
         for entry in log
             .records
--- a/crates/bench/src/verify/log.rs
+++ b/crates/bench/src/verify/log.rs
@@ -9,6 +9,7 @@
     sync::Arc, //
 };
 
+use config::Catalog;
 use serde::{
     Deserialize,
     Serialize, //
@@ -165,6 +166,17 @@
 }
 
 impl Log {
+    /// Adds the shards of the snapshots that a catalog lists.
+    pub fn learn(&mut self, catalog: &Catalog) {
+        for (name, group) in &catalog.groups {
+            let snapshots = self.groups.entry(name.clone()).or_default();
+            for snapshot in &group.snapshots {
+                let shards = snapshot.shards.iter().map(|shard| shard.name.clone());
+                snapshots.insert(snapshot.number, shards.collect());
+            }
+        }
+    }
+
     /// Returns whether entries may be lacking: some were dropped, or there is no log at all.
     pub fn is_partial(&self) -> bool {
         self.dropped > 0 || self.servers.is_empty()
--- a/crates/bench/src/verify/mod.rs
+++ b/crates/bench/src/verify/mod.rs
@@ -19,6 +19,7 @@
 mod caller;
 mod coverage;
 pub mod fetch;
+mod hits;
 mod index;
 pub mod log;
 mod once;
@@ -64,6 +65,7 @@
     let mut violations = Vec::new();
     for record in records {
         answer::check(record, log, &mut violations);
+        hits::check(record, log, &mut violations);
         coverage::check(record, &index, &mut violations);
         once::check_refusal(record, &index, &mut violations);
         caller::check_cut(record, log, &mut violations);
--- a/crates/bench/src/verify/once.rs
+++ b/crates/bench/src/verify/once.rs
@@ -23,7 +23,7 @@
     if record.run != Some(Run::NotRun) {
         return;
     }
-    let entries = index.request(&record.request).iter();
+    let entries = index.request(record.logged()).iter();
     let own = entries
         .filter(|entry| entry.started_us.is_some())
         .map(|entry| {
@@ -41,7 +41,7 @@
     let entry = key
         .starts
         .iter()
-        .find(|entry| entry.base() != &*record.request && !is_later_send(record, key, entry))?;
+        .find(|entry| entry.base() != record.logged() && !is_later_send(record, key, entry))?;
     let server = entry.server.clone();
     Some(match entry.started_us {
         Some(started) if started <= record.answered_us => Finding::RanBefore { server },
@@ -51,7 +51,7 @@
 
 fn is_later_send(refused: &Record, key: &Key<'_>, entry: &Entry) -> bool {
     let mut sends = key.sends.iter();
-    let send = sends.find(|send| &*send.request == entry.base());
+    let send = sends.find(|send| send.logged() == entry.base());
     send.is_some_and(|send| send.sent_us > refused.answered_us)
 }
 
--- a/crates/bench/src/verify/violation.rs
+++ b/crates/bench/src/verify/violation.rs
@@ -133,6 +133,15 @@
         /// Request id in the answer.
         found: Box<str>,
     },
+    /// An answer doesn't repeat the caller's request id.
+    Unechoed,
+    /// The hits of a part aren't those of its shard, snapshot and query.
+    WrongHits {
+        /// Shard of the part.
+        shard: Arc<str>,
+    },
+    /// The merged hits aren't the best of the shards that contribute.
+    WrongMerge,
     /// A part belongs to another request.
     WrongPart {
         /// Shard of the part.
@@ -230,6 +239,9 @@
             Self::WrongRequest { .. }
             | Self::WrongPart { .. }
             | Self::WrongShard { .. }
+            | Self::Unechoed
+            | Self::WrongHits { .. }
+            | Self::WrongMerge
             | Self::Broken
             | Self::Doubled => Promise::Whole,
             Self::RanAnyway { .. } | Self::RanBefore { .. } | Self::RanLater { .. } => {
--- a/crates/bench/tests/common/mod.rs
+++ b/crates/bench/tests/common/mod.rs
@@ -130,6 +130,7 @@
         let (status, body) = answer(target, id);
         Response::builder()
             .status(status)
+            .header("x-request-id", id)
             .body(body.into())
             .unwrap()
     }
--- a/crates/bench/tests/replay.rs
+++ b/crates/bench/tests/replay.rs
@@ -73,6 +73,7 @@
     serde_json::json!({
         "attempt": record.attempt,
         "echoes": record.echoed.as_ref().map(|echoed| *echoed == record.request),
+        "names": record.id.as_ref().map(|echoed| *echoed == record.request),
         "fault": record.fault,
         "status": record.status,
         "problem": record.problem,
--- a/crates/bench/tests/verify.rs
+++ b/crates/bench/tests/verify.rs
@@ -3,11 +3,14 @@
 use std::collections::BTreeMap;
 
 use bench::{
+    backends::hits::hits,
     replay::{
+        answer::hash,
         record::{
             Fault,
             Run, //
         },
+        send,
         Record, //
     },
     verify::{
@@ -66,12 +69,29 @@
             "request": format!("{QUERY}-{index}"),
         })
     };
-    record(json!({
+    let mut query = record(json!({
         "kind": "query", "target": "deskline", "request": QUERY, "echoed": QUERY,
         "intended_us": 1_000, "sent_us": 1_000, "answered_us": 1_900, "snapshot": 7, "preset": 3,
         "coverage": {"shards": 2, "answered": 2, "missing": []},
         "parts": [part("s0", 0), part("s1", 1)],
-    }))
+    }));
+    let text = send::query(&query);
+    for part in query.parts.as_mut().unwrap() {
+        part.hits = Some(hash(&hits(&part.shard, 7, text.as_bytes())));
+    }
+    query
+}
+
+/// Turns the query into one for the two best hits, found on both shards.
+fn merge(case: &mut Case) {
+    let record = &mut case.records[0];
+    let text = send::query(record);
+    let mut all = hits("s0", 7, text.as_bytes());
+    all.extend(hits("s1", 7, text.as_bytes()));
+    all.sort_by(|a, b| b.score.total_cmp(&a.score));
+    record.parts = None;
+    record.top = Some(2);
+    record.hits = Some(hash(&all[..2]));
 }
 
 fn call(request: &str, attempt: u32, sent_us: u64) -> Record {
@@ -144,7 +164,7 @@
 
 type Change = fn(&mut Case);
 
-const ANSWERS: [(&str, Change); 12] = [
+const ANSWERS: [(&str, Change); 17] = [
     ("mixed snapshot", |case| {
         case.records[0].parts.as_mut().unwrap()[1].snapshot = Some(8);
     }),
@@ -181,6 +201,28 @@
         part.request = Some(format!("{CALL}-1").into());
         part.stamped = Some("s0".into());
     }),
+    ("answer without the caller's id", |case| {
+        case.records[0].echoed = None;
+    }),
+    ("answer of another query", |case| {
+        case.records[0].caller = 2;
+    }),
+    ("merged hits of another query", |case| {
+        merge(case);
+        case.records[0].caller = 2;
+    }),
+    ("merged hits that lack a shard", |case| {
+        merge(case);
+        let record = &mut case.records[0];
+        record.hits = Some(hash(&hits("s0", 7, send::query(record).as_bytes())[..2]));
+    }),
+    ("one answer to two requests", |case| {
+        case.records[0].id = Some(QUERY.into());
+        let mut other = case.records[0].clone();
+        other.request = CALL.replace('2', "6").into();
+        other.echoed = Some(other.request.clone());
+        case.records.push(other);
+    }),
     ("truncated answer", |case| {
         case.records[0].fault = Some(Fault::Malformed);
     }),
@@ -297,7 +339,8 @@
 
 #[test]
 fn what_is_allowed_is_no_violation() {
-    let allowed: [(&str, Change); 4] = [
+    let allowed: [(&str, Change); 5] = [
+        ("merged hits", merge),
         ("cut request after an unplanned fault", |case| {
             case.records[0].fault = Some(Fault::Cut);
             case.records[0].status = 0;
