feat(config): read preset files with the line, field and range of each fault

garde's range rule says which bound was passed and lets a float that isn't a number through; a check of its own states the whole range and refuses it. A JSON array is refused, as serde would take it as the fields in their order.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -15,9 +15,11 @@
 //! ```
 
 pub mod catalog;
+pub mod file;
 pub mod marks;
 pub mod preset;
 pub mod presets;
+mod range;
 pub mod view;
 
 pub use catalog::Catalog;
--- a/crates/config/src/preset.rs
+++ b/crates/config/src/preset.rs
@@ -6,6 +6,8 @@
     Serialize, //
 };
 
+use crate::range::within;
+
 /// Admission class of a request, most urgent first.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -41,52 +43,52 @@
 #[serde(default, deny_unknown_fields)]
 pub struct Preset {
     /// Deadline of a request that states none, in milliseconds.
-    #[garde(range(min = 10, max = 60_000))]
+    #[garde(custom(within(10, 60_000)))]
     pub deadline_ms: u64,
     /// Longest deadline that a request may state, in milliseconds.
-    #[garde(range(min = 10, max = 60_000))]
+    #[garde(custom(within(10, 60_000)))]
     pub deadline_max_ms: u64,
     /// Hedges as a share of the sub-requests.
-    #[garde(range(min = 0.0, max = 0.5))]
+    #[garde(custom(within(0.0, 0.5)))]
     pub hedge_budget: f64,
     /// Quantile of a service's latency after which a sub-request is hedged.
-    #[garde(range(min = 0.5, max = 0.999))]
+    #[garde(custom(within(0.5, 0.999)))]
     pub hedge_quantile: f64,
     /// Shortest wait before a hedge, in milliseconds.
-    #[garde(range(min = 1, max = 10_000))]
+    #[garde(custom(within(1, 10_000)))]
     pub hedge_min_ms: u64,
     /// Retries as a share of the sub-requests.
-    #[garde(range(min = 0.0, max = 0.5))]
+    #[garde(custom(within(0.0, 0.5)))]
     pub retry_budget: f64,
     /// Share of a backend server's slots that the fleet uses.
-    #[garde(range(min = 0.1, max = 4.0))]
+    #[garde(custom(within(0.1, 4.0)))]
     pub slot_share: f64,
     /// Share of a backend server's connection limit that the fleet uses.
-    #[garde(range(min = 0.01, max = 1.0))]
+    #[garde(custom(within(0.01, 1.0)))]
     pub connection_share: f64,
     /// Sub-requests that may wait for one service.
-    #[garde(range(min = 1, max = 10_000))]
+    #[garde(custom(within(1, 10_000)))]
     pub queue: usize,
     /// Requests that one instance runs at the same time.
-    #[garde(range(min = 1, max = 100_000))]
+    #[garde(custom(within(1, 100_000)))]
     pub in_flight: usize,
     /// Share of `in_flight` up to which normal requests are admitted.
-    #[garde(range(min = 0.0, max = 1.0))]
+    #[garde(custom(within(0.0, 1.0)))]
     pub normal_share: f64,
     /// Share of `in_flight` up to which bulk requests are admitted.
-    #[garde(range(min = 0.0, max = 1.0))]
+    #[garde(custom(within(0.0, 1.0)))]
     pub bulk_share: f64,
     /// Least share of the shards that an answer covers; less is refused.
-    #[garde(range(min = 0.0, max = 1.0))]
+    #[garde(custom(within(0.0, 1.0)))]
     pub coverage_min: f64,
     /// Time that a stopping instance goes on serving while the balancer lags, in milliseconds.
-    #[garde(range(min = 0, max = 60_000))]
+    #[garde(custom(within(0, 60_000)))]
     pub balancer_lag_ms: u64,
     /// Longest time that a stopping instance waits for requests in flight, in milliseconds.
-    #[garde(range(min = 100, max = 600_000))]
+    #[garde(custom(within(100, 600_000)))]
     pub drain_ms: u64,
     /// Time over which a cold backend server ramps up to its full share, in milliseconds.
-    #[garde(range(min = 0, max = 600_000))]
+    #[garde(custom(within(0, 600_000)))]
     pub slow_start_ms: u64,
     /// Admission class by group or service name; a name that isn't listed is `normal`.
     #[garde(skip)]
