--- a/crates/bench/src/backends/catalog.rs
+++ b/crates/bench/src/backends/catalog.rs
@@ -15,11 +15,9 @@
 
 use super::{
     server::Server,
-    sizes::{
-        self,
-        User, //
-    },
+    sizes, //
 };
+use crate::trace::profile::User;
 
 /// Snapshot that every server holds at the start.
 const FIRST: u64 = 1;
@@ -35,7 +33,7 @@
 impl Layout {
     /// Makes the first layout: one shard a service.
     pub fn new(user: User) -> Self {
-        let groups = user.groups().map(|(group, count)| {
+        let groups = sizes::groups(user).map(|(group, count)| {
             let shards = (0..count).map(|index| shard(group, index)).collect();
             let snapshot = Snapshot {
                 number: FIRST,
--- a/crates/bench/src/backends/sizes.rs
+++ b/crates/bench/src/backends/sizes.rs
@@ -5,6 +5,8 @@
     time::Duration, //
 };
 
+use crate::trace::profile::User;
+
 /// Availability zones.
 pub const ZONES: [&str; 4] = ["a", "b", "c", "d"];
 
@@ -13,38 +15,19 @@
 /// Delay of the first response on a new connection to a large server.
 const COST_LARGE: Duration = Duration::from_millis(1);
 
-/// Whose backend servers run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
-pub enum User {
-    /// Kestrel Wire Services.
-    Kestrel,
-    /// Prairie Sound Civic Utility.
-    Prairie,
-}
-
-impl User {
-    /// Returns the name that selects the user on the command line.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Kestrel => "kestrel",
-            Self::Prairie => "prairie",
-        }
-    }
-
-    /// Returns the groups, each with its number of services.
-    pub fn groups(self) -> [(&'static str, usize); 2] {
-        match self {
-            Self::Kestrel => [("deskline", 20), ("archivist", 30)],
-            Self::Prairie => [("booking-desk", 20), ("gear-ledger", 30)],
-        }
+/// Returns a user's groups, each with its number of services.
+pub fn groups(user: User) -> [(&'static str, usize); 2] {
+    match user {
+        User::Kestrel => [("deskline", 20), ("archivist", 30)],
+        User::Prairie => [("booking-desk", 20), ("gear-ledger", 30)],
     }
+}
 
-    /// Returns the services outside the groups: name, number of servers, connections of each.
-    pub fn singles(self) -> [(&'static str, usize, usize); 2] {
-        match self {
-            Self::Kestrel => [("storyhook", 4, 100), ("tallyroom", 4, 100)],
-            Self::Prairie => [("crew-roster", 7, 40), ("invoice-hall", 4, 40)],
-        }
+/// Returns a user's services outside the groups: name, number of servers, connections of each.
+pub fn singles(user: User) -> [(&'static str, usize, usize); 2] {
+    match user {
+        User::Kestrel => [("storyhook", 4, 100), ("tallyroom", 4, 100)],
+        User::Prairie => [("crew-roster", 7, 40), ("invoice-hall", 4, 40)],
     }
 }
 
@@ -74,12 +57,10 @@
 
 /// Returns every backend server of a user.
 pub fn specs(user: User) -> Vec<Spec> {
-    let grouped = user
-        .groups()
+    let grouped = groups(user)
         .into_iter()
         .flat_map(|(group, count)| (0..count).flat_map(move |index| pair(group, index)));
-    let single = user
-        .singles()
+    let single = singles(user)
         .into_iter()
         .flat_map(|(name, count, connections)| {
             (0..count).map(move |index| large(name, index, connections))
--- a/crates/bench/src/demo/mod.rs
+++ b/crates/bench/src/demo/mod.rs
@@ -1,11 +1,11 @@
 //! Starts stand-ins and instances as processes, replays a trace and reports.
 
-pub mod caller;
 pub mod child;
 pub mod cluster;
 pub mod failure;
 pub mod layout;
 pub mod presets;
+pub mod replayer;
 pub mod summary;
 pub mod usage;
 
@@ -41,7 +41,7 @@
     failure::Failure,
     summary::Summary, //
 };
-use crate::backends::User;
+use crate::trace::profile::User;
 
 /// Pause between looks at whether the demo is interrupted.
 const LOOK: Duration = Duration::from_millis(50);
@@ -108,7 +108,7 @@
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(report) => {
-            tracing::error!("demo: {report:?}");
+            tracing::error!("demo: {report:#}.");
             ExitCode::FAILURE
         }
     }
@@ -139,8 +139,8 @@
     }
     let before = cluster.usage();
     let calls = cluster.calls().await?;
-    let tally = caller::run(&cluster, options).await;
-    let summary = Summary::collect(&cluster, tally, &before, &calls).await?;
+    let outcome = replayer::run(&cluster, options).await?;
+    let summary = Summary::collect(&cluster, &outcome, &before, &calls).await?;
     summary.print(options.report);
     Ok(summary.is_clean())
 }
--- a/crates/bench/src/demo/summary.rs
+++ b/crates/bench/src/demo/summary.rs
@@ -1,21 +1,13 @@
 //! What a demo measured.
 
-use std::collections::BTreeMap;
-
 use error_stack::{
     Report,
     ResultExt, //
 };
-use http::Method;
-use serde::{
-    Deserialize,
-    Serialize, //
-};
+use serde::Serialize;
 
 use super::{
-    caller::Tally,
     cluster::{
-        self,
         Cluster,
         Used, //
     },
@@ -23,31 +15,19 @@
     Form,
 };
 use crate::{
-    backends::{
-        Outcome,
-        Record, //
-    },
+    replay,
+    report,
     store::Calls,
+    verify, //
 };
 
 /// What a demo measured.
 #[derive(Debug, Serialize)]
 pub struct Summary {
-    /// Requests made by callers.
-    pub queries: u64,
-    /// Median latency from the intended arrival, in milliseconds.
-    pub p50_ms: f64,
-    /// 99th percentile of the same, in milliseconds.
-    pub p99_ms: f64,
-    /// Share of the needed parts that answers covered.
-    pub coverage: f64,
-    /// Sub-requests that reached a backend server over those needed, less one.
-    pub extra_load: f64,
-    /// Requests refused.
-    pub refused: u64,
-    /// Requests that got no answer.
-    pub lost: u64,
-    /// Sub-requests that reached a backend server.
+    /// What callers and backend servers saw.
+    #[serde(flatten)]
+    pub report: report::Summary,
+    /// Sub-requests that a backend server started.
     pub subrequests: u64,
     /// Processor time of all instances for one sub-request, in microseconds.
     pub cpu_us_per_subrequest: f64,
@@ -55,13 +35,10 @@
     pub instances: Vec<Used>,
     /// Calls to the platform during the replay.
     pub platform: Calls,
-    /// Broken promises.
-    pub violations: BTreeMap<&'static str, u64>,
-}
-
-#[derive(Debug, Deserialize)]
-struct Log {
-    records: Vec<Record>,
+    /// Highest number of connections over any server's limit, 0 if none was over.
+    pub connections_over: u64,
+    /// Connections that servers closed at once for being over their limit.
+    pub connections_refused: u64,
 }
 
 impl Summary {
@@ -72,41 +49,42 @@
     /// Fails if a stand-in can't be reached.
     pub async fn collect(
         cluster: &Cluster,
-        tally: Tally,
+        outcome: &replay::Outcome,
         before: &[Used],
         calls: &Calls,
     ) -> Result<Self, Report<Failure>> {
-        let after = cluster.usage();
-        let instances: Vec<_> = after
-            .into_iter()
-            .zip(before)
-            .map(|(mut after, before)| {
-                after.usage.cpu_us -= before.usage.cpu_us;
-                after
-            })
-            .collect();
-        let log = log(cluster).await?;
-        let subrequests = log.records.iter().filter(|record| is_load(record)).count() as u64;
+        let instances = used(cluster.usage(), before);
+        let log = verify::fetch::read(cluster.layout.backends, 0)
+            .await
+            .change_context(Failure::Control("log"))?;
+        let started = log
+            .records
+            .iter()
+            .filter(|entry| entry.started_us.is_some());
+        let subrequests = started.count() as u64;
         let cpu_us: u64 = instances.iter().map(|used| used.usage.cpu_us).sum();
+        let servers = &log.servers;
         Ok(Self {
-            queries: tally.requests,
-            p50_ms: tally.latency.value_at_quantile(0.5) as f64 / 1_000.0,
-            p99_ms: tally.latency.value_at_quantile(0.99) as f64 / 1_000.0,
-            coverage: ratio(tally.covered, tally.needed),
-            extra_load: ratio(subrequests, tally.needed) - 1.0,
-            refused: tally.refused,
-            lost: tally.lost,
+            report: report::run(outcome, &log, &verify::run(&outcome.records, &log)),
             subrequests,
-            cpu_us_per_subrequest: ratio(cpu_us, subrequests),
+            cpu_us_per_subrequest: cpu_us as f64 / subrequests.max(1) as f64,
             instances,
             platform: cluster.calls().await?.since(calls),
-            violations: BTreeMap::new(),
+            connections_over: servers
+                .iter()
+                .map(|server| server.connections_peak.saturating_sub(server.connections))
+                .max()
+                .unwrap_or(0),
+            connections_refused: servers
+                .iter()
+                .map(|server| server.connections_refused)
+                .sum(),
         })
     }
 
     /// Returns whether no promise was broken.
     pub fn is_clean(&self) -> bool {
-        self.violations.values().all(|count| *count == 0)
+        self.report.violations.values().all(|count| *count == 0)
     }
 
     /// Prints the report.
@@ -119,27 +97,19 @@
 
     fn print_table(&self) {
         let rows = serde_json::to_value(self).unwrap_or_default();
-        for (name, value) in rows.as_object().into_iter().flatten() {
+        let rows = rows.as_object().into_iter().flatten();
+        for (name, value) in rows.filter(|(_, value)| !value.is_array()) {
             println!("{name:<24} {value}");
         }
     }
 }
 
-/// Returns whether the record is work that reached a server's queue or slot.
-fn is_load(record: &Record) -> bool {
-    matches!(
-        record.outcome,
-        Outcome::Done | Outcome::Cancelled | Outcome::Broken
-    )
-}
-
-fn ratio(part: u64, whole: u64) -> f64 {
-    part as f64 / whole.max(1) as f64
-}
-
-async fn log(cluster: &Cluster) -> Result<Log, Report<Failure>> {
-    const CALL: Failure = Failure::Control("log");
-    let path = "/control/log?after=0";
-    let answer = cluster::control(cluster.layout.backends, Method::GET, path, "").await?;
-    serde_json::from_slice(&answer).change_context(CALL)
+fn used(after: Vec<Used>, before: &[Used]) -> Vec<Used> {
+    let pairs = after.into_iter().zip(before);
+    pairs
+        .map(|(mut after, before)| {
+            after.usage.cpu_us -= before.usage.cpu_us;
+            after
+        })
+        .collect()
 }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -21,6 +21,8 @@
     Platform(bench::store::Options),
     /// Runs the backend servers of one user in one process.
     Backends(bench::backends::Options),
+    /// Runs a TCP proxy that injects faults.
+    Proxy(bench::proxy::Options),
     /// Runs a round-robin balancer over instances.
     Balancer(bench::balancer::Options),
     /// Starts stand-ins and instances, replays a trace and reports.
@@ -30,6 +32,8 @@
     Trace(bench::trace::command::Command),
     /// Replays a trace against a deployment and reports.
     Replay(bench::replay::command::Arguments),
+    /// Plots reports.
+    Plot(bench::plot::command::Arguments),
 }
 
 fn main() -> ExitCode {
@@ -43,8 +47,10 @@
         Command::Platform(options) => bench::store::run(options),
         Command::Backends(options) => bench::backends::run(options),
         Command::Balancer(options) => bench::balancer::run(options),
+        Command::Proxy(options) => bench::proxy::run(options),
         Command::Demo(options) => bench::demo::run(options),
         Command::Trace(command) => command.run(),
         Command::Replay(arguments) => arguments.run(),
+        Command::Plot(arguments) => arguments.run(),
     }
 }
