--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod demo;
 pub mod listen;
 pub mod plot;
+pub mod proxy;
 pub mod replay;
 pub mod report;
 pub mod runtime;
--- /dev/null
+++ b/crates/bench/src/proxy/control.rs
@@ -0,0 +1,59 @@
+//! The control interface of the proxy.
+
+use std::{
+    io,
+    net::SocketAddr,
+    rc::Rc, //
+};
+
+use bytes::Bytes;
+use http::{
+    Method,
+    Request,
+    Response,
+    StatusCode, //
+};
+use web::Limits;
+
+use super::{
+    fault::Change,
+    link::Link, //
+};
+use crate::answer;
+
+/// Serves the control interface for ever.
+pub async fn serve(links: Vec<Rc<Link>>, address: SocketAddr) -> io::Result<()> {
+    let listener = crate::listen::bind(address)?;
+    tracing::info!("proxy: control on {address}.");
+    let make = move |_| Handler(links.clone());
+    crate::listen::serve(listener, make, Limits::default()).await;
+    Ok(())
+}
+
+#[derive(Debug)]
+struct Handler(Vec<Rc<Link>>);
+
+impl Handler {
+    fn change(&self, body: &[u8]) -> Response<Bytes> {
+        let Ok(change) = serde_json::from_slice::<Change>(body) else {
+            return answer::empty(StatusCode::BAD_REQUEST);
+        };
+        let is_meant = |link: &&Rc<Link>| change.link.is_none_or(|listen| listen == link.listen);
+        let meant: Vec<_> = self.0.iter().filter(is_meant).collect();
+        meant.iter().for_each(|link| link.apply(&change));
+        match meant.is_empty() {
+            true => answer::empty(StatusCode::NOT_FOUND),
+            false => answer::empty(StatusCode::OK),
+        }
+    }
+}
+
+impl web::server::Handler for Handler {
+    async fn handle(&self, request: Request<Bytes>) -> Response<Bytes> {
+        match (request.method(), request.uri().path()) {
+            (&Method::POST, "/control/fault") => self.change(request.body()),
+            (&Method::GET, "/control/ready") => answer::empty(StatusCode::OK),
+            _ => answer::empty(StatusCode::NOT_FOUND),
+        }
+    }
+}
