feat(fleet): let stragglers ask the platform at a rate they share

A member that heard of no contact for 15 s waits at random, in proportion to the fleet, before it asks, and asks only if it still has to. The list of instances is read by the watchers only, and by an instance that starts or that the list has leaving.

--- a/crates/fleet/src/watch.rs
+++ b/crates/fleet/src/watch.rs
@@ -62,17 +62,20 @@
     Nobody,
 }
 
+impl Turn {
+    /// Returns whether the first try needs no wait: a watcher's, and that of an instance which has
+    /// never heard of the platform.
+    fn is_at_once<S: Store>(self, fleet: &Fleet<S>) -> bool {
+        self == Self::Watcher || fleet.contact.age(Instant::now()).is_none()
+    }
+}
+
 /// Keeps up with the documents until the future is dropped.
 pub(crate) async fn documents<S: Store>(fleet: &Fleet<S>) {
     let mut revision = None;
     let mut failures = 0;
     loop {
-        let turn = turn(fleet);
-        if turn == Turn::Nobody {
-            failures = 0;
-            sleep(jittered(CHECK)).await;
-            continue;
-        }
+        let turn = take_turn(fleet, failures).await;
         let wait = match turn {
             Turn::Watcher => WATCH,
             _ => Duration::ZERO,
@@ -90,7 +93,6 @@
                 if failure == Failure::Compacted {
                     revision = None;
                 }
-                sleep(backoff(fleet, turn, failures)).await;
             }
         }
         if turn == Turn::Straggler {
@@ -104,14 +106,10 @@
     let mut failures = 0;
     let mut is_listed = false;
     loop {
-        let turn = match turn(fleet) {
-            Turn::Nobody if !is_listed || is_drained(fleet) => Turn::Straggler,
-            turn => turn,
-        };
-        if turn == Turn::Nobody {
-            failures = 0;
-            sleep(jittered(CHECK)).await;
-            continue;
+        match () {
+            () if is_listed && !is_drained(fleet) => take_watch(fleet, failures).await,
+            () if failures > 0 => sleep(backoff(fleet, Turn::Straggler, failures)).await,
+            () => {}
         }
         match fleet.store.instances().await {
             Ok(instances) => {
@@ -124,7 +122,35 @@
             Err(failure) => {
                 tracing::warn!("fleet: instances can't be listed: {failure}.");
                 failures += 1;
-                sleep(backoff(fleet, turn, failures)).await;
+            }
+        }
+    }
+}
+
+/// Waits until this instance is one of those that watch, and `failures` in a row are waited for.
+async fn take_watch<S: Store>(fleet: &Fleet<S>, failures: u32) {
+    if failures > 0 {
+        sleep(backoff(fleet, Turn::Watcher, failures)).await;
+    }
+    while !is_watcher(fleet) {
+        sleep(jittered(CHECK)).await;
+    }
+}
+
+/// Waits until it is this instance's turn to ask, and `failures` in a row are waited for.
+///
+/// A straggler waits at random before it asks, and asks only if it still has to by then: when the
+/// platform comes back, the first that reaches it stops the others.
+async fn take_turn<S: Store>(fleet: &Fleet<S>, failures: u32) -> Turn {
+    loop {
+        match turn(fleet) {
+            Turn::Nobody => sleep(jittered(CHECK)).await,
+            turn if failures == 0 && turn.is_at_once(fleet) => return turn,
+            now => {
+                sleep(backoff(fleet, now, failures)).await;
+                if turn(fleet) == now {
+                    return now;
+                }
             }
         }
     }
--- a/crates/fleet/tests/common/store.rs
+++ b/crates/fleet/tests/common/store.rs
@@ -14,7 +14,8 @@
     },
 };
 
-use monoio::time::sleep;
+use futures_channel::oneshot;
+use monoio::time::timeout;
 use platform::{
     Failure,
     Instance,
@@ -24,9 +25,6 @@
 };
 use serde_json::value::RawValue;
 
-/// Time between two looks of a watch.
-const LOOK: Duration = Duration::from_millis(5);
-
 /// The state that all links share.
 #[derive(Debug, Default)]
 pub(crate) struct Platform {
@@ -35,6 +33,7 @@
     instances: RefCell<Vec<Instance>>,
     is_down: Cell<bool>,
     calls: RefCell<BTreeMap<&'static str, u64>>,
+    watches: RefCell<Vec<oneshot::Sender<()>>>,
 }
 
 impl Platform {
@@ -54,6 +53,7 @@
             value: value.into(),
         };
         self.objects.borrow_mut().insert(name.to_owned(), object);
+        self.wake();
         version
     }
 
@@ -70,6 +70,7 @@
     /// Takes the store down, or up again.
     pub(crate) fn set_down(&self, is_down: bool) {
         self.is_down.set(is_down);
+        self.wake();
     }
 
     /// Returns the calls by kind since the last time, and forgets them.
@@ -81,6 +82,19 @@
         *self.calls.borrow_mut().entry(kind).or_default() += 1;
     }
 
+    /// Has every watch look again.
+    fn wake(&self) {
+        for watch in self.watches.take() {
+            let _ = watch.send(());
+        }
+    }
+
+    async fn changed(&self) {
+        let (watch, changed) = oneshot::channel();
+        self.watches.borrow_mut().push(watch);
+        let _ = changed.await;
+    }
+
     fn after(&self, revision: u64) -> Vec<Object> {
         let objects = self.objects.borrow();
         let newer = objects.values().filter(|object| object.version > revision);
@@ -107,6 +121,7 @@
     /// Cuts the way, or mends it.
     pub(crate) fn set_cut(&self, is_cut: bool) {
         self.is_cut.set(is_cut);
+        self.platform.wake();
     }
 
     fn check(&self) -> Result<(), Failure> {
@@ -150,14 +165,15 @@
         loop {
             self.check()?;
             let objects = self.platform.after(after);
-            if !objects.is_empty() || start.elapsed() >= wait {
+            let left = wait.saturating_sub(start.elapsed());
+            if !objects.is_empty() || left.is_zero() {
                 return Ok(Listing {
                     revision: self.platform.revision.get(),
                     objects,
                     deleted: Vec::new(),
                 });
             }
-            sleep(LOOK).await;
+            let _ = timeout(left, self.platform.changed()).await;
         }
     }
 
