--- a/crates/fleet/src/heartbeat.rs
+++ b/crates/fleet/src/heartbeat.rs
@@ -1,7 +1,6 @@
 //! Heartbeats: who answers, and what is new.
 
 use std::{
-    collections::BTreeMap,
     net::SocketAddr,
     pin::pin,
     rc::Rc,
@@ -27,6 +26,7 @@
 use rand::{
     seq::{
         IndexedRandom as _,
+        IteratorRandom as _,
         SliceRandom as _, //
     },
     Rng as _, //
@@ -62,6 +62,8 @@
 enum Target {
     /// A member, which is suspected if nobody reaches it.
     Member(Rc<Member>),
+    /// A member that failed and may be back.
+    Failed(Rc<Member>),
     /// An address that may or may not have an instance.
     Address(SocketAddr),
 }
@@ -116,6 +118,7 @@
 async fn round<S: Store>(fleet: &Fleet<S>, target: Target) {
     let member = match target {
         Target::Member(member) => member,
+        Target::Failed(member) => return tell(fleet, &member).await,
         Target::Address(address) => {
             exchange(fleet, address, None).await;
             return;
@@ -194,6 +197,9 @@
         fleet.renew();
     }
     if is_refuted {
+        tracing::info!("fleet: a peer is told that this instance runs.");
+        let sender = message.sender.as_ref();
+        sender.iter().for_each(|sender| fleet.suspect(&sender.name));
         fleet.rumour();
     }
     pull::notice(fleet, message);
@@ -253,9 +259,11 @@
 
 /// Takes a few instances of the platform's list that are no members yet.
 fn unheard<S: Store>(fleet: &Fleet<S>) -> Vec<Target> {
-    let mut unheard: std::cell::RefMut<'_, BTreeMap<Arc<str>, SocketAddr>> =
-        fleet.unheard.borrow_mut();
+    let table = fleet.table.borrow();
+    let is_running = |name: &str| table.get(name).is_some_and(|record| record.is_running());
+    let mut unheard = fleet.unheard.borrow_mut();
     std::iter::from_fn(|| unheard.pop_first())
+        .filter(|(name, _)| !is_running(name))
         .take(UNHEARD_MAX)
         .map(|(_, address)| Target::Address(address))
         .collect()
@@ -275,11 +283,8 @@
 
 fn failed<S: Store>(fleet: &Fleet<S>) -> Option<Target> {
     let table = fleet.table.borrow();
-    let failed: Vec<SocketAddr> = table.failed().map(|record| record.member.address).collect();
-    failed
-        .choose(&mut rand::rng())
-        .copied()
-        .map(Target::Address)
+    let failed = table.failed().map(|record| record.member.clone());
+    failed.choose(&mut rand::rng()).map(Target::Failed)
 }
 
 fn was_paused<S: Store>(fleet: &Fleet<S>, now: Instant) -> bool {
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -112,10 +112,14 @@
         if from.name == *self.me {
             return self.refute(from);
         }
-        let Some(heard) = Record::read(from, now) else {
+        let Some(mut heard) = Record::read(from, now) else {
             self.malformed += 1;
             return false;
         };
+        if heard.state == State::Failed && self.is_owning(&from.name) {
+            // Each declares failed by its own clock: a peer may have been cut off itself.
+            heard.state = State::Suspect;
+        }
         match self.records.get_mut(&heard.member.name) {
             Some(known) if known.is_older_than(&heard) => *known = heard,
             Some(known) if known.incarnation == heard.incarnation => {
@@ -132,6 +136,11 @@
         true
     }
 
+    fn is_owning(&self, name: &str) -> bool {
+        self.get(name)
+            .is_some_and(|known| known.is_running() && known.state != State::Leaving)
+    }
+
     /// Overrules what a peer says of this instance, if it is later than what this instance says.
     ///
     /// That it leaves is believed, as the platform's list may have it from there.
--- a/crates/fleet/src/table/tests.rs
+++ b/crates/fleet/src/table/tests.rs
@@ -36,12 +36,11 @@
 }
 
 fn state(number: u8) -> State {
-    const STATES: [State; 6] = [
+    const STATES: [State; 5] = [
         State::Joining,
         State::Live,
         State::Suspect,
         State::Leaving,
-        State::Failed,
         State::Left,
     ];
     STATES[usize::from(number) % STATES.len()]
@@ -69,6 +68,22 @@
     });
 }
 
+#[test]
+fn a_member_that_a_peer_has_failed_is_suspected_and_told() {
+    let now = Instant::now();
+    let mut table = table();
+    table.merge(&record(1, 5, State::Live), now);
+    table.merge(&record(1, 5, State::Failed), now);
+    table.merge(&record(1, 5, State::Failed), now);
+    let told = table.updates(Some("kestrel-entry-1"), UPDATES_MAX);
+    let known = table.get("kestrel-entry-1").map(|known| known.state);
+    assert_eq!(known, Some(State::Suspect));
+    assert_eq!(told, [record(1, 5, State::Suspect)]);
+    table.merge(&record(1, 6, State::Live), now);
+    let known = table.get("kestrel-entry-1").map(|known| known.state);
+    assert_eq!(known, Some(State::Live));
+}
+
 #[test]
 fn an_instance_overrules_whatever_is_said_of_it() {
     check!().with_type::<Vec<(u8, u8)>>().for_each(|heard| {
--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -262,3 +262,39 @@
         .await;
     });
 }
+
+#[test]
+fn two_halves_that_lost_each_other_come_together_again() {
+    run(async {
+        let platform = platform();
+        let nodes = fleet_of(&platform, 6);
+        all_live(&nodes).await;
+        let (east, west) = nodes.split_at(3);
+        east.iter().for_each(|node| node.cut_from(west));
+        west.iter().for_each(|node| node.cut_from(east));
+        until("each half has the other failed", || {
+            nodes.iter().all(|node| node.members("failed").len() == 3)
+        })
+        .await;
+        platform.set_down(true);
+        let peak = documents::presets("peak");
+        east[0]
+            .fleet
+            .load("presets", 1_000, peak.to_string().as_bytes());
+        until("one half has the newer presets", || {
+            let has = |node: &Node| node.fleet.view().versions.presets == 1_000;
+            east.iter().all(has)
+        })
+        .await;
+        assert!(west
+            .iter()
+            .all(|node| node.fleet.view().versions.presets < 1_000));
+        nodes.iter().for_each(|node| node.cut_from(&[]));
+        all_live(&nodes).await;
+        until("all have the newer presets", || {
+            let has = |node: &Node| node.fleet.view().versions.presets == 1_000;
+            nodes.iter().all(has)
+        })
+        .await;
+    });
+}
