feat(tanageryoke): change presets and marks by conditional update

preset, instance and backend read a document, change it and write it back only if nobody else did. The loser of a race is shown the fields that changed and what holds now, and writes nothing. A lost reply is settled by reading; while the document is still the old one the write is sent again with the same expected version. Where a third write hides the outcome, that is said.

--- a/crates/tanageryoke/src/cli.rs
+++ b/crates/tanageryoke/src/cli.rs
@@ -35,6 +35,12 @@
     Check(configs::serve::Flags),
     /// Prints the state of a running instance.
     Dump(commands::dump::Flags),
+    /// Lists, checks, writes and chooses presets.
+    Preset(commands::preset::Flags),
+    /// Lists instances and marks them as joining or leaving.
+    Instance(commands::instance::Flags),
+    /// Lists backend servers and takes them out of service and back.
+    Backend(commands::backend::Flags),
 }
 
 impl Cli {
@@ -44,6 +50,9 @@
             Command::Serve(flags) => commands::serve::run(flags),
             Command::Check(flags) => commands::check::run(flags),
             Command::Dump(flags) => commands::dump::run(&flags),
+            Command::Preset(flags) => commands::preset::run(flags),
+            Command::Instance(flags) => commands::instance::run(flags),
+            Command::Backend(flags) => commands::backend::run(flags),
         };
         result.unwrap_or_else(|report| {
             plain_reports();
--- a/crates/tanageryoke/src/commands/dump.rs
+++ b/crates/tanageryoke/src/commands/dump.rs
@@ -50,7 +50,7 @@
     Ok(ExitCode::SUCCESS)
 }
 
-async fn fetch(address: SocketAddr) -> Result<serde_json::Value, Report<Error>> {
+pub(crate) async fn fetch(address: SocketAddr) -> Result<serde_json::Value, Report<Error>> {
     let connection = web::client::Connection::open(address, web::Limits::default())
         .await
         .change_context(Error::Unreachable)?;
--- a/crates/tanageryoke/src/commands/error.rs
+++ b/crates/tanageryoke/src/commands/error.rs
@@ -17,6 +17,14 @@
     Unreachable,
     /// The instance's answer can't be understood.
     Answer,
+    /// The platform can't be reached or refused.
+    Platform,
+    /// The platform refused a write.
+    NotWritten,
+    /// A document of the platform can't be understood.
+    Document,
+    /// A file can't be read.
+    File,
 }
 
 impl std::fmt::Display for Error {
@@ -29,6 +37,10 @@
             Self::Runtime => "the runtime can't be built",
             Self::Unreachable => "the instance can't be reached",
             Self::Answer => "the instance's answer can't be understood",
+            Self::Platform => "the platform can't be reached",
+            Self::NotWritten => "the platform refused the write; nothing was written",
+            Self::Document => "a document of the platform can't be understood",
+            Self::File => "the file can't be read",
         })
     }
 }
