--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -1,6 +1,7 @@
 //! The work that other instances send here.
 
 use std::{
+    future::Future,
     rc::Rc,
     time::{
         Duration,
@@ -14,6 +15,7 @@
     StreamExt, //
 };
 use ledger::Ledger;
+use monoio::time::timeout;
 use platform::Store;
 use pool::{
     Job,
@@ -30,6 +32,7 @@
     CancelRequest,
     GossipMessage,
     Head,
+    Partial,
     ProbeReply,
     ProbeRequest,
     ScatterRequest,
@@ -39,6 +42,9 @@
 
 use crate::router::Router;
 
+/// Longest time that a partial waits for the others of its batch.
+const GATHER: Duration = Duration::from_millis(4);
+
 /// Answers the calls of peers.
 #[derive(Debug)]
 pub struct Peer<S> {
@@ -73,16 +79,13 @@
             body: request.body.clone(),
             deadline,
         });
-        let mut running: FuturesUnordered<_> = jobs.map(|job| self.pool.part(job)).collect();
-        while let Some(partial) = running.next().await {
-            if !sink.send(partial) {
-                self.pool.cancel(&CancelRequest {
-                    request: head.request.clone(),
-                    attempt: head.attempt,
-                    parts: Vec::new(),
-                });
-                return;
-            }
+        let running: FuturesUnordered<_> = jobs.map(|job| self.pool.part(job)).collect();
+        if !stream(running, &sink).await {
+            self.pool.cancel(&CancelRequest {
+                request: head.request.clone(),
+                attempt: head.attempt,
+                parts: Vec::new(),
+            });
         }
     }
 
@@ -117,6 +120,34 @@
     }
 }
 
+/// Sends the partials as they come; returns false if the caller has gone.
+///
+/// A partial waits a little for the others of its batch, as each sending costs both instances a
+/// system call. The last of a batch never waits.
+async fn stream<F: Future<Output = Partial>>(
+    mut running: FuturesUnordered<F>,
+    sink: &Sink,
+) -> bool {
+    let mut ready = Vec::new();
+    while let Some(partial) = running.next().await {
+        ready.push(partial);
+        let _ = timeout(GATHER, rest(&mut running, &mut ready)).await;
+        if !ready.drain(..).all(|partial| sink.send(partial)) {
+            return false;
+        }
+    }
+    true
+}
+
+async fn rest<F: Future<Output = Partial>>(
+    running: &mut FuturesUnordered<F>,
+    ready: &mut Vec<Partial>,
+) {
+    while let Some(partial) = running.next().await {
+        ready.push(partial);
+    }
+}
+
 fn deadline(head: &Head) -> Instant {
     Instant::now() + Duration::from_micros(head.budget_us)
 }
