--- a/crates/bench/src/backends/mod.rs
+++ b/crates/bench/src/backends/mod.rs
@@ -122,36 +122,41 @@
 }
 
 fn serve(options: &Options) -> io::Result<()> {
+    let site = start(options)?;
+    tracing::info!("backends: {} servers are up.", site.servers.len());
+    crate::runtime::run(control::serve(site, options.control))?
+}
+
+/// Starts every backend server on threads that run until the process ends.
+fn start(options: &Options) -> io::Result<Arc<Site>> {
     let mut port = options.port_base;
-    let mut listeners = Vec::new();
-    let mut servers = Vec::new();
+    let layout = Layout::new(options.user);
+    let mut pairs = Vec::new();
     for spec in sizes::specs(options.user) {
         let listener = bind(options.listen, &mut port)?;
-        let address = listener.local_addr()?;
-        servers.push(Arc::new(Server::new(spec, address, options)));
-        listeners.push(listener);
-    }
-    let layout = Layout::new(options.user);
-    for server in &servers {
+        let server = Server::new(spec, listener.local_addr()?, options);
         server.hold_all(&layout);
+        pairs.push((Arc::new(server), listener));
     }
     let site = Arc::new(Site {
-        servers: servers.clone(),
+        servers: pairs.iter().map(|(server, _)| server.clone()).collect(),
         layout: Mutex::new(layout),
         log: Mutex::default(),
         seed: options.seed,
     });
-    let threads = options.threads.max(1);
+    spread(&site, pairs, options.threads.max(1));
+    Ok(site)
+}
+
+fn spread(site: &Arc<Site>, pairs: Vec<(Arc<Server>, TcpListener)>, threads: usize) {
     let mut shares: Vec<Vec<_>> = (0..threads).map(|_| Vec::new()).collect();
-    for (index, pair) in servers.into_iter().zip(listeners).enumerate() {
+    for (index, pair) in pairs.into_iter().enumerate() {
         shares[index % threads].push(pair);
     }
     for share in shares {
         let site = site.clone();
         std::thread::spawn(move || worker::run(site, share));
     }
-    tracing::info!("backends: {} servers are up.", site.servers.len());
-    crate::runtime::run(control::serve(site, options.control))?
 }
 
 fn bind(ip: IpAddr, port: &mut u16) -> io::Result<TcpListener> {
--- a/crates/bench/src/backends/tests.rs
+++ b/crates/bench/src/backends/tests/mod.rs
@@ -1,5 +1,7 @@
 //! The model of the backend servers.
 
+mod live;
+
 use std::time::Duration;
 
 use config::catalog::{
--- a/crates/bench/src/backends/worker.rs
+++ b/crates/bench/src/backends/worker.rs
@@ -31,8 +31,8 @@
 };
 use crate::socket::Socket;
 
-/// Requests that wait in a server's own queue.
-const QUEUE_MAX: usize = 50;
+/// Requests that wait in a server's own queue, for each of its slots.
+const QUEUE_PER_SLOT: usize = 8;
 /// Pause between looks at whether a server goes down or comes back.
 const LOOK: Duration = Duration::from_millis(20);
 /// Time that an idle connection stays open.
@@ -60,7 +60,7 @@
         let servers = share.into_iter().map(|(server, listener)| {
             let local = Rc::new(Local {
                 site: site.clone(),
-                slots: Slots::new(server.spec.slots, QUEUE_MAX),
+                slots: slots(&server),
                 server,
                 running: RefCell::default(),
             });
@@ -73,6 +73,11 @@
     }
 }
 
+fn slots(server: &Server) -> Slots {
+    let slots = server.spec.slots;
+    Slots::new(slots, QUEUE_PER_SLOT * slots)
+}
+
 async fn serve(local: Rc<Local>, listener: TcpListener) {
     let mut listener = listener
         .set_nonblocking(true)
