--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -34,6 +34,10 @@
     Replay(bench::replay::command::Arguments),
     /// Plots reports.
     Plot(bench::plot::command::Arguments),
+    /// Compares reports with the first one, as a markdown table.
+    Compare(bench::compare::command::Arguments),
+    /// Runs the demo once for each value of a setting, and compares the reports.
+    Sweep(bench::sweep::Arguments),
 }
 
 fn main() -> ExitCode {
@@ -52,5 +56,7 @@
         Command::Trace(command) => command.run(),
         Command::Replay(arguments) => arguments.run(),
         Command::Plot(arguments) => arguments.run(),
+        Command::Compare(arguments) => arguments.run(),
+        Command::Sweep(arguments) => arguments.run(),
     }
 }
--- a/crates/bench/src/plot/command.rs
+++ b/crates/bench/src/plot/command.rs
@@ -1,11 +1,7 @@
 //! `bench plot`.
 
 use std::{
-    fs,
-    path::{
-        Path,
-        PathBuf, //
-    },
+    path::PathBuf,
     process::ExitCode, //
 };
 
@@ -16,7 +12,7 @@
 };
 
 use super::Error;
-use crate::report::Summary;
+use crate::report::read;
 
 /// Arguments of `bench plot`.
 #[derive(Debug, Args)]
@@ -42,27 +38,10 @@
     }
 
     fn plot(self) -> Result<(), Report<Error>> {
-        let reports: Result<Vec<_>, _> = self.reports.iter().map(|path| load(path)).collect();
-        super::run(&reports?, &self.out)
-    }
-}
-
-/// Reads the report on the last line of a file; a report without a label gets the file's name.
-///
-/// # Errors
-///
-/// Fails if the file can't be read or its last line is no report.
-pub fn load(path: &Path) -> Result<Summary, Report<Error>> {
-    let text = fs::read_to_string(path)
-        .change_context(Error::Read)
-        .attach_with(|| path.display().to_string())?;
-    let last = text.lines().rev().find(|line| !line.trim().is_empty());
-    let mut summary: Summary = serde_json::from_str(last.unwrap_or_default())
-        .change_context(Error::Decode)
-        .attach_with(|| path.display().to_string())?;
-    if summary.label.is_empty() {
-        let name = path.file_stem().unwrap_or_default();
-        summary.label = name.to_string_lossy().into_owned();
+        let mut summaries = Vec::new();
+        for path in &self.reports {
+            summaries.extend(read::load(path).change_context(Error::Read)?);
+        }
+        super::run(&summaries, &self.out)
     }
-    Ok(summary)
 }
--- a/crates/bench/src/plot/mod.rs
+++ b/crates/bench/src/plot/mod.rs
@@ -33,8 +33,6 @@
 pub enum Error {
     /// A report can't be read.
     Read,
-    /// A file holds no report.
-    Decode,
     /// The picture can't be drawn or written.
     Draw,
 }
@@ -43,7 +41,6 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Read => "a report can't be read",
-            Self::Decode => "a file holds no report",
             Self::Draw => "the picture can't be drawn",
         })
     }
--- a/crates/bench/src/report/mod.rs
+++ b/crates/bench/src/report/mod.rs
@@ -4,6 +4,7 @@
 pub mod latency;
 pub mod load;
 pub mod output;
+pub mod read;
 pub mod summary;
 pub mod table;
 
--- /dev/null
+++ b/crates/bench/src/sweep/mod.rs
@@ -0,0 +1,154 @@
+//! Runs the demo once for each value of one setting, and compares the reports.
+
+use std::{
+    env, fmt, fs, io,
+    path::PathBuf,
+    process::{
+        Command,
+        ExitCode,
+        Stdio, //
+    },
+    str::FromStr,
+};
+
+use clap::Args;
+use error_stack::{
+    Report,
+    ResultExt, //
+};
+
+use crate::{
+    compare,
+    report::{
+        read,
+        Summary, //
+    },
+};
+
+/// A setting of the demo and the values that it takes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Vary {
+    /// Name of the setting, without hyphens before it.
+    pub name: String,
+    /// Its values, in order of the runs.
+    pub values: Vec<String>,
+}
+
+/// Why a sweep can't run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Error {
+    /// The setting isn't `NAME=VALUE,VALUE,…`.
+    Vary,
+    /// The demo can't be started.
+    Start,
+    /// A run printed no report.
+    Run,
+    /// The reports can't be written.
+    Write,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Vary => "want NAME=VALUE,VALUE,…",
+            Self::Start => "the demo can't be started",
+            Self::Run => "a run printed no report",
+            Self::Write => "the reports can't be written",
+        })
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl FromStr for Vary {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (name, values) = text.split_once('=').ok_or(Error::Vary)?;
+        let values: Vec<_> = values.split(',').map(str::to_owned).collect();
+        match name.is_empty() || values.iter().any(String::is_empty) {
+            true => Err(Error::Vary),
+            false => Ok(Self {
+                name: name.to_owned(),
+                values,
+            }),
+        }
+    }
+}
+
+/// Arguments of `bench sweep`.
+#[derive(Debug, Args)]
+pub struct Arguments {
+    /// Setting of the demo that varies, as `NAME=VALUE,VALUE,…`.
+    #[arg(long)]
+    vary: Vary,
+    /// File to append the reports to, one line each.
+    #[arg(long)]
+    out: Option<PathBuf>,
+    /// Settings that are the same for all runs, as for `bench demo`.
+    #[arg(last = true)]
+    demo: Vec<String>,
+}
+
+impl Arguments {
+    /// Runs the command; exit code 1 if a run broke a promise.
+    pub fn run(self) -> ExitCode {
+        match self.sweep() {
+            Ok(true) => ExitCode::SUCCESS,
+            Ok(false) => ExitCode::FAILURE,
+            Err(report) => {
+                eprintln!("sweep: {report:?}");
+                ExitCode::FAILURE
+            }
+        }
+    }
+
+    fn sweep(self) -> Result<bool, Report<Error>> {
+        let mut summaries = Vec::new();
+        let mut clean = true;
+        for value in &self.vary.values {
+            let (summary, succeeded) = self.once(value)?;
+            clean &= succeeded;
+            summaries.push(summary);
+        }
+        print!("{}", compare::render(&summaries));
+        Ok(clean)
+    }
+
+    /// Runs the demo in a process of its own, so that no run inherits state from another.
+    fn once(&self, value: &str) -> Result<(Summary, bool), Report<Error>> {
+        let program = env::current_exe().change_context(Error::Start)?;
+        let name = &self.vary.name;
+        eprintln!("sweep: run with {name}={value}.");
+        let output = Command::new(program)
+            .arg("demo")
+            .args(&self.demo)
+            .args([&format!("--{name}"), value])
+            .args(["--report", "json"])
+            .stdin(Stdio::null())
+            .stderr(Stdio::inherit())
+            .output()
+            .change_context(Error::Start)?;
+        let text = String::from_utf8_lossy(&output.stdout);
+        let mut summary = last(&text).change_context(Error::Run)?;
+        summary.label = format!("{name}={value}");
+        if let Some(path) = &self.out {
+            append(path, &summary).change_context(Error::Write)?;
+        }
+        Ok((summary, output.status.success()))
+    }
+}
+
+fn last(text: &str) -> Result<Summary, Report<read::Error>> {
+    let mut summaries = read::decode(text)?;
+    summaries.pop().ok_or(Report::new(read::Error::Empty))
+}
+
+fn append(path: &PathBuf, summary: &Summary) -> io::Result<()> {
+    use io::Write;
+    let mut file = fs::OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(path)?;
+    writeln!(file, "{}", summary.json())
+}
--- a/crates/bench/src/verify/fetch.rs
+++ b/crates/bench/src/verify/fetch.rs
@@ -13,6 +13,7 @@
     ResultExt, //
 };
 use monoio::{
+    time::sleep,
     LegacyDriver,
     RuntimeBuilder, //
 };
@@ -23,6 +24,8 @@
 
 /// Longest time for one page of the log.
 const PAGE_WAIT: Duration = Duration::from_secs(30);
+/// Time that work which nobody waits for takes to end.
+const SETTLE: Duration = Duration::from_secs(1);
 /// Entries of a page of the log.
 const PAGE_RECORDS: u64 = 100_000;
 /// Longest page of the log, in bytes.
@@ -78,6 +81,8 @@
 ///
 /// Fails if a page can't be read or understood.
 pub async fn read(address: SocketAddr, after: u64) -> Result<Log, Report<Error>> {
+    // Work is logged at its end, so what was given up may still be missing.
+    sleep(SETTLE).await;
     let mut log = Log::default();
     let mut after = after;
     loop {
--- a/crates/bench/tests/report.rs
+++ b/crates/bench/tests/report.rs
@@ -1,7 +1,7 @@
 //! Tests of the report: its counts, its table, stated outcomes and plots.
 
 use bench::{
-    plot,
+    compare, plot,
     replay::{
         record::{
             Coverage,
@@ -15,9 +15,11 @@
     report::{
         self,
         expect,
+        read,
         table,
         Summary, //
     },
+    sweep,
     verify::{
         Finding,
         Log,
@@ -144,6 +146,34 @@
     }
 }
 
+#[test]
+fn reports_are_compared_with_the_first() {
+    let mut first = summary();
+    let mut second = summary();
+    first.label = "direct".to_owned();
+    second.label = "owners".to_owned();
+    second.all.p99_ms /= 2.0;
+    second.all.coverage = 1.0;
+    first.all.wasted_load = 0.0;
+    insta::assert_snapshot!(compare::render(&[first, second]));
+}
+
+#[test]
+fn reports_are_read_among_other_lines() {
+    let text = format!("starting\n{{\"other\": 1}}\n{}\n", summary().json());
+    assert_eq!(read::decode(&text).unwrap(), [summary()]);
+    assert!(read::decode("starting").is_err());
+}
+
+#[test]
+fn a_setting_has_a_name_and_values() {
+    let vary: sweep::Vary = "rate=50,100".parse().unwrap();
+    assert_eq!((vary.name.as_str(), vary.values.len()), ("rate", 2));
+    for text in ["rate", "=50", "rate=", "rate=50,,60"] {
+        assert_eq!(text.parse::<sweep::Vary>(), Err(sweep::Error::Vary));
+    }
+}
+
 #[test]
 fn a_plot_shows_every_report() {
     let mut summaries = [summary(), summary(), Summary::default()];
