--- a/crates/bench/src/demo/failure.rs
+++ b/crates/bench/src/demo/failure.rs
@@ -23,6 +23,10 @@
     Preset,
     /// The replay failed.
     Replay,
+    /// The trace can't be read.
+    Trace,
+    /// The report can't be held against stated outcomes or plotted.
+    Output,
     /// The demo was interrupted.
     Interrupted,
 }
@@ -39,6 +43,8 @@
             Self::Control(call) => write!(f, "the control call {call} failed"),
             Self::Preset => f.write_str("the preset's file can't be read"),
             Self::Replay => f.write_str("the replay failed"),
+            Self::Trace => f.write_str("the trace can't be read"),
+            Self::Output => f.write_str("the report can't be finished"),
             Self::Interrupted => f.write_str("interrupted"),
         }
     }
--- a/crates/bench/src/demo/mod.rs
+++ b/crates/bench/src/demo/mod.rs
@@ -48,20 +48,17 @@
     failure::Failure,
     summary::Summary, //
 };
-use crate::trace::profile::User;
+use crate::{
+    report::Output,
+    trace::profile::{
+        Phase,
+        User, //
+    },
+};
 
 /// Pause between looks at whether the demo is interrupted.
 const LOOK: Duration = Duration::from_millis(50);
 
-/// Form of the report.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
-pub enum Form {
-    /// One JSON object in the last line.
-    Json,
-    /// Lines for a reader.
-    Table,
-}
-
 /// Settings of the demo.
 #[derive(Debug, Clone, clap::Args)]
 pub struct Options {
@@ -83,9 +80,18 @@
     /// Faults during the replay; one that is named twice happens twice.
     #[arg(long, value_enum)]
     pub fault: Vec<fault::Name>,
-    /// Form of the report.
-    #[arg(long, value_enum, default_value_t = Form::Table)]
-    pub report: Form,
+    /// Trace to replay in place of a generated one; `seconds` bounds it.
+    #[arg(long, conflicts_with_all = ["rate", "mix"])]
+    pub trace: Option<PathBuf>,
+    /// Phases of the generated trace, as for `bench trace generate`.
+    #[arg(long, value_delimiter = ',', default_value = "ordinary=1")]
+    pub mix: Vec<Phase>,
+    /// Shows a progress bar.
+    #[arg(long)]
+    pub progress: bool,
+    /// What becomes of the report.
+    #[command(flatten)]
+    pub output: Output,
     /// Stays up until SIGINT in place of a replay.
     #[arg(long)]
     pub keep: bool,
@@ -160,9 +166,14 @@
     let faults = fault::run(&cluster, options);
     let (outcome, ()) = futures_util::future::try_join(replay, faults).await?;
     converge::check(&cluster).await?;
-    let summary = Summary::collect(&cluster, &outcome, &before, &calls).await?;
-    summary.print(options.report);
-    Ok(summary.is_clean())
+    let mut summary = Summary::collect(&cluster, &outcome, &before, &calls).await?;
+    summary.report.label.clone_from(&options.output.label);
+    let met = options
+        .output
+        .judge(&summary.report)
+        .change_context(Failure::Output)?;
+    summary.print(options.output.form);
+    Ok(met)
 }
 
 fn interrupt() -> Result<Arc<AtomicBool>, Report<Failure>> {
--- a/crates/bench/src/demo/replayer.rs
+++ b/crates/bench/src/demo/replayer.rs
@@ -1,6 +1,9 @@
 //! Runs the replay on threads of its own, so that the demo's thread stays free for faults.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use error_stack::{
     Report,
@@ -16,26 +19,26 @@
 };
 use crate::{
     replay,
-    trace::generate, //
+    trace::{
+        self,
+        generate,
+        Trace, //
+    },
 };
 
 /// Threads that the replay is shared by.
 const THREADS: usize = 2;
 
-/// Replays a generated trace through the balancer.
+/// Replays a trace through the balancer.
 ///
 /// # Errors
 ///
-/// Fails if the replay's threads can't run.
+/// Fails if the trace can't be read or the replay's threads can't run.
 pub async fn run(cluster: &Cluster, options: &Options) -> Result<replay::Outcome, Report<Failure>> {
-    let rate = match options.fault.contains(&fault::Name::Overload) {
-        true => fault::overload_rate(options.user),
-        false => options.rate,
-    };
-    let plan = generate::Plan::new(options.user, options.seconds, rate, options.seed);
-    let trace = Arc::new(generate::run(&plan));
-    let mut plan = replay::Plan::new(trace, vec![cluster.layout.balancer]);
+    let mut plan = replay::Plan::new(Arc::new(load(options)?), vec![cluster.layout.balancer]);
     plan.threads = THREADS;
+    plan.progress = options.progress;
+    plan.limit = Some(Duration::from_secs(options.seconds));
     let (sender, receiver) = oneshot::channel();
     std::thread::Builder::new()
         .name("replay".into())
@@ -46,3 +49,17 @@
         .change_context(Failure::Replay)?
         .change_context(Failure::Replay)
 }
+
+/// Loads the recorded trace, or generates one.
+fn load(options: &Options) -> Result<Trace, Report<Failure>> {
+    if let Some(path) = &options.trace {
+        return trace::load(path).change_context(Failure::Trace);
+    }
+    let rate = match options.fault.contains(&fault::Name::Overload) {
+        true => fault::overload_rate(options.user),
+        false => options.rate,
+    };
+    let mut plan = generate::Plan::new(options.user, options.seconds, rate, options.seed);
+    plan.phases.clone_from(&options.mix);
+    Ok(generate::run(&plan))
+}
--- a/crates/bench/src/demo/summary.rs
+++ b/crates/bench/src/demo/summary.rs
@@ -6,10 +6,14 @@
 };
 use serde::Serialize;
 
-use super::{cluster::Cluster, failure::Failure, instance::Used, Form};
+use super::{cluster::Cluster, failure::Failure, instance::Used};
 use crate::{
     replay,
-    report,
+    report::{
+        self,
+        output::Form,
+        table, //
+    },
     store::Calls,
     verify, //
 };
@@ -81,11 +85,6 @@
         })
     }
 
-    /// Returns whether no promise was broken.
-    pub fn is_clean(&self) -> bool {
-        self.report.violations.values().all(|count| *count == 0)
-    }
-
     /// Prints the report.
     pub fn print(&self, form: Form) {
         match form {
@@ -95,11 +94,16 @@
     }
 
     fn print_table(&self) {
-        let rows = serde_json::to_value(self).unwrap_or_default();
-        let rows = rows.as_object().into_iter().flatten();
-        for (name, value) in rows.filter(|(_, value)| !value.is_array()) {
-            println!("{name:<24} {value}");
-        }
+        print!("{}", table::render(&self.report));
+        println!("sub-requests    {}", self.subrequests);
+        println!(
+            "cpu             {:.1} us a sub-request",
+            self.cpu_us_per_subrequest
+        );
+        let platform = serde_json::to_string(&self.platform).unwrap_or_default();
+        println!("platform calls  {platform}");
+        println!("connections     {} over a limit", self.connections_over);
+        println!("connections     {} refused", self.connections_refused);
     }
 }
 
--- a/crates/bench/src/report/output.rs
+++ b/crates/bench/src/report/output.rs
@@ -77,25 +77,36 @@
     /// Fails if the stated outcomes can't be used or the plot can't be made.
     pub fn finish(&self, mut summary: Summary) -> Result<ExitCode, Report<Error>> {
         summary.label.clone_from(&self.label);
+        let met = self.judge(&summary)?;
+        match self.form {
+            Form::Json => println!("{}", summary.json()),
+            Form::Table => print!("{}", table::render(&summary)),
+        }
+        Ok(match met {
+            true => ExitCode::SUCCESS,
+            false => ExitCode::FAILURE,
+        })
+    }
+
+    /// Plots a report and holds it against the stated outcomes; returns whether it meets them and
+    /// is clean.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Output::finish`] does.
+    pub fn judge(&self, summary: &Summary) -> Result<bool, Report<Error>> {
         let unmet = match &self.expect {
             Some(path) => expect::load(path)
                 .change_context(Error::Expectation)?
-                .check(&summary),
+                .check(summary),
             None => Vec::new(),
         };
         if let Some(path) = &self.plot {
-            plot::run(std::slice::from_ref(&summary), path).change_context(Error::Plot)?;
+            plot::run(std::slice::from_ref(summary), path).change_context(Error::Plot)?;
         }
         for unmet in &unmet {
             eprintln!("report: unmet: {unmet}");
         }
-        match self.form {
-            Form::Json => println!("{}", summary.json()),
-            Form::Table => print!("{}", table::render(&summary)),
-        }
-        Ok(match unmet.is_empty() && summary.is_clean() {
-            true => ExitCode::SUCCESS,
-            false => ExitCode::FAILURE,
-        })
+        Ok(unmet.is_empty() && summary.is_clean())
     }
 }
