--- a/crates/bench/src/demo/summary.rs
+++ b/crates/bench/src/demo/summary.rs
@@ -12,9 +12,9 @@
     instance::Used, //
 };
 use crate::{
-    plot, replay,
+    replay,
     report::{
-        self, expect,
+        self,
         output::{
             Form,
             Output, //
@@ -116,23 +116,12 @@
     /// Fails if the stated outcomes can't be used or the plot can't be made.
     pub fn finish(mut self, output: &Output) -> Result<bool, Report<Failure>> {
         self.report.label.clone_from(&output.label);
-        let unmet = match &output.expect {
-            Some(path) => expect::load(path)
-                .change_context(Failure::Report)?
-                .check(&self.report),
-            None => Vec::new(),
-        };
-        if let Some(path) = &output.plot {
-            plot::run(std::slice::from_ref(&self.report), path).change_context(Failure::Report)?;
-        }
-        for unmet in &unmet {
-            eprintln!("report: unmet: {unmet}");
-        }
+        let met = output.judge(&self.report).change_context(Failure::Report)?;
         match output.form {
             Form::Json => println!("{}", serde_json::to_string(&self).unwrap_or_default()),
             Form::Table => self.print_table(),
         }
-        Ok(unmet.is_empty() && self.report.is_clean())
+        Ok(met)
     }
 
     fn print_table(&self) {
