test: prove slots, connections, keyed calls, hedges and retries of the pool

A rest of up to 1 s after sheds was tried first: a service that sheds everything then kept work waiting for most of its deadline.

--- a/crates/pool/src/connection.rs
+++ b/crates/pool/src/connection.rs
@@ -60,6 +60,7 @@
     let served = match dialed {
         Some(Ok(link)) => {
             service.shared.counters.borrow_mut().connections += 1;
+            service.refill();
             serve(&service, &server, link).await
         }
         Some(Err(failure)) => {
--- a/crates/pool/src/server.rs
+++ b/crates/pool/src/server.rs
@@ -26,6 +26,12 @@
 const REST_MAX: Duration = Duration::from_secs(2);
 /// Failures in a row after which a server counts as out of order.
 const FAILURES_OUT: u32 = 3;
+/// Shortest rest after a shed.
+const SHED_REST_MIN: Duration = Duration::from_millis(5);
+/// Longest rest after many sheds.
+const SHED_REST_MAX: Duration = Duration::from_millis(100);
+/// Doublings of a rest at most.
+const DOUBLINGS_MAX: u32 = 10;
 /// Time that a server is left alone after it said that it drains.
 const DRAIN_REST: Duration = Duration::from_secs(1);
 /// Cancellations that may wait for a connection.
@@ -70,7 +76,9 @@
     pub(crate) cancels: VecDeque<Stamp>,
     pub(crate) ramp: Ramp,
     pub(crate) mean: Mean,
+    /// Failures, and sheds, since the last answer.
     pub(crate) failures: u32,
+    pub(crate) sheds: u32,
     pub(crate) rests_until: Option<Instant>,
     pub(crate) used: Instant,
     pub(crate) last: u64,
@@ -100,6 +108,7 @@
                 ramp: Ramp::new(share.slots),
                 mean: Mean::default(),
                 failures: 0,
+                sheds: 0,
                 rests_until: None,
                 used: Instant::now(),
                 last: 0,
@@ -118,10 +127,7 @@
     /// Returns whether it failed so often that work isn't kept waiting for it.
     pub(crate) fn is_out(&self) -> bool {
         let inner = self.inner.borrow();
-        let connected = inner.connections > inner.opening;
-        inner.standing != Standing::Serving
-            || inner.failures >= FAILURES_OUT
-            || (inner.failures > 0 && !connected)
+        inner.standing != Standing::Serving || inner.failures >= FAILURES_OUT
     }
 
     /// Returns whether a sub-request may be sent to it now as a probe, though it is out of order.
@@ -189,6 +195,7 @@
             inner.ramp.restart(now, slow_start);
         }
         inner.failures = 0;
+        inner.sheds = 0;
         inner.rests_until = None;
         inner.ramp.answered();
     }
@@ -201,9 +208,16 @@
             .record(now, latency.min(usual.mul_f64(OUTLIER)));
     }
 
-    /// Notes that the server shed work.
-    pub(crate) fn shed(&self, now: Instant) {
-        self.inner.borrow_mut().ramp.shed(now);
+    /// Notes that the server shed work: it gets fewer slots, and rests for the returned time.
+    ///
+    /// A shed is answered at once, so that fewer slots alone would not mean less work.
+    pub(crate) fn shed(&self, now: Instant) -> Duration {
+        let mut inner = self.inner.borrow_mut();
+        inner.ramp.shed(now);
+        inner.sheds = inner.sheds.saturating_add(1);
+        let rest = backoff(SHED_REST_MIN, SHED_REST_MAX, inner.sheds);
+        inner.rests_until = Some(now + rest);
+        rest
     }
 
     /// Notes that the server said that it drains.
@@ -214,10 +228,12 @@
     /// Notes a failure; the server rests for the returned time, longer after each.
     pub(crate) fn failed(&self, now: Instant) -> Duration {
         let mut inner = self.inner.borrow_mut();
+        // What broke together counts once.
+        if let Some(until) = inner.rests_until.filter(|until| now < *until) {
+            return until.saturating_duration_since(now);
+        }
         inner.failures = inner.failures.saturating_add(1);
-        let doublings = inner.failures.saturating_sub(1).min(6);
-        let rest = (REST_MIN * 2u32.pow(doublings)).min(REST_MAX);
-        let rest = rest.mul_f64(rand::random_range(0.5..1.0));
+        let rest = backoff(REST_MIN, REST_MAX, inner.failures);
         inner.rests_until = Some(now + rest);
         rest
     }
@@ -259,6 +275,13 @@
     }
 }
 
+/// Returns a jittered rest that doubles with each of `times`.
+fn backoff(least: Duration, most: Duration, times: u32) -> Duration {
+    let doublings = times.saturating_sub(1).min(DOUBLINGS_MAX);
+    let rest = (least * 2u32.pow(doublings)).min(most);
+    rest.mul_f64(rand::random_range(0.5..1.0))
+}
+
 /// Returns the slots that may be used: none while it rests, one after a failure.
 fn usable(inner: &Inner, now: Instant) -> usize {
     match inner.rests_until {
--- a/crates/pool/src/service.rs
+++ b/crates/pool/src/service.rs
@@ -335,7 +335,8 @@
             Outcome::Refused(refusal) => match refusal.reason {
                 backend::Reason::Shed => {
                     self.shared.counters.borrow_mut().sheds += 1;
-                    server.shed(now);
+                    let rest = server.shed(now);
+                    self.wake_after(rest);
                 }
                 backend::Reason::Draining => {
                     server.drains(now);
--- /dev/null
+++ b/crates/pool/tests/calls.rs
@@ -0,0 +1,151 @@
+//! A call with a key is sent once or not at all.
+
+mod common;
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use common::*;
+use config::Preset;
+use monoio::time::sleep;
+use wire::{
+    CancelRequest,
+    Reason, //
+};
+
+fn ms(number: u64) -> Duration {
+    Duration::from_millis(number)
+}
+
+#[test]
+fn broken_connection_is_not_tried_again() {
+    run(async {
+        let a = Fake::start(|_| Act::Close);
+        let b = Fake::start(|_| Act::Close);
+        let pool = pool(&[&a, &b], Preset::default()).await;
+        let reply = pool.send(call(1, "key"), Instant::now() + LONG).await;
+        assert_eq!(reason(&reply.failure), Some((Reason::Broken, false)));
+        sleep(ms(300)).await;
+        assert_eq!(a.count() + b.count(), 1);
+    });
+}
+
+#[test]
+fn idempotent_call_is_tried_again() {
+    run(async {
+        let a = Fake::start(|_| Act::Close);
+        let b = Fake::start(|_| Act::Close);
+        let pool = pool(&[&a, &b], Preset::default()).await;
+        let reply = pool.send(call(1, ""), Instant::now() + LONG).await;
+        assert_eq!(reason(&reply.failure), Some((Reason::Broken, false)));
+        assert_eq!((a.count(), b.count()), (1, 1));
+    });
+}
+
+#[test]
+fn stale_connection_gets_no_call() {
+    run(async {
+        let fake = Fake::start(|_| NOW);
+        let pool = pool(&[&fake], Preset::default()).await;
+        for number in 0..10 {
+            fake.cut();
+            sleep(ms(5)).await;
+            let reply = pool.send(call(number, "key"), Instant::now() + LONG).await;
+            assert_eq!(reply.failure, None);
+        }
+        assert_eq!(fake.count(), 10);
+    });
+}
+
+#[test]
+fn refused_call_is_not_run() {
+    run(async {
+        let a = Fake::start(|_| Act::Status(503, r#"{"error":"shed"}"#));
+        let b = Fake::start(|_| Act::Status(503, r#"{"error":"shed"}"#));
+        let pool = pool(&[&a, &b], Preset::default()).await;
+        let reply = pool.send(call(1, "key"), Instant::now() + LONG).await;
+        assert_eq!(reason(&reply.failure), Some((Reason::Shed, true)));
+        assert_eq!(a.count() + b.count(), 1);
+    });
+}
+
+#[test]
+fn unknown_error_may_have_run() {
+    run(async {
+        let fake = Fake::start(|_| Act::Status(500, r#"{"error":"shed"}"#));
+        let pool = pool(&[&fake], Preset::default()).await;
+        let reply = pool.send(call(1, "key"), Instant::now() + LONG).await;
+        assert_eq!(reason(&reply.failure), Some((Reason::BadReply, false)));
+    });
+}
+
+#[test]
+fn slow_call_is_neither_hedged_nor_cancelled() {
+    run(async {
+        let a = Fake::start(|_| NOW);
+        let b = Fake::start(|_| NOW);
+        let pool = pool(&[&a, &b], Preset::default()).await;
+        for number in 0..200 {
+            pool.part(job(number, 0, LONG)).await;
+        }
+        let before = a.count() + b.count();
+        a.behave(|_| Act::Hang);
+        b.behave(|_| Act::Hang);
+        let reply = pool
+            .send(call(1_000, "key"), Instant::now() + ms(100))
+            .await;
+        assert_eq!(reason(&reply.failure), Some((Reason::Deadline, false)));
+        pool.cancel(&CancelRequest {
+            request: call(1_000, "key").head.unwrap_or_default().request,
+            attempt: 1,
+            parts: Vec::new(),
+        });
+        sleep(ms(20)).await;
+        assert_eq!(a.count() + b.count() - before, 1);
+        assert_eq!(a.cancelled.borrow().len() + b.cancelled.borrow().len(), 0);
+    });
+}
+
+#[test]
+fn queued_call_that_expires_is_not_run() {
+    run(async {
+        let fake = Fake::start(|_| Act::After(ms(200)));
+        let pool = pool(&[&fake], Preset::default()).await;
+        let busy: Vec<_> = (0..2)
+            .map(|number| {
+                let pool = pool.clone();
+                monoio::spawn(async move { pool.part(job(number, 0, LONG)).await })
+            })
+            .collect();
+        sleep(ms(10)).await;
+        let reply = pool.send(call(9, "key"), Instant::now() + ms(50)).await;
+        assert_eq!(reason(&reply.failure), Some((Reason::Deadline, true)));
+        for part in busy {
+            assert_eq!(part.await.failure, None);
+        }
+        assert_eq!(fake.count(), 2);
+    });
+}
+
+#[test]
+fn unreachable_service_is_refused_at_once() {
+    run(async {
+        let fake = Fake::start(|_| NOW);
+        let mut gone = view(&[&fake], Preset::default(), &[]);
+        let unused = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = unused.local_addr().expect("an address");
+        drop(unused);
+        let mut catalog = config::Catalog::default();
+        let servers = vec![server("a", address)];
+        catalog
+            .services
+            .insert("s".into(), config::catalog::Service { servers }.into());
+        std::sync::Arc::make_mut(&mut gone).catalog = catalog.into();
+        let pool = pool::Pool::new("a".into());
+        pool.update(gone, &|_| true);
+        let reply = pool.send(call(1, "key"), Instant::now() + LONG).await;
+        assert_eq!(reason(&reply.failure), Some((Reason::Unreachable, true)));
+    });
+}
--- /dev/null
+++ b/crates/pool/tests/replicas.rs
@@ -0,0 +1,289 @@
+//! Leaving servers, snapshots, hedges, retries and cancellation.
+
+mod common;
+
+use std::time::Duration;
+
+use common::*;
+use config::Preset;
+use futures_util::future::join_all;
+use monoio::time::sleep;
+use wire::{
+    CancelRequest,
+    Reason, //
+};
+
+fn ms(number: u64) -> Duration {
+    Duration::from_millis(number)
+}
+
+#[test]
+fn leaving_server_gets_no_new_work_and_queued_work_moves() {
+    run(async {
+        let a = Fake::start(|_| Act::After(ms(10)));
+        let b = Fake::start(|_| Act::After(ms(10)));
+        let pool = pool(&[&a, &b], Preset::default()).await;
+        let parts: Vec<_> = (0..20)
+            .map(|number| {
+                let pool = pool.clone();
+                monoio::spawn(async move { pool.part(job(number, 0, LONG)).await })
+            })
+            .collect();
+        sleep(ms(5)).await;
+        pool.update(view(&[&a, &b], Preset::default(), &["a"]), &|_| true);
+        let before = a.count();
+        let partials = join_all(parts).await;
+        assert!(partials.iter().all(|partial| partial.failure.is_none()));
+        assert_eq!(a.count(), before);
+        sleep(ms(20)).await;
+        assert_eq!(a.open.get(), 0);
+        pool.update(view(&[&a, &b], Preset::default(), &[]), &|_| true);
+        sleep(ms(20)).await;
+        join_all((0..20).map(|number| pool.part(job(number, 0, LONG)))).await;
+        assert!(a.count() > before);
+    });
+}
+
+#[test]
+fn service_without_servers_is_refused() {
+    run(async {
+        let a = Fake::start(|_| NOW);
+        let pool = pool::Pool::new("a".into());
+        pool.update(view(&[&a], Preset::default(), &["a"]), &|_| true);
+        let partial = pool.part(job(1, 0, LONG)).await;
+        assert_eq!(reason(&partial.failure), Some((Reason::Unreachable, true)));
+    });
+}
+
+const GONE: Act = Act::Status(409, r#"{"error":"snapshot","held":[8,9]}"#);
+
+#[test]
+fn snapshot_is_read_from_the_replica_that_holds_it() {
+    run(async {
+        let a = Fake::start(|_| GONE);
+        let b = Fake::start(|_| NOW);
+        let preset = Preset {
+            retry_budget: 0.0,
+            ..Preset::default()
+        };
+        let pool = pool(&[&a, &b], preset).await;
+        for number in 0..20 {
+            let partial = pool.part(job(number, 0, LONG)).await;
+            assert_eq!(partial.failure, None);
+            assert_eq!(&*partial.server, "b");
+        }
+    });
+}
+
+#[test]
+fn snapshot_that_nobody_holds_is_told() {
+    run(async {
+        let a = Fake::start(|_| GONE);
+        let b = Fake::start(|_| GONE);
+        let pool = pool(&[&a, &b], Preset::default()).await;
+        let partial = pool.part(job(1, 0, LONG)).await;
+        let failure = partial.failure.expect("a failure");
+        assert_eq!(failure.reason(), Reason::SnapshotGone);
+        assert!(failure.not_run);
+        assert_eq!(failure.held, [8, 9]);
+    });
+}
+
+/// Slots of two servers.
+const SLOTS: usize = 4;
+
+/// Answers a lot of parts, so that the latency is known.
+async fn warm(pool: &pool::Pool) {
+    for number in 1_000..1_200 {
+        pool.part(job(number, 0, LONG)).await;
+    }
+}
+
+#[test]
+fn straggler_is_hedged_and_cancelled() {
+    run(async {
+        let a = Fake::start(|_| NOW);
+        let b = Fake::start(|_| NOW);
+        let pool = pool(&[&a, &b], Preset::default()).await;
+        warm(&pool).await;
+        a.behave(|seen| match seen.request.ends_with("-5") {
+            true if seen.attempt == 1 => Act::Hang,
+            _ => NOW,
+        });
+        b.behave(|seen| match seen.request.ends_with("-5") {
+            true if seen.attempt == 1 => Act::Hang,
+            _ => NOW,
+        });
+        let partial = pool.part(job(1, 5, LONG)).await;
+        assert_eq!(partial.failure, None);
+        assert_eq!((partial.first, partial.hedges, partial.retries), (1, 1, 0));
+        sleep(ms(20)).await;
+        let cancelled = [a.cancelled.borrow().clone(), b.cancelled.borrow().clone()].concat();
+        assert_eq!(cancelled, [format!("{}-5/1", uuid::Uuid::from_u128(1))]);
+        assert_eq!(a.busy.get() + b.busy.get(), 0);
+        assert_eq!(a.accepted.get() + b.accepted.get(), 6);
+        let counters = pool.counters();
+        assert_eq!((counters.hedges, counters.hedges_won), (1, 1));
+    });
+}
+
+#[test]
+fn hedges_stay_within_the_budget() {
+    run(async {
+        let slow = |seen: &Seen| match seen.attempt {
+            1 if seen.number.is_multiple_of(4) => Act::After(ms(10)),
+            _ => Act::After(ms(1)),
+        };
+        let a = Fake::start(slow);
+        let b = Fake::start(slow);
+        let preset = Preset {
+            hedge_budget: 0.02,
+            hedge_quantile: 0.5,
+            hedge_min_ms: 1,
+            ..Preset::default()
+        };
+        let pool = pool(&[&a, &b], preset).await;
+        for number in 0..600 {
+            pool.part(job(number, 0, LONG)).await;
+        }
+        let counters = pool.counters();
+        assert!(counters.hedges > 0);
+        assert!(counters.hedges <= 12, "{counters:?}");
+    });
+}
+
+#[test]
+fn nothing_is_hedged_while_work_is_queued() {
+    run(async {
+        let a = Fake::start(|_| NOW);
+        let b = Fake::start(|_| NOW);
+        let pool = pool(&[&a, &b], Preset::default()).await;
+        warm(&pool).await;
+        a.behave(|_| Act::After(ms(30)));
+        b.behave(|_| Act::After(ms(30)));
+        let parts: Vec<_> = (0..24)
+            .map(|number| {
+                let pool = pool.clone();
+                monoio::spawn(async move { pool.part(job(number, 0, LONG)).await })
+            })
+            .collect();
+        sleep(ms(5)).await;
+        while pool.in_flight() > SLOTS {
+            assert_eq!(pool.counters().hedges, 0);
+            sleep(ms(1)).await;
+        }
+        let partials = join_all(parts).await;
+        assert!(partials.iter().all(|partial| partial.failure.is_none()));
+    });
+}
+
+#[test]
+fn retries_add_at_most_their_budget_in_an_outage() {
+    run(async {
+        let a = Fake::start(|_| Act::Status(499, r#"{"error":"cancelled"}"#));
+        let b = Fake::start(|_| Act::Status(499, r#"{"error":"cancelled"}"#));
+        let pool = pool(&[&a, &b], Preset::default()).await;
+        for number in 0..500 {
+            let partial = pool.part(job(number, 0, LONG)).await;
+            assert!(partial.failure.is_some());
+        }
+        let counters = pool.counters();
+        assert_eq!(counters.first, 500);
+        assert!(counters.retries > 0);
+        assert!(counters.retries <= 54, "{counters:?}");
+    });
+}
+
+#[test]
+fn service_that_sheds_everything_is_not_stormed() {
+    run(async {
+        let a = Fake::start(|_| Act::Status(503, r#"{"error":"shed"}"#));
+        let b = Fake::start(|_| Act::Status(503, r#"{"error":"shed"}"#));
+        let pool = pool(&[&a, &b], Preset::default()).await;
+        let parts = (0..200).map(|number| pool.part(job(number, 0, ms(300))));
+        for partial in join_all(parts).await {
+            let (_, not_run) = reason(&partial.failure).expect("a failure");
+            assert!(not_run);
+        }
+        assert!(a.count() + b.count() < 60, "{} {}", a.count(), b.count());
+    });
+}
+
+#[test]
+fn failed_part_is_tried_on_another_replica() {
+    run(async {
+        let a = Fake::start(|seen| match seen.attempt {
+            1 => Act::Close,
+            _ => NOW,
+        });
+        let b = Fake::start(|seen| match seen.attempt {
+            1 => Act::Close,
+            _ => NOW,
+        });
+        let pool = pool(&[&a, &b], Preset::default()).await;
+        let partial = pool.part(job(1, 0, LONG)).await;
+        assert_eq!(partial.failure, None);
+        assert_eq!((partial.first, partial.hedges, partial.retries), (1, 0, 1));
+        assert_eq!((a.count(), b.count()), (1, 1));
+    });
+}
+
+#[test]
+fn cancelled_part_ends_on_the_server() {
+    run(async {
+        let fake = Fake::start(|_| Act::Hang);
+        let pool = pool(&[&fake], Preset::default()).await;
+        let parts: Vec<_> = (0..3)
+            .map(|index| {
+                let pool = pool.clone();
+                monoio::spawn(async move { pool.part(job(1, index, LONG)).await })
+            })
+            .collect();
+        sleep(ms(10)).await;
+        pool.cancel(&CancelRequest {
+            request: job(1, 0, LONG).head.request,
+            attempt: 1,
+            parts: Vec::new(),
+        });
+        let outcomes: Vec<_> = join_all(parts)
+            .await
+            .iter()
+            .map(|partial| reason(&partial.failure))
+            .collect();
+        let ran = Some((Reason::Cancelled, false));
+        let queued = Some((Reason::Cancelled, true));
+        assert_eq!(outcomes, [ran, ran, queued]);
+        sleep(ms(20)).await;
+        assert_eq!(fake.busy.get(), 0);
+        assert_eq!(fake.count(), 2);
+        assert_eq!(fake.accepted.get(), 3);
+    });
+}
+
+#[test]
+fn expired_part_is_refused_at_once() {
+    run(async {
+        let fake = Fake::start(|_| NOW);
+        let pool = pool(&[&fake], Preset::default()).await;
+        let partial = pool.part(job(1, 0, Duration::ZERO)).await;
+        assert_eq!(reason(&partial.failure), Some((Reason::Deadline, true)));
+        assert_eq!(fake.count(), 0);
+    });
+}
+
+#[test]
+fn dead_server_is_left_alone() {
+    run(async {
+        let a = Fake::start(|_| Act::Close);
+        let b = Fake::start(|_| Act::After(ms(1)));
+        let preset = Preset {
+            retry_budget: 0.5,
+            ..Preset::default()
+        };
+        let pool = pool(&[&a, &b], preset).await;
+        for number in 0..300 {
+            pool.part(job(number, 0, LONG)).await;
+        }
+        assert!(a.count() < 15, "{}", a.count());
+    });
+}
