--- /dev/null
+++ b/crates/fleet/tests/membership.rs
@@ -0,0 +1,300 @@
+//! Members come, pause, fail and leave.
+
+mod common;
+
+use std::rc::Rc;
+
+use common::{
+    documents,
+    node::{
+        fleet_of,
+        Node, //
+    },
+    run,
+    store::Platform,
+    until, //
+};
+
+fn platform() -> Rc<Platform> {
+    let platform = Rc::new(Platform::default());
+    platform.put("presets", &documents::presets("ordinary"));
+    platform.put("catalog", &documents::catalog(40));
+    platform
+}
+
+async fn all_live(nodes: &[Node]) {
+    let count = nodes.len();
+    until("all see all live", || {
+        nodes.iter().all(|node| node.members("live").len() == count)
+    })
+    .await;
+}
+
+#[test]
+fn instances_of_the_platforms_list_find_each_other() {
+    run(async {
+        let platform = platform();
+        let nodes = fleet_of(&platform, 5);
+        all_live(&nodes).await;
+        let owners: Vec<String> = nodes
+            .iter()
+            .map(|node| node.owner("service-0001"))
+            .collect();
+        assert!(owners.iter().all(|owner| *owner == owners[0]), "{owners:?}");
+    });
+}
+
+#[test]
+fn services_of_a_crashed_member_move_and_come_back() {
+    run(async {
+        let platform = platform();
+        let mut nodes = fleet_of(&platform, 5);
+        all_live(&nodes).await;
+        let victim = nodes.pop().expect("a node");
+        let name = victim.member.name.clone();
+        let owned = victim.fleet.owned();
+        assert!(!owned.is_empty());
+        victim.crash();
+        until("nobody names it as an owner", || {
+            nodes
+                .iter()
+                .all(|node| owned.iter().all(|service| *node.owner(service) != *name))
+        })
+        .await;
+        let back = Node::start(&platform, &name, &[nodes[0].member.address]);
+        nodes.push(back);
+        until("all name it as before", || {
+            nodes
+                .iter()
+                .all(|node| owned.iter().all(|service| *node.owner(service) == *name))
+        })
+        .await;
+    });
+}
+
+#[test]
+fn a_paused_member_is_back_and_declares_nobody_failed() {
+    run(async {
+        let platform = platform();
+        let nodes = fleet_of(&platform, 5);
+        all_live(&nodes).await;
+        let (paused, others) = nodes.split_last().expect("nodes");
+        let name = paused.member.name.to_string();
+        paused.freeze();
+        until("all others have it failed", || {
+            others
+                .iter()
+                .all(|node| node.members("failed").contains(&name))
+        })
+        .await;
+        paused.thaw();
+        all_live(&nodes).await;
+        assert_eq!(paused.members("failed"), Vec::<String>::new());
+    });
+}
+
+#[test]
+fn a_short_pause_changes_no_owner() {
+    run(async {
+        let platform = platform();
+        let nodes = fleet_of(&platform, 5);
+        all_live(&nodes).await;
+        let (paused, others) = nodes.split_last().expect("nodes");
+        let name = paused.member.name.to_string();
+        let owned = paused.fleet.owned();
+        paused.freeze();
+        until("one suspects it", || {
+            others
+                .iter()
+                .any(|node| node.members("suspect").contains(&name))
+        })
+        .await;
+        for node in others {
+            for service in &owned {
+                let owners = node.fleet.owners(service);
+                assert_eq!(*owners[0].name, *name);
+                assert_ne!(*owners[1].name, *name);
+            }
+        }
+        paused.thaw();
+        all_live(&nodes).await;
+        let after = paused.fleet.owned();
+        assert_eq!(owned, after);
+    });
+}
+
+#[test]
+fn a_lagging_list_removes_nobody_and_leaves_the_dead_out() {
+    run(async {
+        let platform = platform();
+        let nodes = fleet_of(&platform, 4);
+        all_live(&nodes).await;
+        let dead = platform::Instance {
+            name: "node-99".into(),
+            address: "127.0.0.1:9".parse().expect("an address"),
+            zone: "zone-a".into(),
+            leaving: false,
+        };
+        platform.list_instances(vec![dead]);
+        let late = Node::start(&platform, "node-4", &[nodes[0].member.address]);
+        until("the late one reads the list and finds all", || {
+            late.members("live").len() == 5
+        })
+        .await;
+        all_live_but(&nodes, &[]).await;
+        for node in nodes.iter().chain([&late]) {
+            assert!(node.fleet.state()["counts"].get("failed").is_none());
+            let all = node.fleet.state()["members"].to_string();
+            assert!(!all.contains("node-99"));
+        }
+    });
+}
+
+async fn all_live_but(nodes: &[Node], names: &[&str]) {
+    until("all see the others live", || {
+        nodes.iter().all(|node| {
+            let live = node.members("live");
+            let expected = nodes.iter().map(|node| node.member.name.to_string());
+            let mut expected = expected.filter(|name| !names.contains(&&**name));
+            expected.all(|name| live.contains(&name))
+                && names.iter().all(|name| !live.contains(&(*name).to_owned()))
+        })
+    })
+    .await;
+}
+
+#[test]
+fn an_instance_that_the_platform_lists_as_leaving_owns_nothing_until_the_list_changes() {
+    run(async {
+        let platform = platform();
+        let nodes = fleet_of(&platform, 4);
+        all_live(&nodes).await;
+        let listed = |leaving| {
+            let lines = nodes.iter().map(Node::instance);
+            let lines = lines.map(|line| platform::Instance {
+                leaving: leaving && &*line.name == "node-2",
+                ..line
+            });
+            lines.collect()
+        };
+        platform.list_instances(listed(true));
+        until("all have it leaving and none names it", || {
+            nodes.iter().all(|node| {
+                node.members("leaving") == ["node-2"]
+                    && (0..40).all(|index| node.owner(&service(index)) != "node-2")
+            })
+        })
+        .await;
+        platform.list_instances(listed(false));
+        all_live(&nodes).await;
+        assert!(!nodes[2].fleet.owned().is_empty());
+    });
+}
+
+fn service(index: usize) -> String {
+    format!("service-{index:04}")
+}
+
+#[test]
+fn an_instance_that_an_operator_marks_as_leaving_owns_nothing() {
+    run(async {
+        let platform = platform();
+        let nodes = fleet_of(&platform, 4);
+        all_live(&nodes).await;
+        let marks = serde_json::json!({"instances": {"node-1": "leaving"}});
+        platform.put("marks", &marks);
+        until("none names it", || {
+            let indexes = 0..40;
+            indexes.into_iter().all(|index| {
+                let service = service(index);
+                nodes.iter().all(|node| node.owner(&service) != "node-1")
+            })
+        })
+        .await;
+        assert!(nodes[1].fleet.owned().is_empty());
+        platform.put("marks", &serde_json::json!({}));
+        until("it is back", || !nodes[1].fleet.owned().is_empty()).await;
+    });
+}
+
+#[test]
+fn a_member_that_leaves_hands_over_at_once_and_then_is_gone() {
+    run(async {
+        let platform = platform();
+        let nodes = fleet_of(&platform, 5);
+        all_live(&nodes).await;
+        let (leaver, others) = nodes.split_last().expect("nodes");
+        leaver.fleet.leave().await;
+        // Each peer heard it before `leave` returned.
+        for node in others {
+            assert_eq!(node.members("leaving"), ["node-4"]);
+            assert!((0..40).all(|index| node.owner(&service(index)) != "node-4"));
+        }
+        leaver.fleet.clone().close().await;
+        for node in others {
+            assert_eq!(node.members("left"), ["node-4"]);
+        }
+    });
+}
+
+#[test]
+fn a_pause_counts_for_no_suspicion_that_was_open_before_it() {
+    run(async {
+        let platform = platform();
+        let nodes = fleet_of(&platform, 5);
+        all_live(&nodes).await;
+        let (suspected, paused) = (&nodes[0], &nodes[1]);
+        let name = suspected.member.name.to_string();
+        suspected.freeze();
+        until("one suspects another", || {
+            paused.members("suspect").contains(&name)
+        })
+        .await;
+        paused.freeze();
+        suspected.thaw();
+        // Longer than any suspicion may last.
+        monoio::time::sleep(common::node::HEARTBEAT * 20).await;
+        paused.thaw();
+        until("it sees all live and declared nobody failed", || {
+            assert_eq!(paused.members("failed"), Vec::<String>::new());
+            paused.members("live").len() == nodes.len()
+        })
+        .await;
+    });
+}
+
+#[test]
+fn two_halves_that_lost_each_other_come_together_again() {
+    run(async {
+        let platform = platform();
+        let nodes = fleet_of(&platform, 6);
+        all_live(&nodes).await;
+        let (east, west) = nodes.split_at(3);
+        east.iter().for_each(|node| node.cut_from(west));
+        west.iter().for_each(|node| node.cut_from(east));
+        until("each half has the other failed", || {
+            nodes.iter().all(|node| node.members("failed").len() == 3)
+        })
+        .await;
+        platform.set_down(true);
+        let peak = documents::presets("peak");
+        east[0]
+            .fleet
+            .load("presets", 1_000, peak.to_string().as_bytes());
+        until("one half has the newer presets", || {
+            let has = |node: &Node| node.fleet.view().versions.presets == 1_000;
+            east.iter().all(has)
+        })
+        .await;
+        assert!(west
+            .iter()
+            .all(|node| node.fleet.view().versions.presets < 1_000));
+        nodes.iter().for_each(|node| node.cut_from(&[]));
+        all_live(&nodes).await;
+        until("all have the newer presets", || {
+            let has = |node: &Node| node.fleet.view().versions.presets == 1_000;
+            nodes.iter().all(has)
+        })
+        .await;
+    });
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -12,7 +12,10 @@
 //! assert!(!Failure::Conflict { current: 3 }.may_have_taken_effect());
 //! ```
 
+pub mod backoff;
+pub mod counters;
 pub mod http;
+mod path;
 pub mod store;
 
 pub use store::{
