--- a/crates/fleet/src/documents.rs
+++ b/crates/fleet/src/documents.rs
@@ -5,6 +5,7 @@
     time::Instant, //
 };
 
+use bytes::Bytes;
 use config::{
     Catalog,
     Marks,
@@ -45,7 +46,7 @@
 /// One of the documents, and the versions of it that were seen.
 #[derive(Debug, Default)]
 struct Slot {
-    body: Arc<[u8]>,
+    body: Bytes,
     version: u64,
     /// The version that was refused last, which isn't asked for again.
     refused: u64,
@@ -110,7 +111,7 @@
         .map(|(name, slot, _)| wire::Document {
             name: name.to_owned(),
             version: slot.version,
-            body: slot.body.to_vec().into(),
+            body: slot.body.clone(),
         })
         .collect()
     }
@@ -136,7 +137,7 @@
         };
         if let Some(slot) = self.slot(name) {
             slot.version = version;
-            slot.body = body.into();
+            slot.body = Bytes::copy_from_slice(body);
         }
         if name == Marks::NAME {
             let now = Instant::now();
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -193,6 +193,12 @@
         self.documents.borrow_mut().fresh(services.into_iter())
     }
 
+    /// Returns the time since this instance, or anyone it heard of, reached the platform; `None` if
+    /// nobody has.
+    pub fn platform_age(&self) -> Option<Duration> {
+        self.contact.age(Instant::now())
+    }
+
     /// Returns the names of the services that this instance owns.
     pub fn owned(&self) -> Vec<Arc<str>> {
         let ownership = self.ownership();
--- a/crates/fleet/src/pull.rs
+++ b/crates/fleet/src/pull.rs
@@ -3,12 +3,19 @@
 use std::{
     cell::Cell,
     net::SocketAddr,
+    pin::pin,
     time::{
         Duration,
         Instant, //
     },
 };
 
+use futures_util::{
+    select,
+    stream::FuturesUnordered,
+    FutureExt as _,
+    StreamExt as _, //
+};
 use monoio::time::timeout;
 use platform::Store;
 use wire::{
@@ -22,6 +29,8 @@
 
 /// Longest time that a peer may take.
 const TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after which another peer is asked beside one that hasn't answered.
+const PATIENCE: Duration = Duration::from_millis(200);
 /// Answers in a row with another digest after which the whole member table is fetched.
 const MISMATCHES_MAX: u32 = 6;
 /// Heartbeats between two fetches of the whole member table.
@@ -45,12 +54,22 @@
 }
 
 /// Fetches what is asked for until the future is dropped.
+///
+/// A fetch that takes longer than [`PATIENCE`] goes on beside the next one.
 pub(crate) async fn run<S: Store>(fleet: &Fleet<S>) {
+    let mut fetches = FuturesUnordered::new();
     loop {
-        let pull = fleet.pulls.next().await;
+        let pull = {
+            let mut next = pin!(fleet.pulls.next().fuse());
+            select! {
+                pull = next => pull,
+                () = fetches.select_next_some() => continue,
+            }
+        };
         let is_behind = fleet.documents.borrow().is_behind(&pull.versions);
         if pull.members || is_behind {
-            fetch(fleet, pull).await;
+            fetches.push(fetch(fleet, pull));
+            let _ = timeout(PATIENCE, fetches.next()).await;
         }
     }
 }
--- a/crates/fleet/tests/common/node.rs
+++ b/crates/fleet/tests/common/node.rs
@@ -63,6 +63,14 @@
 }
 
 impl Calls {
+    /// Holds the calls of those that the instance is cut from, and those of unknown callers.
+    async fn pass_cut(&self, sender: Option<&wire::Member>) {
+        let is_cut = |name: &Arc<str>| sender.is_none_or(|sender| sender.name == **name);
+        while self.cut.borrow().iter().any(is_cut) {
+            monoio::time::sleep(HEARTBEAT).await;
+        }
+    }
+
     async fn pass(&self) {
         CALLS.fetch_add(1, Ordering::Relaxed);
         while self.is_frozen.get() {
@@ -88,21 +96,19 @@
 
     async fn gossip(&self, message: GossipMessage) -> GossipMessage {
         self.pass().await;
-        let sender = message.sender.as_ref();
-        let is_cut = |name: &Arc<str>| sender.is_some_and(|sender| sender.name == **name);
-        while self.cut.borrow().iter().any(is_cut) {
-            monoio::time::sleep(HEARTBEAT).await;
-        }
+        self.pass_cut(message.sender.as_ref()).await;
         self.fleet.gossip(message)
     }
 
     async fn probe(&self, request: ProbeRequest) -> ProbeReply {
         self.pass().await;
+        self.pass_cut(None).await;
         self.fleet.probe(request).await
     }
 
     async fn sync(&self, request: SyncRequest) -> SyncReply {
         self.pass().await;
+        self.pass_cut(request.sender.as_ref()).await;
         self.fleet.sync(request)
     }
 }
