--- a/crates/bench/src/backends/mod.rs
+++ b/crates/bench/src/backends/mod.rs
@@ -40,17 +40,26 @@
     sizes::Spec, //
 };
 pub use self::{
-    fault::Change,
+    control::Switch,
+    fault::{
+        Change,
+        Garble, //
+    },
     log::{
+        now_us,
         Kind,
         Outcome,
         Record, //
     },
+    server::service_rate,
     sizes::{
-        User,
+        groups,
+        service,
+        singles,
         ZONES, //
     },
 };
+use crate::trace::profile::User;
 
 /// Settings of the backend servers.
 #[derive(Debug, Clone, clap::Args)]
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod client;
 pub mod demo;
 pub mod listen;
+pub mod plot;
+pub mod proxy;
 pub mod replay;
 pub mod report;
 pub mod runtime;
--- a/crates/bench/src/verify/log.rs
+++ b/crates/bench/src/verify/log.rs
@@ -5,9 +5,11 @@
         BTreeMap,
         BTreeSet, //
     },
+    net::SocketAddr,
     sync::Arc, //
 };
 
+use config::Catalog;
 use serde::{
     Deserialize,
     Serialize, //
@@ -157,6 +159,26 @@
     pub groups: BTreeMap<Arc<str>, Snapshots>,
     /// Presets documents that the platform accepted, where known.
     pub presets: Vec<Accepted>,
+    /// Addresses that are instances', not a balancer's.
+    pub instances: BTreeSet<SocketAddr>,
     /// Whether anything but planned stops happened to instances or connections.
     pub unplanned: bool,
 }
+
+impl Log {
+    /// Adds the shards of the snapshots that a catalog lists.
+    pub fn learn(&mut self, catalog: &Catalog) {
+        for (name, group) in &catalog.groups {
+            let snapshots = self.groups.entry(name.clone()).or_default();
+            for snapshot in &group.snapshots {
+                let shards = snapshot.shards.iter().map(|shard| shard.name.clone());
+                snapshots.insert(snapshot.number, shards.collect());
+            }
+        }
+    }
+
+    /// Returns whether entries may be lacking: some were dropped, or there is no log at all.
+    pub fn is_partial(&self) -> bool {
+        self.dropped > 0 || self.servers.is_empty()
+    }
+}
--- a/crates/tanageryoke/src/cli.rs
+++ b/crates/tanageryoke/src/cli.rs
@@ -6,6 +6,10 @@
     Parser,
     Subcommand, //
 };
+use error_stack::{
+    fmt::ColorMode,
+    Report, //
+};
 
 use crate::{
     commands,
@@ -31,6 +35,12 @@
     Check(configs::serve::Flags),
     /// Prints the state of a running instance.
     Dump(commands::dump::Flags),
+    /// Lists, checks, writes and chooses presets.
+    Preset(commands::preset::Flags),
+    /// Lists instances and marks them as joining or leaving.
+    Instance(commands::instance::Flags),
+    /// Lists backend servers and takes them out of service and back.
+    Backend(commands::backend::Flags),
 }
 
 impl Cli {
@@ -40,10 +50,20 @@
             Command::Serve(flags) => commands::serve::run(flags),
             Command::Check(flags) => commands::check::run(flags),
             Command::Dump(flags) => commands::dump::run(&flags),
+            Command::Preset(flags) => commands::preset::run(flags),
+            Command::Instance(flags) => commands::instance::run(flags),
+            Command::Backend(flags) => commands::backend::run(flags),
         };
         result.unwrap_or_else(|report| {
+            plain_reports();
             eprintln!("tanageryoke: {report:?}");
             ExitCode::FAILURE
         })
     }
 }
+
+/// Leaves places in the source and colours out of reports, as operators read them.
+fn plain_reports() {
+    Report::set_color_mode(ColorMode::None);
+    Report::install_debug_hook::<std::panic::Location<'static>>(|_, _| {});
+}
