fix(fleet): let another instance watch while the watchers can't reach the platform

With the watchers cut from the platform and others not, a change was seen only when a straggler happened to ask, and each answer silenced it again for 15 s. An instance that gets through while the watchers don't now watches for 120 heartbeats.

--- a/crates/fleet/src/watch.rs
+++ b/crates/fleet/src/watch.rs
@@ -31,17 +31,21 @@
 };
 
 /// Members that watch the platform, besides one for each doubling of the fleet.
-const WATCHERS: usize = 3;
+const WATCHERS: usize = 4;
 /// Seed of the order in which members are chosen to watch.
 const WATCHERS_SEED: u64 = 0x7761_7463;
+/// Heartbeats that a watch waits for a change.
+const WATCH_HEARTBEATS: u32 = 20;
 /// Longest time that a watch waits for a change.
-const WATCH: Duration = Duration::from_secs(10);
-/// Time between two reads of the list of instances.
-const LIST: Duration = Duration::from_secs(5);
-/// Time between two checks of whether it is this instance's turn.
-const CHECK: Duration = Duration::from_secs(1);
-/// Age of the last contact after which a member asks by itself.
-const STALE: Duration = Duration::from_secs(15);
+const WATCH_MAX: Duration = Duration::from_secs(30);
+/// Heartbeats between two reads of the list of instances.
+const LIST_HEARTBEATS: u32 = 10;
+/// Heartbeats between two checks of whether it is this instance's turn.
+const CHECK_HEARTBEATS: u32 = 2;
+/// Heartbeats since the last contact after which a member asks by itself.
+const STALE_HEARTBEATS: u32 = 16;
+/// Heartbeats that a member watches after it reached the platform while the watchers didn't.
+const ACTING_HEARTBEATS: u32 = 120;
 /// Wait of a watcher after its first failure.
 const BACKOFF_MIN: Duration = Duration::from_millis(250);
 /// Longest wait of a watcher after failures.
@@ -63,6 +67,14 @@
 }
 
 impl Turn {
+    /// Returns how long a watch may wait for a change.
+    fn wait(self, heartbeat: Duration) -> Duration {
+        match self {
+            Self::Watcher => (heartbeat * WATCH_HEARTBEATS).min(WATCH_MAX),
+            _ => Duration::ZERO,
+        }
+    }
+
     /// Returns whether the first try needs no wait: a watcher's, and that of an instance which has
     /// never heard of the platform.
     fn is_at_once<S: Store>(self, fleet: &Fleet<S>) -> bool {
@@ -74,30 +86,31 @@
 pub(crate) async fn documents<S: Store>(fleet: &Fleet<S>) {
     let mut revision = None;
     let mut failures = 0;
+    let mut acting: Option<Instant> = None;
     loop {
-        let turn = take_turn(fleet, failures).await;
-        let wait = match turn {
-            Turn::Watcher => WATCH,
-            _ => Duration::ZERO,
-        };
+        let turn = take_turn(fleet, failures, acting).await;
+        let is_cut_off = turn == Turn::Straggler && fleet.contact.age(Instant::now()).is_some();
+        let wait = turn.wait(fleet.settings.heartbeat);
         match news(fleet, revision, wait).await {
             Ok(listing) => {
                 failures = 0;
                 revision = Some(listing.revision);
-                fleet.contact.reached(Instant::now());
+                let now = Instant::now();
+                fleet.contact.reached(now);
+                if is_cut_off {
+                    acting = Some(now + fleet.settings.heartbeat * ACTING_HEARTBEATS);
+                }
                 take_in(fleet, &listing);
             }
             Err(failure) => {
                 tracing::warn!("fleet: documents can't be read: {failure}.");
                 failures += 1;
+                acting = None;
                 if failure == Failure::Compacted {
                     revision = None;
                 }
             }
         }
-        if turn == Turn::Straggler {
-            sleep(jittered(CHECK)).await;
-        }
     }
 }
 
@@ -117,7 +130,7 @@
                 is_listed = true;
                 fleet.contact.reached(Instant::now());
                 reconcile(fleet, &instances);
-                sleep(jittered(LIST)).await;
+                sleep(jittered(fleet.settings.heartbeat * LIST_HEARTBEATS)).await;
             }
             Err(failure) => {
                 tracing::warn!("fleet: instances can't be listed: {failure}.");
@@ -133,7 +146,7 @@
         sleep(backoff(fleet, Turn::Watcher, failures)).await;
     }
     while !is_watcher(fleet) {
-        sleep(jittered(CHECK)).await;
+        sleep(jittered(fleet.settings.heartbeat * CHECK_HEARTBEATS)).await;
     }
 }
 
@@ -141,14 +154,14 @@
 ///
 /// A straggler waits at random before it asks, and asks only if it still has to by then: when the
 /// platform comes back, the first that reaches it stops the others.
-async fn take_turn<S: Store>(fleet: &Fleet<S>, failures: u32) -> Turn {
+async fn take_turn<S: Store>(fleet: &Fleet<S>, failures: u32, acting: Option<Instant>) -> Turn {
     loop {
-        match turn(fleet) {
-            Turn::Nobody => sleep(jittered(CHECK)).await,
+        match turn(fleet, acting) {
+            Turn::Nobody => sleep(jittered(fleet.settings.heartbeat * CHECK_HEARTBEATS)).await,
             turn if failures == 0 && turn.is_at_once(fleet) => return turn,
             now => {
                 sleep(backoff(fleet, now, failures)).await;
-                if turn(fleet) == now {
+                if turn(fleet, acting) == now {
                     return now;
                 }
             }
@@ -226,10 +239,12 @@
     fleet.table.borrow().me().state == State::Leaving && !fleet.is_leaving.get()
 }
 
-fn turn<S: Store>(fleet: &Fleet<S>) -> Turn {
-    let age = fleet.contact.age(Instant::now());
-    let is_stale = age.is_none_or(|age| age > STALE);
-    match is_watcher(fleet) {
+fn turn<S: Store>(fleet: &Fleet<S>, acting: Option<Instant>) -> Turn {
+    let now = Instant::now();
+    let stale = fleet.settings.heartbeat * STALE_HEARTBEATS;
+    let is_stale = fleet.contact.age(now).is_none_or(|age| age > stale);
+    let is_acting = acting.is_some_and(|until| now < until);
+    match is_watcher(fleet) || is_acting {
         true => Turn::Watcher,
         false if is_stale || !fleet.view().is_ready() => Turn::Straggler,
         false => Turn::Nobody,
--- a/crates/fleet/tests/configuration.rs
+++ b/crates/fleet/tests/configuration.rs
@@ -185,3 +185,18 @@
         assert!(!fleet.view().marks.is_leaving("service-0003-a"));
     });
 }
+
+#[test]
+fn another_instance_watches_while_the_watchers_are_cut_from_the_platform() {
+    run(async {
+        let platform = platform();
+        let nodes = fleet_of(&platform, 12);
+        all_know_all(&nodes).await;
+        let watches = |node: &&Node| node.fleet.state()["is_watcher"] == true;
+        let watchers: Vec<&Node> = nodes.iter().filter(watches).collect();
+        assert_eq!(watchers.len(), 8);
+        watchers.iter().for_each(|node| node.link.set_cut(true));
+        platform.put("presets", &documents::presets("peak"));
+        all_have(&nodes, "peak").await;
+    });
+}
