--- a/crates/tanageryoke/src/commands/marks.rs
+++ b/crates/tanageryoke/src/commands/marks.rs
@@ -51,7 +51,7 @@
     };
     match target.json {
         true => output::print_json(&json!({ "name": name, "mark": mark, "version": version })),
-        false => println!("{name}: {}, version {version}", word(mark)),
+        false => output::print_line(&format!("{name}: {}, version {version}", word(mark))),
     }
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/tanageryoke/src/commands/output.rs
+++ b/crates/tanageryoke/src/commands/output.rs
@@ -1,6 +1,12 @@
 //! What the operators' commands print.
 
-use std::process::ExitCode;
+use std::{
+    io::{
+        self,
+        Write, //
+    },
+    process::ExitCode, //
+};
 
 use serde::Serialize;
 use serde_json::{
@@ -67,6 +73,11 @@
     }
 }
 
+/// Prints one line; a reader that went away is no failure.
+pub(crate) fn print_line(text: &str) {
+    let _ = writeln!(io::stdout(), "{text}");
+}
+
 /// Prints rows with their columns aligned.
 pub(crate) fn print_table<const N: usize>(rows: &[[String; N]]) {
     let width = |column: usize| {
@@ -78,7 +89,7 @@
         for (column, cell) in row.iter().enumerate() {
             line.push_str(&format!("{cell:<width$}  ", width = width(column)));
         }
-        println!("{}", line.trim_end());
+        print_line(line.trim_end());
     }
 }
 
@@ -94,5 +105,5 @@
 /// Prints a value as indented JSON.
 pub(crate) fn print_json<T: Serialize>(value: &T) {
     let value = serde_json::to_value(value).unwrap_or_default();
-    println!("{value:#}");
+    print_line(&format!("{value:#}"));
 }
--- a/crates/tanageryoke/src/commands/preset.rs
+++ b/crates/tanageryoke/src/commands/preset.rs
@@ -181,7 +181,7 @@
         rows.push([name.to_string(), mark.to_owned()]);
     }
     output::print_table(&rows);
-    println!("version {}", presets.version);
+    output::print_line(&format!("version {}", presets.version));
     Ok(ExitCode::SUCCESS)
 }
 
@@ -192,10 +192,10 @@
     };
     match target.json {
         true => output::print_json(preset),
-        false => print!(
-            "{}",
-            toml::to_string(&**preset).change_context(Error::Document)?
-        ),
+        false => {
+            let text = toml::to_string(&**preset).change_context(Error::Document)?;
+            output::print_line(text.trim_end());
+        }
     }
     Ok(ExitCode::SUCCESS)
 }
@@ -203,7 +203,7 @@
 fn check(target: &Target, path: &Path) -> Result<ExitCode, Report<Error>> {
     match load(path)? {
         Ok(_) if target.json => output::print_json(&json!({ "valid": true })),
-        Ok(_) => println!("{}: valid", path.display()),
+        Ok(_) => output::print_line(&format!("{}: valid", path.display())),
         Err(faults) => return Ok(refused(target, &Refusal::Faults(faults))),
     }
     Ok(ExitCode::SUCCESS)
@@ -307,10 +307,8 @@
         }));
         return;
     }
-    println!(
-        "written as version {version}, in force: {}",
-        presets.in_force
-    );
+    let name = &presets.in_force;
+    output::print_line(&format!("version {version}, in force: {name}"));
     reach.iter().for_each(Reach::print);
 }
 
--- a/crates/tanageryoke/src/commands/race.rs
+++ b/crates/tanageryoke/src/commands/race.rs
@@ -50,8 +50,10 @@
     }
     eprintln!("refused: {told}");
     match (headline, version) {
-        (Some(headline), Some(version)) => println!("{headline}, version {version}"),
-        _ => println!("what holds now can't be read"),
+        (Some(headline), Some(version)) => {
+            output::print_line(&format!("{headline}, version {version}"))
+        }
+        _ => output::print_line("what holds now can't be read"),
     }
     output::print_changes(&changes);
     Err(ExitCode::FAILURE)
--- a/crates/tanageryoke/src/commands/reach.rs
+++ b/crates/tanageryoke/src/commands/reach.rs
@@ -71,7 +71,7 @@
             not_yet.map(|(name, has)| [name.clone(), "not yet".to_owned(), has.to_string()]),
         );
         match rows.len() {
-            1 => println!("No instance could be asked; name one with --instance."),
+            1 => output::print_line("No instance could be asked; name one with --instance."),
             _ => output::print_table(&rows),
         }
     }
