--- a/crates/ledger/tests/common/explore.rs
+++ b/crates/ledger/tests/common/explore.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::RefCell,
+    ops::RangeInclusive,
     rc::Rc,
     time::Duration, //
 };
@@ -15,10 +16,12 @@
 use super::{
     node,
     request,
-    world::{
+    step::{
         Faults,
-        World, //
+        Step, //
     },
+    tasks::Owner,
+    world::World,
     Side, //
 };
 
@@ -116,13 +119,16 @@
 pub(crate) fn run(scenario: Scenario<'_>, choose: &mut impl Choose) -> Report {
     let world = World::new(scenario.faults, scenario.unconditional);
     let replies = Replies::default();
-    let nodes = ["a", "b"].map(|name| node(&world, name));
+    // The third is the first one, started again.
+    let nodes = [(0, "a"), (1, "b"), (2, "a")];
+    let nodes = nodes.map(|(number, name)| node(&world, number, name));
     for (index, act) in scenario.acts.iter().enumerate() {
         let id = index as u8;
-        let (node, id, settles) = match *act {
-            Act::Call(at) | Act::Later(at) | Act::Other(at) => (nodes[at].clone(), id, false),
-            Act::Settle(at, of) => (nodes[at].clone(), of as u8, true),
+        let (at, id, settles) = match *act {
+            Act::Call(at) | Act::Later(at) | Act::Other(at) => (at, id, false),
+            Act::Settle(at, of) => (at, of as u8, true),
         };
+        let node = nodes[at].clone();
         let replies = replies.clone();
         let is_other = matches!(act, Act::Other(_));
         let clock = world.clone();
@@ -138,11 +144,11 @@
             }
         });
         match act {
-            Act::Later(_) | Act::Other(_) => world.arrive(caller),
-            _ => world.spawn(caller),
+            Act::Later(_) | Act::Other(_) => world.arrive(Owner::Caller(at), caller),
+            _ => world.tasks.spawn(Owner::Caller(at), caller),
         }
     }
-    world.settle();
+    world.tasks.settle();
     let mut trail = Vec::new();
     loop {
         let steps = world.steps();
@@ -154,9 +160,7 @@
         world.take(step);
     }
     let executed = world.executions.borrow().len();
-    let is_other = |act: &&Act| matches!(act, Act::Other(_));
-    let others = scenario.acts.iter().filter(is_other).count();
-    let callers = scenario.acts.len() - others;
+    let callers = answered(scenario.acts, &trail);
     let mut violations = world.violations.borrow().clone();
     violations.extend(judge(&world, &replies.borrow(), callers));
     if !violations.is_empty() {
@@ -170,8 +174,25 @@
     }
 }
 
+/// Returns how many callers have to be answered, where some may have lost their instance or gone.
+fn answered(acts: &[Act], trail: &[Step]) -> RangeInclusive<usize> {
+    let counts = |act: &&Act| !matches!(act, Act::Other(_));
+    let callers = acts.iter().filter(counts).count();
+    let of_first = |act: &&Act| matches!(act, Act::Call(0) | Act::Later(0) | Act::Settle(0, _));
+    let unanswered = match (trail.contains(&Step::Crash), trail.contains(&Step::Cancel)) {
+        (true, _) => acts.iter().filter(of_first).count(),
+        (false, true) => 1,
+        (false, false) => 0,
+    };
+    callers - unanswered..=callers
+}
+
 /// Compares what callers were told with what the backend server ran.
-fn judge(world: &World, replies: &[(u8, CallReply)], callers: usize) -> Vec<String> {
+fn judge(
+    world: &World,
+    replies: &[(u8, CallReply)],
+    callers: RangeInclusive<usize>,
+) -> Vec<String> {
     let executions = world.executions.borrow();
     let executions = executions.iter().filter(|ran| ran.key == KEY);
     let executions = executions.collect::<Vec<_>>();
@@ -179,8 +200,8 @@
     if executions.len() > 1 {
         found.push(format!("ran {} times", executions.len()));
     }
-    if replies.len() != callers {
-        found.push(format!("{} of {callers} replies", replies.len()));
+    if !callers.contains(&replies.len()) {
+        found.push(format!("{} of {callers:?} replies", replies.len()));
     }
     let outcomes = world.outcomes(KEY);
     if outcomes.contains(&Outcome::Void) && !executions.is_empty() {
--- a/crates/ledger/tests/common/mod.rs
+++ b/crates/ledger/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A store, a backend server and a clock whose every step is chosen by the test.
 
 pub(crate) mod explore;
+pub(crate) mod step;
+pub(crate) mod tasks;
 pub(crate) mod world;
 
 use std::{
@@ -33,17 +35,18 @@
     Head, //
 };
 
+use tasks::Owner;
 use world::World;
 
-/// One instance's side of the world.
+/// One instance's side of the world, and the instance's number.
 #[derive(Clone)]
-pub(crate) struct Side(pub(crate) Rc<World>);
+pub(crate) struct Side(pub(crate) Rc<World>, pub(crate) usize);
 
 pub(crate) type Node = Rc<Ledger<Side, Side, Side>>;
 
 /// Makes an instance in `world`.
-pub(crate) fn node(world: &Rc<World>, name: &str) -> Node {
-    let side = Rc::new(Side(world.clone()));
+pub(crate) fn node(world: &Rc<World>, number: usize, name: &str) -> Node {
+    let side = Rc::new(Side(world.clone(), number));
     Ledger::with_runtime(side.clone(), side.clone(), name.into(), side)
 }
 
@@ -85,13 +88,13 @@
     }
 
     fn spawn(&self, task: impl Future<Output = ()> + 'static) {
-        self.0.spawn(Box::pin(task));
+        self.0.tasks.spawn(Owner::Instance(self.1), Box::pin(task));
     }
 }
 
 impl Store for Side {
     async fn read(&self, _: &str, name: &str) -> Result<Option<Object>, Failure> {
-        self.0.read(name).await
+        self.0.read(self.1, name).await
     }
 
     async fn list(&self, _: &str) -> Result<Listing, Failure> {
@@ -105,7 +108,7 @@
         expected: u64,
         value: &RawValue,
     ) -> Result<u64, Failure> {
-        self.0.write(name, expected, value).await
+        self.0.write(self.1, name, expected, value).await
     }
 
     async fn watch(&self, _: &str, _: u64, _: Duration) -> Result<Listing, Failure> {
--- a/crates/ledger/tests/common/world.rs
+++ b/crates/ledger/tests/common/world.rs
@@ -10,18 +10,6 @@
         VecDeque, //
     },
     rc::Rc,
-    sync::{
-        atomic::{
-            AtomicBool,
-            Ordering, //
-        },
-        Arc, //
-    },
-    task::{
-        Context,
-        Wake,
-        Waker, //
-    },
     time::{
         Duration,
         Instant, //
@@ -41,6 +29,17 @@
     Object, //
 };
 use serde_json::value::RawValue;
+
+use super::{
+    step::{
+        Faults,
+        Step, //
+    },
+    tasks::{
+        Owner,
+        Tasks, //
+    },
+};
 use wire::{
     CallReply,
     CallRequest,
@@ -55,53 +54,6 @@
 /// A time past the window.
 const SKIP: Duration = Duration::from_secs(20 * 60);
 
-/// One step that the world can take next.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Step {
-    /// The store carries out a request and replies.
-    Apply(usize),
-    /// The same, but the reply is held up.
-    Hold(usize),
-    /// The same, but the reply is lost.
-    Lose(usize),
-    /// The reply is reported lost and the write is still on its way.
-    Late(usize),
-    /// The store refuses a request.
-    Down(usize),
-    /// A held reply arrives.
-    Release(usize),
-    /// A write that was on its way arrives.
-    Land(usize),
-    /// The backend server runs a call and replies.
-    Run(usize),
-    /// The same, but the reply is lost.
-    Break(usize),
-    /// The backend server refuses a call.
-    Refuse(usize),
-    /// The next caller arrives.
-    Arrive,
-    /// Time passes up to the next timer.
-    Tick,
-    /// Time passes up to the callers' deadlines.
-    Jump,
-    /// The time of day leaves the window, and the monotonic clock stands still.
-    Skip,
-}
-
-/// How many faults of each kind a run may meet.
-#[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct Faults {
-    pub(crate) pauses: u32,
-    pub(crate) losses: u32,
-    pub(crate) outages: u32,
-    pub(crate) breaks: u32,
-    pub(crate) refusals: u32,
-    /// Timers that may fire although the store or the server could act.
-    pub(crate) ticks: u32,
-    pub(crate) jumps: u32,
-    pub(crate) skips: u32,
-}
-
 enum Ask {
     Read(oneshot::Sender<Result<Option<Object>, Failure>>),
     Write {
@@ -116,19 +68,6 @@
     Held(Box<dyn FnOnce()>),
 }
 
-struct Task {
-    future: Option<LocalBoxFuture<'static, ()>>,
-    flag: Arc<Flag>,
-}
-
-struct Flag(AtomicBool);
-
-impl Wake for Flag {
-    fn wake(self: Arc<Self>) {
-        self.0.store(true, Ordering::Relaxed);
-    }
-}
-
 /// A call that was run by the backend server.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct Execution {
@@ -147,12 +86,12 @@
     next: Cell<usize>,
     version: Cell<u64>,
     objects: RefCell<BTreeMap<String, Object>>,
-    asks: RefCell<BTreeMap<usize, (String, Ask)>>,
+    /// Requests to the store by number: the instance, the object and what is asked.
+    asks: RefCell<BTreeMap<usize, (usize, String, Ask)>>,
     sends: RefCell<BTreeMap<usize, (CallRequest, oneshot::Sender<CallReply>)>>,
-    arrivals: RefCell<VecDeque<LocalBoxFuture<'static, ()>>>,
+    arrivals: RefCell<VecDeque<(Owner, LocalBoxFuture<'static, ()>)>>,
     timers: RefCell<BTreeMap<(Duration, usize), oneshot::Sender<()>>>,
-    tasks: RefCell<Vec<Task>>,
-    spawned: RefCell<Vec<Task>>,
+    pub(crate) tasks: Tasks,
     pub(crate) executions: RefCell<Vec<Execution>>,
     pub(crate) violations: RefCell<Vec<String>>,
 }
@@ -172,8 +111,7 @@
             sends: RefCell::default(),
             arrivals: RefCell::default(),
             timers: RefCell::default(),
-            tasks: RefCell::default(),
-            spawned: RefCell::default(),
+            tasks: Tasks::default(),
             executions: RefCell::default(),
             violations: RefCell::default(),
         })
@@ -188,16 +126,9 @@
         START_MS + passed.as_millis() as u64
     }
 
-    pub(crate) fn spawn(&self, future: LocalBoxFuture<'static, ()>) {
-        self.spawned.borrow_mut().push(Task {
-            future: Some(future),
-            flag: Arc::new(Flag(AtomicBool::new(true))),
-        });
-    }
-
     /// Runs `future` when the next caller arrives.
-    pub(crate) fn arrive(&self, future: LocalBoxFuture<'static, ()>) {
-        self.arrivals.borrow_mut().push_back(future);
+    pub(crate) fn arrive(&self, owner: Owner, future: LocalBoxFuture<'static, ()>) {
+        self.arrivals.borrow_mut().push_back((owner, future));
     }
 
     pub(crate) fn timer(&self, duration: Duration) -> oneshot::Receiver<()> {
@@ -207,14 +138,15 @@
         receiver
     }
 
-    pub(crate) async fn read(&self, name: &str) -> Result<Option<Object>, Failure> {
+    pub(crate) async fn read(&self, from: usize, name: &str) -> Result<Option<Object>, Failure> {
         let (sender, receiver) = oneshot::channel();
-        self.ask(name, Ask::Read(sender));
+        self.ask(from, name, Ask::Read(sender));
         receiver.await.unwrap_or(Err(Failure::Lost))
     }
 
     pub(crate) async fn write(
         &self,
+        from: usize,
         name: &str,
         expected: u64,
         value: &RawValue,
@@ -222,6 +154,7 @@
         let (reply, receiver) = oneshot::channel();
         let value = value.to_owned();
         self.ask(
+            from,
             name,
             Ask::Write {
                 expected,
@@ -265,49 +198,12 @@
         entries.filter_map(|(_, entry)| entry.outcome).collect()
     }
 
-    /// Polls every task that was woken until none is.
-    pub(crate) fn settle(&self) {
-        loop {
-            self.tasks
-                .borrow_mut()
-                .append(&mut self.spawned.borrow_mut());
-            let mut idle = true;
-            let count = self.tasks.borrow().len();
-            for index in 0..count {
-                idle &= !self.poll(index);
-            }
-            if idle && self.spawned.borrow().is_empty() {
-                return;
-            }
-        }
-    }
-
-    fn poll(&self, index: usize) -> bool {
-        let (future, flag) = {
-            let mut tasks = self.tasks.borrow_mut();
-            let task = &mut tasks[index];
-            match task.flag.0.swap(false, Ordering::Relaxed) {
-                true => (task.future.take(), task.flag.clone()),
-                false => return false,
-            }
-        };
-        let Some(mut future) = future else {
-            return false;
-        };
-        let waker = Waker::from(flag);
-        let polled = future.as_mut().poll(&mut Context::from_waker(&waker));
-        if polled.is_pending() {
-            self.tasks.borrow_mut()[index].future = Some(future);
-        }
-        true
-    }
-
     /// Returns the steps that can be taken, the plainest first.
     pub(crate) fn steps(&self) -> Vec<Step> {
         let faults = self.faults.get();
         let mut plain = Vec::new();
         let mut faulty = Vec::new();
-        for (&id, (_, ask)) in &*self.asks.borrow() {
+        for (&id, (_, _, ask)) in &*self.asks.borrow() {
             match ask {
                 Ask::Held(_) => plain.push(Step::Release(id)),
                 Ask::Ghost { .. } => faulty.push(Step::Land(id)),
@@ -336,6 +232,12 @@
         {
             faulty.push(Step::Tick);
         }
+        if faults.crashes > 0 && !plain.is_empty() {
+            faulty.push(Step::Crash);
+        }
+        if faults.cancels > 0 && self.tasks.has_caller() {
+            faulty.push(Step::Cancel);
+        }
         if faults.jumps > 0 && !plain.is_empty() {
             faulty.push(Step::Jump);
         }
@@ -353,30 +255,23 @@
     /// Takes one step and lets the instances go as far as they can.
     pub(crate) fn take(&self, step: Step) {
         let mut faults = self.faults.get();
-        match step {
-            Step::Hold(_) => faults.pauses -= 1,
-            Step::Lose(_) | Step::Late(_) => faults.losses -= 1,
-            Step::Down(_) => faults.outages -= 1,
-            Step::Break(_) => faults.breaks -= 1,
-            Step::Refuse(_) => faults.refusals -= 1,
-            Step::Jump => faults.jumps -= 1,
-            Step::Skip => faults.skips -= 1,
-            Step::Tick => faults.ticks = faults.ticks.saturating_sub(1),
-            _ => {}
-        }
+        faults.spend(step);
         self.faults.set(faults);
         match step {
             Step::Arrive => {
                 let arrival = self.arrivals.borrow_mut().pop_front();
-                arrival.into_iter().for_each(|future| self.spawn(future));
+                let arrival = arrival.into_iter();
+                arrival.for_each(|(owner, future)| self.tasks.spawn(owner, future));
             }
+            Step::Crash => self.crash(),
+            Step::Cancel => self.tasks.cancel(),
             Step::Tick => self.tick(),
             Step::Jump => self.jump(JUMP),
             Step::Skip => self.skipped.set(self.skipped.get() + SKIP),
             Step::Run(id) | Step::Break(id) | Step::Refuse(id) => self.serve(id, step),
             _ => self.answer(step),
         }
-        self.settle();
+        self.tasks.settle();
     }
 
     fn answer(&self, step: Step) {
@@ -390,7 +285,7 @@
         else {
             return;
         };
-        let Some((name, ask)) = self.asks.borrow_mut().remove(&id) else {
+        let Some((from, name, ask)) = self.asks.borrow_mut().remove(&id) else {
             return;
         };
         let reply: Box<dyn FnOnce()> = match ask {
@@ -415,7 +310,9 @@
                     Step::Down(_) => Err(Failure::Unavailable),
                     Step::Late(_) => {
                         let ghost = Ask::Ghost { expected, value };
-                        self.asks.borrow_mut().insert(id, (name.clone(), ghost));
+                        self.asks
+                            .borrow_mut()
+                            .insert(id, (from, name.clone(), ghost));
                         Err(Failure::Lost)
                     }
                     Step::Lose(_) => {
@@ -431,7 +328,9 @@
         };
         match step {
             Step::Hold(_) => {
-                self.asks.borrow_mut().insert(id, (name, Ask::Held(reply)));
+                self.asks
+                    .borrow_mut()
+                    .insert(id, (from, name, Ask::Held(reply)));
             }
             _ => reply(),
         }
@@ -505,6 +404,25 @@
         }
     }
 
+    /// Nothing of the first instance runs any more, not even what its values do when dropped. Its
+    /// writes and its sends may still arrive.
+    fn crash(&self) {
+        self.tasks.crash();
+        let mut asks = self.asks.borrow_mut();
+        for (id, (from, name, ask)) in std::mem::take(&mut *asks) {
+            match ask {
+                Ask::Write {
+                    expected, value, ..
+                } if from == 0 => {
+                    let ghost = Ask::Ghost { expected, value };
+                    asks.insert(id, (from, name, ghost));
+                }
+                Ask::Read(_) | Ask::Held(_) if from == 0 => {}
+                ask => drop(asks.insert(id, (from, name, ask))),
+            }
+        }
+    }
+
     fn tick(&self) {
         let first = self.timers.borrow().keys().next().copied();
         if let Some((at, id)) = first {
@@ -532,9 +450,10 @@
         !timers.is_empty()
     }
 
-    fn ask(&self, name: &str, ask: Ask) {
+    fn ask(&self, from: usize, name: &str, ask: Ask) {
         let id = self.id();
-        self.asks.borrow_mut().insert(id, (name.to_owned(), ask));
+        let ask = (from, name.to_owned(), ask);
+        self.asks.borrow_mut().insert(id, ask);
     }
 
     /// Returns a number that wasn't returned before.
--- a/crates/ledger/tests/model.rs
+++ b/crates/ledger/tests/model.rs
@@ -13,10 +13,9 @@
         KEY, //
     },
     node, request,
-    world::{
-        Faults,
-        World, //
-    },
+    step::Faults,
+    tasks::Owner,
+    world::World,
 };
 use wire::Reason;
 
@@ -31,6 +30,7 @@
 const PAUSED: &[Act] = &[Act::Later(0), Act::Settle(1, 0)];
 const RELEASED: &[Act] = &[Act::Call(0), Act::Later(0), Act::Settle(1, 1)];
 const SWEPT: &[Act] = &[Act::Call(0), Act::Call(1), Act::Other(0)];
+const RESTARTED: &[Act] = &[Act::Call(0), Act::Later(2)];
 const AGAIN: &[Act] = &[Act::Call(0), Act::Later(1), Act::Later(0)];
 
 const NONE: Faults = Faults {
@@ -42,6 +42,8 @@
     ticks: 0,
     jumps: 0,
     skips: 0,
+    crashes: 0,
+    cancels: 0,
 };
 
 fn explored(acts: &[Act], faults: Faults, unconditional: bool) -> Report {
@@ -132,6 +134,22 @@
     holds(RELEASED, faults);
 }
 
+#[test]
+fn claimants_and_a_crash() {
+    let faults = Faults { crashes: 1, ..NONE };
+    holds(TWO, faults);
+    holds(SETTLED, faults);
+    holds(RESTARTED, faults);
+}
+
+#[test]
+fn claimants_and_a_caller_who_goes_away() {
+    let faults = Faults { cancels: 1, ..NONE };
+    holds(LATER, faults);
+    holds(AGAIN, faults);
+    holds(SETTLED, faults);
+}
+
 #[test]
 fn a_store_without_conditions_is_caught() {
     let report = explored(TWO, NONE, true);
@@ -160,7 +178,8 @@
         refusals: 2,
         ticks: 6,
         jumps: 1,
-        skips: 0,
+        cancels: 1,
+        ..NONE
     };
     let acts = [
         Act::Call(0),
@@ -190,14 +209,17 @@
         ledger::Ledger::<common::Side, common::Side>::partition(KEY)
     );
     world.put(&name, "{\"floor_ms\":\"none\"}");
-    let node = node(&world, "a");
+    let node = node(&world, 0, "a");
     let told = std::rc::Rc::new(std::cell::RefCell::new(None));
     let deadline = world.now() + common::explore::BUDGET;
     let heard = told.clone();
-    world.spawn(Box::pin(async move {
-        *heard.borrow_mut() = Some(node.call(request(0, KEY), deadline).await);
-    }));
-    world.settle();
+    world.tasks.spawn(
+        Owner::Caller(0),
+        Box::pin(async move {
+            *heard.borrow_mut() = Some(node.call(request(0, KEY), deadline).await);
+        }),
+    );
+    world.tasks.settle();
     while let Some(step) = world.steps().first().copied() {
         world.take(step);
     }
