--- a/crates/bench/src/report/summary.rs
+++ b/crates/bench/src/report/summary.rs
@@ -31,6 +31,7 @@
         Outcome,
     },
     verify::{
+        log::End,
         Log,
         Promise,
         Verdict,
@@ -116,6 +117,8 @@
     pub faults: BTreeMap<Fault, u64>,
     /// Missing shards by stated reason.
     pub missing: BTreeMap<Arc<str>, u64>,
+    /// Sub-requests by how they ended on a backend server.
+    pub ends: BTreeMap<End, u64>,
     /// Figures by group or service.
     pub targets: BTreeMap<Arc<str>, Target>,
     /// Entries that the backend servers' log had no room for.
@@ -169,6 +172,9 @@
         .iter()
         .map(|(at, tally)| tally.second(*at))
         .collect();
+    for end in log.records.iter().filter_map(|entry| entry.outcome) {
+        *summary.ends.entry(end).or_default() += 1;
+    }
     summary.log_dropped = log.dropped;
     summary.partial_log = verdict.partial;
     summary.violations = verdict.counts();
--- a/crates/bench/src/verify/log.rs
+++ b/crates/bench/src/verify/log.rs
@@ -5,6 +5,7 @@
         BTreeMap,
         BTreeSet, //
     },
+    fmt,
     net::SocketAddr,
     sync::Arc, //
 };
@@ -18,7 +19,7 @@
 use crate::trace::Kind;
 
 /// How a request ended on a backend server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum End {
     /// It ran and was answered.
@@ -37,6 +38,27 @@
     Broken,
 }
 
+impl End {
+    /// Returns the name that reports use.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Cancelled => "cancelled",
+            Self::Shed => "shed",
+            Self::Deadline => "deadline",
+            Self::Snapshot => "snapshot",
+            Self::Draining => "draining",
+            Self::Broken => "broken",
+        }
+    }
+}
+
+impl fmt::Display for End {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
 /// One request on one backend server.
 ///
 /// Times are in microseconds since the Unix epoch.
--- a/crates/bench/src/verify/mod.rs
+++ b/crates/bench/src/verify/mod.rs
@@ -68,6 +68,7 @@
         hits::check(record, log, &mut violations);
         coverage::check(record, &index, &mut violations);
         once::check_refusal(record, &index, &mut violations);
+        once::check_finished(record, &index, &mut violations);
         caller::check_cut(record, log, &mut violations);
     }
     answer::check_single(records, &mut violations);
--- a/crates/bench/src/verify/once.rs
+++ b/crates/bench/src/verify/once.rs
@@ -7,15 +7,21 @@
         Index,
         Key, //
     },
-    log::Entry,
+    log::{
+        End,
+        Entry, //
+    },
     violation::{
         Finding,
         Violation, //
     },
 };
-use crate::replay::{
-    record::Run,
-    Record, //
+use crate::{
+    replay::{
+        record::Run,
+        Record, //
+    },
+    trace::Kind,
 };
 
 /// Checks that a request that was refused as not run was not run, over the whole log.
@@ -55,6 +61,19 @@
     send.is_some_and(|send| send.sent_us > refused.answered_us)
 }
 
+/// Checks that an answered call was finished by a backend server, for this send or its key.
+pub(super) fn check_finished(record: &Record, index: &Index<'_>, violations: &mut Vec<Violation>) {
+    if record.kind != Kind::Call || !record.is_answered() || !index.complete {
+        return;
+    }
+    let own = index.request(record.logged()).iter();
+    let key = record.key.as_deref().and_then(|key| index.key(key));
+    let mut all = own.chain(key.into_iter().flat_map(|key| &key.starts));
+    if !all.any(|entry| entry.outcome == Some(End::Done)) {
+        violations.push(Violation::new(&record.request, Finding::Invented));
+    }
+}
+
 /// Checks that each key was started at most once and has one outcome.
 pub(super) fn check_keys(index: &Index<'_>, violations: &mut Vec<Violation>) {
     for (key, known) in index.keys() {
--- a/crates/bench/src/verify/violation.rs
+++ b/crates/bench/src/verify/violation.rs
@@ -133,6 +133,8 @@
         /// Request id in the answer.
         found: Box<str>,
     },
+    /// A call is answered with a result, but no backend server finished it.
+    Invented,
     /// An answer doesn't repeat the caller's request id.
     Unechoed,
     /// The hits of a part aren't those of its shard, snapshot and query.
@@ -239,6 +241,7 @@
             Self::WrongRequest { .. }
             | Self::WrongPart { .. }
             | Self::WrongShard { .. }
+            | Self::Invented
             | Self::Unechoed
             | Self::WrongHits { .. }
             | Self::WrongMerge
--- a/crates/bench/tests/report.rs
+++ b/crates/bench/tests/report.rs
@@ -75,9 +75,10 @@
     let start = |request: &str| {
         json!({
             "server": "a", "kind": "query", "request": request, "arrived_us": 1, "started_us": 2,
+            "outcome": "done",
         })
     };
-    let queued = json!({"server": "a", "kind": "query", "request": "r0.1", "arrived_us": 1});
+    let queued = json!({"server": "a", "kind": "query", "request": "r0.1", "arrived_us": 1, "outcome": "shed"});
     serde_json::from_value(json!({
         "records": [start("r0.1"), start("r0.1"), start("r1.1"), start("r3.1"), queued],
         "servers": [{"name": "a"}],
--- a/crates/bench/tests/verify.rs
+++ b/crates/bench/tests/verify.rs
@@ -231,7 +231,10 @@
     }),
 ];
 
-const CALLS: [(&str, Change); 9] = [
+const CALLS: [(&str, Change); 10] = [
+    ("answered call that no server finished", |case| {
+        case.log.records[2].outcome = None;
+    }),
     ("refused query that started", |case| {
         refuse(&mut case.records[0], Run::NotRun);
     }),
