--- a/crates/bench/src/demo/mod.rs
+++ b/crates/bench/src/demo/mod.rs
@@ -46,10 +46,13 @@
 use self::{
     cluster::Cluster,
     failure::Failure,
-    summary::Summary, //
+    summary::{
+        Baseline,
+        Summary, //
+    },
 };
 use crate::{
-    report::Output,
+    report,
     trace::profile::{
         Phase,
         User, //
@@ -68,20 +71,20 @@
     /// Number of instances.
     #[arg(long, default_value_t = 7)]
     pub instances: usize,
-    /// Length of the replay, in seconds.
+    /// Length of the replay, in seconds; the rest of a trace file is left out.
     #[arg(long, default_value_t = 20)]
     pub seconds: u64,
-    /// Requests a second.
+    /// Requests a second of the generated trace.
     #[arg(long, default_value_t = 100.0)]
     pub rate: f64,
-    /// Seed of every random choice.
+    /// Seed of the generated trace and of the backend servers.
     #[arg(long, default_value_t = 1)]
     pub seed: u64,
     /// Faults during the replay; one that is named twice happens twice.
     #[arg(long, value_enum)]
     pub fault: Vec<fault::Name>,
-    /// Trace to replay in place of a generated one; `seconds` bounds it.
-    #[arg(long, conflicts_with_all = ["rate", "mix"])]
+    /// Trace file to replay in place of a generated one.
+    #[arg(long)]
     pub trace: Option<PathBuf>,
     /// Phases of the generated trace, as for `bench trace generate`.
     #[arg(long, value_delimiter = ',', default_value = "ordinary=1")]
@@ -89,9 +92,9 @@
     /// Shows a progress bar.
     #[arg(long)]
     pub progress: bool,
-    /// What becomes of the report.
+    /// Form and use of the report.
     #[command(flatten)]
-    pub output: Output,
+    pub output: report::output::Output,
     /// Stays up until SIGINT in place of a replay.
     #[arg(long)]
     pub keep: bool,
@@ -160,20 +163,13 @@
         println!("{}", cluster.addresses());
         return std::future::pending().await;
     }
-    let before = cluster.usage();
-    let calls = cluster.calls().await?;
+    let before = Baseline::read(&cluster).await?;
     let replay = replayer::run(&cluster, options);
     let faults = fault::run(&cluster, options);
     let (outcome, ()) = futures_util::future::try_join(replay, faults).await?;
     converge::check(&cluster).await?;
-    let mut summary = Summary::collect(&cluster, &outcome, &before, &calls).await?;
-    summary.report.label.clone_from(&options.output.label);
-    let met = options
-        .output
-        .judge(&summary.report)
-        .change_context(Failure::Output)?;
-    summary.print(options.output.form);
-    Ok(met)
+    let summary = Summary::collect(&cluster, &outcome, &before).await?;
+    summary.finish(&options.output)
 }
 
 fn interrupt() -> Result<Arc<AtomicBool>, Report<Failure>> {
--- a/crates/bench/src/demo/replayer.rs
+++ b/crates/bench/src/demo/replayer.rs
@@ -29,16 +29,16 @@
 /// Threads that the replay is shared by.
 const THREADS: usize = 2;
 
-/// Replays a trace through the balancer.
+/// Replays the trace of the options through the balancer.
 ///
 /// # Errors
 ///
-/// Fails if the trace can't be read or the replay's threads can't run.
+/// Fails if the trace can't be loaded or the replay's threads can't run.
 pub async fn run(cluster: &Cluster, options: &Options) -> Result<replay::Outcome, Report<Failure>> {
     let mut plan = replay::Plan::new(Arc::new(load(options)?), vec![cluster.layout.balancer]);
     plan.threads = THREADS;
-    plan.progress = options.progress;
     plan.limit = Some(Duration::from_secs(options.seconds));
+    plan.progress = options.progress;
     let (sender, receiver) = oneshot::channel();
     std::thread::Builder::new()
         .name("replay".into())
@@ -50,7 +50,6 @@
         .change_context(Failure::Replay)
 }
 
-/// Loads the recorded trace, or generates one.
 fn load(options: &Options) -> Result<Trace, Report<Failure>> {
     if let Some(path) = &options.trace {
         return trace::load(path).change_context(Failure::Trace);
