feat(bench): see cuts and instances behind the balancer

The balancer turns a connection that an instance closed into a 502 of its own, so the verifier had not seen any cut behind it; that problem now counts as one. The balancer names the instance that answered in X-Instance, so that a preset version that goes backwards on one instance shows.

--- a/crates/bench/src/balancer.rs
+++ b/crates/bench/src/balancer.rs
@@ -37,6 +37,8 @@
     Limits,
 };
 
+use crate::replay::answer::INSTANCE;
+
 /// Time between two checks of an instance's readiness.
 const CHECK_PERIOD: Duration = Duration::from_millis(500);
 /// Time that a check may take.
@@ -97,6 +99,11 @@
     }
 }
 
+/// Problem type of a request whose instance closed the connection or gave no answer in time.
+pub const LOST: &str = "/problems/balancer-lost";
+/// Problem type of a request that no instance could take.
+pub const NO_INSTANCE: &str = "/problems/balancer-no-instance";
+
 /// One instance as the balancer sees it.
 #[derive(Debug)]
 struct Instance {
@@ -190,12 +197,12 @@
             return match connection.exchange(request, REQUEST_TIMEOUT).await {
                 Ok(exchange) => {
                     instance.keep(exchange.connection);
-                    clean(exchange.response)
+                    name(clean(exchange.response), instance.address)
                 }
-                Err(_) => problem("lost", "the instance gave no answer", "may_have_run"),
+                Err(_) => problem(LOST, "the instance gave no answer", "may_have_run"),
             };
         }
-        problem("no-instance", "no instance is ready", "not_run")
+        problem(NO_INSTANCE, "no instance is ready", "not_run")
     }
 }
 
@@ -211,6 +218,14 @@
     Response::from_parts(head, body)
 }
 
+/// Names the instance that answered, so that a caller's records tell instances apart.
+fn name(mut response: Response<Bytes>, instance: SocketAddr) -> Response<Bytes> {
+    if let Ok(value) = HeaderValue::try_from(instance.to_string()) {
+        response.headers_mut().insert(INSTANCE, value);
+    }
+    response
+}
+
 fn remove_hop_by_hop(headers: &mut HeaderMap) {
     for name in HOP_BY_HOP {
         headers.remove(name);
@@ -219,17 +234,17 @@
 
 #[derive(Debug, Serialize)]
 struct Problem<'a> {
-    r#type: String,
+    r#type: &'a str,
     title: &'a str,
     status: u16,
     detail: &'a str,
     run: &'a str,
 }
 
-fn problem(name: &str, detail: &str, run: &str) -> Response<Bytes> {
+fn problem(kind: &str, detail: &str, run: &str) -> Response<Bytes> {
     let status = StatusCode::BAD_GATEWAY;
     let problem = Problem {
-        r#type: format!("/problems/balancer-{name}"),
+        r#type: kind,
         title: "Bad gateway",
         status: status.as_u16(),
         detail,
--- a/crates/bench/src/verify/caller.rs
+++ b/crates/bench/src/verify/caller.rs
@@ -12,9 +12,12 @@
         Violation, //
     },
 };
-use crate::replay::{
-    record::Fault,
-    Record, //
+use crate::{
+    balancer,
+    replay::{
+        record::Fault,
+        Record, //
+    },
 };
 
 /// Time after its acceptance within which a configuration is in force everywhere, in microseconds.
@@ -22,11 +25,16 @@
 
 /// Checks that no request was cut while only planned stops happened.
 pub(super) fn check_cut(record: &Record, log: &Log, violations: &mut Vec<Violation>) {
-    if record.fault == Some(Fault::Cut) && !log.unplanned {
+    if is_cut(record) && !log.unplanned {
         violations.push(Violation::new(&record.request, Finding::CutOff));
     }
 }
 
+/// Returns whether a connection was closed on a request, before the balancer or behind it.
+fn is_cut(record: &Record) -> bool {
+    record.fault == Some(Fault::Cut) || record.problem.as_deref() == Some(balancer::LOST)
+}
+
 /// Checks the preset versions that answers state.
 pub(super) fn check_presets(records: &[Record], log: &Log, violations: &mut Vec<Violation>) {
     let mut instances: BTreeMap<Arc<str>, Vec<&Record>> = BTreeMap::new();
--- a/crates/bench/tests/verify.rs
+++ b/crates/bench/tests/verify.rs
@@ -4,6 +4,7 @@
 
 use bench::{
     backends::hits::hits,
+    balancer,
     replay::{
         answer::hash,
         record::{
@@ -277,7 +278,11 @@
     }),
 ];
 
-const INSTANCES: [(&str, Change); 4] = [
+const INSTANCES: [(&str, Change); 5] = [
+    ("request cut behind the balancer", |case| {
+        refuse(&mut case.records[0], Run::MayHaveRun);
+        case.records[0].problem = Some(balancer::LOST.into());
+    }),
     ("cut request", |case| {
         case.records[0].fault = Some(Fault::Cut);
         case.records[0].status = 0;
