--- a/crates/bench/src/demo/mod.rs
+++ b/crates/bench/src/demo/mod.rs
@@ -83,8 +83,8 @@
     /// Faults during the replay; one that is named twice happens twice.
     #[arg(long, value_enum)]
     pub fault: Vec<fault::Name>,
-    /// Trace file to replay in place of a generated one.
-    #[arg(long)]
+    /// Trace file to replay in place of a generated one; `seconds` bounds it.
+    #[arg(long, conflicts_with_all = ["rate", "mix"])]
     pub trace: Option<PathBuf>,
     /// Phases of the generated trace, as for `bench trace generate`.
     #[arg(long, value_delimiter = ',', default_value = "ordinary=1")]
