feat(pool): hedge rarely asked services by the shape that all have in common

Latencies as multiples of the service's median are now collected over all services and used until a service has 1,000 samples.

--- a/crates/policy/src/latency.rs
+++ b/crates/policy/src/latency.rs
@@ -14,7 +14,7 @@
 /// Significant digits of a recorded latency.
 const DIGITS: u8 = 2;
 /// Samples below which no quantile is given.
-const SAMPLES_MIN: u64 = 20;
+const SAMPLES_MIN: u64 = 5;
 
 /// Quantiles over the last one to two spans.
 #[derive(Debug, Clone)]
@@ -70,8 +70,11 @@
     }
 
     /// Returns the latency at `quantile` (0 to 1), or `None` while there are too few samples.
+    ///
+    /// A quantile needs as many samples as make one of them likely to lie above it.
     pub fn quantile(&self, quantile: f64) -> Option<Duration> {
-        (self.both.len() >= SAMPLES_MIN)
+        let needed = (1.0 / (1.0 - quantile).max(f64::EPSILON)).ceil() as u64;
+        (self.both.len() >= needed.max(SAMPLES_MIN))
             .then(|| Duration::from_micros(self.both.value_at_quantile(quantile)))
     }
 
@@ -81,6 +84,51 @@
     }
 }
 
+/// Latency that stands for the median in a [`Shape`].
+const UNIT: Duration = Duration::from_millis(10);
+/// Samples above which a service's own quantiles are better than the shared shape.
+const OWN_SAMPLES: u64 = 1_000;
+
+/// Latencies of many services as multiples of each one's median.
+///
+/// A service that is asked seldom knows its median long before it knows a high quantile. What all
+/// services have in common gives the quantile until then.
+#[derive(Debug, Clone)]
+pub struct Shape(Window);
+
+impl Shape {
+    /// Makes an empty shape.
+    pub fn new(span: Duration) -> Self {
+        Self(Window::new(span))
+    }
+
+    /// Records one latency of a service with the given median.
+    pub fn record(&mut self, now: Instant, latency: Duration, median: Duration) {
+        let multiple = latency.as_secs_f64() / median.as_secs_f64().max(1e-6);
+        self.0.record(now, UNIT.mul_f64(multiple.min(1e3)));
+    }
+
+    /// Returns the latency at `quantile` as a multiple of the median.
+    pub fn quantile(&self, quantile: f64) -> Option<f64> {
+        let at = self.0.quantile(quantile)?;
+        Some(at.as_secs_f64() / UNIT.as_secs_f64())
+    }
+}
+
+/// Returns a service's latency at a quantile: its own where it has `samples` enough, else its
+/// median times `multiple`.
+pub fn estimate(
+    own: Option<Duration>,
+    samples: u64,
+    median: Option<Duration>,
+    multiple: Option<f64>,
+) -> Option<Duration> {
+    match (median, multiple) {
+        (Some(median), Some(multiple)) if samples < OWN_SAMPLES => Some(median.mul_f64(multiple)),
+        _ => own,
+    }
+}
+
 /// Weight of one sample in a [`Mean`].
 const WEIGHT: f64 = 0.1;
 /// Time in which half of what a [`Mean`] says of a quiet server is forgotten.
--- a/crates/pool/src/latency.rs
+++ b/crates/pool/src/latency.rs
@@ -5,10 +5,14 @@
     Instant, //
 };
 
-use policy::latency::Window;
+use policy::latency::{
+    self,
+    Shape,
+    Window, //
+};
 
-/// Span of the window.
-const SPAN: Duration = Duration::from_secs(10);
+/// Span of the windows.
+pub(crate) const SPAN: Duration = Duration::from_secs(10);
 /// Latency that is assumed while nothing is known.
 const UNKNOWN: Duration = Duration::from_millis(1);
 /// Samples after which the quantiles are computed again.
@@ -37,8 +41,11 @@
 }
 
 impl Latency {
-    pub(crate) fn record(&mut self, now: Instant, latency: Duration) {
+    pub(crate) fn record(&mut self, now: Instant, latency: Duration, shape: &mut Common) {
         self.window.record(now, latency);
+        if let Some(median) = self.usual {
+            shape.record(now, latency, median);
+        }
         self.fresh += 1;
         if self.fresh >= REFRESH || self.usual.is_none() {
             self.refresh();
@@ -56,13 +63,14 @@
         self.usual.unwrap_or(UNKNOWN)
     }
 
-    /// Returns the latency at `quantile`, `None` while there are too few samples.
-    pub(crate) fn quantile(&mut self, quantile: f64) -> Option<Duration> {
+    /// Returns the latency at `quantile`, `None` while too little is known.
+    pub(crate) fn quantile(&mut self, quantile: f64, shape: &mut Common) -> Option<Duration> {
         if self.asked != quantile {
             self.asked = quantile;
             self.refresh();
         }
-        self.answer
+        let multiple = shape.quantile(quantile);
+        latency::estimate(self.answer, self.window.samples(), self.usual, multiple)
     }
 
     /// Returns the number of samples in the window.
@@ -70,3 +78,39 @@
         self.window.samples()
     }
 }
+
+/// What the latencies of all services have in common.
+#[derive(Debug)]
+pub(crate) struct Common {
+    shape: Shape,
+    asked: f64,
+    answer: Option<f64>,
+    fresh: u32,
+}
+
+impl Default for Common {
+    fn default() -> Self {
+        Self {
+            shape: Shape::new(SPAN),
+            asked: 0.0,
+            answer: None,
+            fresh: 0,
+        }
+    }
+}
+
+impl Common {
+    fn record(&mut self, now: Instant, latency: Duration, median: Duration) {
+        self.shape.record(now, latency, median);
+        self.fresh += 1;
+    }
+
+    fn quantile(&mut self, quantile: f64) -> Option<f64> {
+        if self.asked != quantile || self.fresh >= REFRESH {
+            self.asked = quantile;
+            self.fresh = 0;
+            self.answer = self.shape.quantile(quantile);
+        }
+        self.answer
+    }
+}
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -122,6 +122,7 @@
             preset: RefCell::new(view.preset.clone()),
             counters: RefCell::default(),
             hedges: RefCell::new(hedge::Budget::new(view.preset.hedge_budget)),
+            common: RefCell::default(),
             stopping: Cell::new(false),
         });
         Rc::new_cyclic(|me| Self {
--- a/crates/pool/src/service.rs
+++ b/crates/pool/src/service.rs
@@ -31,7 +31,10 @@
 use crate::{
     connection,
     counters::Counters,
-    latency::Latency,
+    latency::{
+        Common,
+        Latency, //
+    },
     server::Server,
     ticket::{
         Event,
@@ -49,6 +52,7 @@
     pub(crate) preset: RefCell<Arc<Preset>>,
     pub(crate) counters: RefCell<Counters>,
     pub(crate) hedges: RefCell<hedge::Budget>,
+    pub(crate) common: RefCell<Common>,
     pub(crate) stopping: Cell<bool>,
 }
 
@@ -306,7 +310,7 @@
                     let latency = now.saturating_duration_since(run.started);
                     let usual = self.usual();
                     server.took(now, latency, usual);
-                    self.latency.borrow_mut().record(now, latency);
+                    self.record(now, latency);
                 }
                 ticket.tell(Event::Ended {
                     server: server.name().clone(),
@@ -395,7 +399,7 @@
             // It would have taken longer still, so a short time says nothing.
             let elapsed = now.saturating_duration_since(run.started);
             if elapsed > self.usual() {
-                self.latency.borrow_mut().record(now, elapsed);
+                self.record(now, elapsed);
             }
             if ticket.is_keyed() {
                 continue;
@@ -475,6 +479,11 @@
             .sum()
     }
 
+    fn record(&self, now: Instant, latency: Duration) {
+        let mut common = self.shared.common.borrow_mut();
+        self.latency.borrow_mut().record(now, latency, &mut common);
+    }
+
     /// Returns the median time of a sub-request.
     pub(crate) fn usual(&self) -> Duration {
         self.latency.borrow().usual()
@@ -487,7 +496,8 @@
             return None;
         }
         let quantile = hedge::quantile(preset.hedge_quantile, preset.hedge_budget);
-        let observed = self.latency.borrow_mut().quantile(quantile);
+        let mut common = self.shared.common.borrow_mut();
+        let observed = self.latency.borrow_mut().quantile(quantile, &mut common);
         hedge::wait(observed, Duration::from_millis(preset.hedge_min_ms))
     }
 
