--- /dev/null
+++ b/crates/policy/tests/decisions.rs
@@ -0,0 +1,259 @@
+//! Budgets, quantiles, replica choice, ramps, admission and the queue.
+
+use std::{
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use config::{
+    preset::Class,
+    Preset, //
+};
+use policy::{
+    admission::{
+        self,
+        Gate, //
+    },
+    choice::{
+        self,
+        Candidate, //
+    },
+    hedge,
+    latency::{
+        self,
+        Mean,
+        Shape,
+        Window, //
+    },
+    queue::{
+        Deadline,
+        Push, //
+    },
+    ramp::Ramp,
+    retry,
+};
+
+fn ms(number: u64) -> Duration {
+    Duration::from_millis(number)
+}
+
+#[test]
+fn hedges_are_a_share_of_the_work() {
+    let mut budget = hedge::Budget::new(0.05);
+    let sent = (0..10_000)
+        .filter(|_| {
+            budget.earn();
+            budget.take()
+        })
+        .count();
+    assert_eq!(sent, 500);
+    budget.set_share(0.0);
+    assert!(!budget.take());
+}
+
+#[test]
+fn quiet_time_saves_few_hedges() {
+    let mut budget = hedge::Budget::new(0.5);
+    (0..1_000).for_each(|_| budget.earn());
+    assert_eq!((0..1_000).filter(|_| budget.take()).count(), 8);
+}
+
+#[test]
+fn retries_are_a_share_of_the_work_and_a_burst() {
+    let mut budget = retry::Budget::new(0.1);
+    let sent = (0..1_000)
+        .filter(|_| {
+            budget.earn();
+            budget.take()
+        })
+        .count();
+    assert!((100..=104).contains(&sent), "{sent}");
+    assert!(!retry::Budget::new(0.0).take());
+}
+
+#[test]
+fn hedge_quantile_fits_the_budget() {
+    assert_eq!(hedge::quantile(0.95, 0.02), 0.98);
+    assert_eq!(hedge::quantile(0.99, 0.05), 0.99);
+    assert_eq!(hedge::wait(Some(ms(3)), ms(5)), Some(ms(5)));
+    assert_eq!(hedge::wait(None, ms(5)), None);
+}
+
+#[test]
+fn window_forgets_after_two_spans() {
+    let start = Instant::now();
+    let mut window = Window::new(ms(1_000));
+    (0..100).for_each(|_| window.record(start, ms(10)));
+    assert_eq!(window.quantile(0.5).map(near), Some(10));
+    (0..300).for_each(|_| window.record(start + ms(1_100), ms(100)));
+    assert_eq!(window.samples(), 400);
+    assert_eq!(window.quantile(0.1).map(near), Some(10));
+    assert_eq!(window.quantile(0.5).map(near), Some(100));
+    window.record(start + ms(2_200), ms(100));
+    assert_eq!(window.samples(), 301);
+    window.record(start + ms(9_000), ms(7));
+    assert_eq!((window.samples(), window.quantile(0.5)), (1, None));
+}
+
+/// Returns whole milliseconds, as recorded latencies are within one per cent.
+fn near(latency: Duration) -> u64 {
+    (latency.as_secs_f64() * 1e3).round() as u64
+}
+
+#[test]
+fn high_quantile_needs_many_samples() {
+    let now = Instant::now();
+    let mut window = Window::new(ms(1_000));
+    (0..60).for_each(|_| window.record(now, ms(10)));
+    assert!(window.quantile(0.98).is_some());
+    assert!(window.quantile(0.99).is_none());
+}
+
+#[test]
+fn shape_stands_in_for_a_quantile_that_is_not_known() {
+    let now = Instant::now();
+    let mut shape = Shape::new(ms(1_000));
+    (0..95).for_each(|_| shape.record(now, ms(4), ms(4)));
+    (0..5).for_each(|_| shape.record(now, ms(12), ms(4)));
+    let multiple = shape.quantile(0.98);
+    let few = latency::estimate(None, 10, Some(ms(20)), multiple);
+    assert_eq!(few.map(near), Some(60));
+    let many = latency::estimate(Some(ms(30)), 5_000, Some(ms(20)), multiple);
+    assert_eq!(many, Some(ms(30)));
+    assert_eq!(latency::estimate(None, 0, None, multiple), None);
+}
+
+#[test]
+fn slow_server_is_tried_again_after_a_while() {
+    let now = Instant::now();
+    let mut mean = Mean::default();
+    assert_eq!(mean.get(now, 4_000.0), 4_000.0);
+    mean.record(now, ms(100));
+    assert_eq!(mean.get(now, 4_000.0), 100_000.0);
+    assert_eq!(mean.get(now + ms(5_000), 4_000.0), 52_000.0);
+    assert!(mean.get(now + ms(60_000), 4_000.0) < 4_100.0);
+}
+
+const IDLE: Candidate = Candidate {
+    in_flight: 0,
+    usable: 2,
+    latency_us: 4_000.0,
+    warmth: 1.0,
+    failures: 0,
+    near: true,
+    last: 0,
+};
+
+fn best(candidates: &[Candidate]) -> Option<usize> {
+    choice::best(candidates.iter().copied().enumerate())
+}
+
+#[test]
+fn cheapest_free_replica_is_chosen() {
+    let busy = Candidate {
+        in_flight: 1,
+        ..IDLE
+    };
+    let full = Candidate {
+        in_flight: 2,
+        ..IDLE
+    };
+    let slow = Candidate {
+        latency_us: 40_000.0,
+        ..IDLE
+    };
+    let cold = Candidate {
+        warmth: 0.1,
+        ..IDLE
+    };
+    let failing = Candidate {
+        failures: 1,
+        ..IDLE
+    };
+    let far = Candidate {
+        near: false,
+        ..IDLE
+    };
+    let used = Candidate { last: 9, ..IDLE };
+    for worse in [busy, slow, cold, failing, far, used] {
+        assert_eq!(best(&[worse, IDLE]), Some(1), "{worse:?}");
+        assert_eq!(best(&[IDLE, worse]), Some(0), "{worse:?}");
+    }
+    assert_eq!(best(&[full, slow]), Some(1));
+    assert_eq!(best(&[full, full]), None);
+    // A zone is of no importance against a queue.
+    assert_eq!(best(&[busy, far]), Some(1));
+}
+
+#[test]
+fn cold_server_ramps_up() {
+    let now = Instant::now();
+    let mut ramp = Ramp::new(4);
+    ramp.restart(now, ms(1_000));
+    let usable = [0, 300, 600, 1_000].map(|at| ramp.usable(now + ms(at)));
+    assert_eq!(usable, [1, 2, 3, 4]);
+}
+
+#[test]
+fn shedding_server_gets_half_then_slowly_more() {
+    let now = Instant::now();
+    let mut ramp = Ramp::new(4);
+    ramp.shed(now);
+    ramp.shed(now);
+    assert_eq!(ramp.usable(now), 2);
+    ramp.shed(now + ms(200));
+    ramp.shed(now + ms(400));
+    assert_eq!(ramp.usable(now + ms(400)), 1);
+    let answers = (0..).take_while(|_| {
+        ramp.answered();
+        ramp.usable(now + ms(400)) < 4
+    });
+    assert_eq!(answers.count(), 59);
+}
+
+#[test]
+fn classes_have_their_shares() {
+    let preset = Preset {
+        in_flight: 10,
+        normal_share: 0.8,
+        bulk_share: 0.5,
+        ..Preset::default()
+    };
+    let gate = Gate::new(Arc::new(preset));
+    let admitted = |class| {
+        let permits: Vec<_> = std::iter::from_fn(|| gate.admit(class).ok()).collect();
+        permits.len()
+    };
+    let counts = [Class::Bulk, Class::Normal, Class::Urgent].map(admitted);
+    assert_eq!(counts, [5, 8, 10]);
+    assert_eq!(gate.in_flight(), 0);
+}
+
+#[test]
+fn estimate_grows_with_the_queue() {
+    assert_eq!(admission::estimate(0, 4, ms(8)), ms(8));
+    assert_eq!(admission::estimate(8, 4, ms(8)), ms(24));
+    assert_eq!(admission::estimate(1, 0, ms(8)), ms(16));
+}
+
+#[test]
+fn queue_is_ordered_by_class_then_deadline() {
+    let now = Instant::now();
+    let mut queue = Deadline::new(3);
+    assert!(matches!(
+        queue.push(Class::Bulk, now + ms(1), "bulk"),
+        Push::Queued(_)
+    ));
+    queue.push(Class::Normal, now + ms(9), "late");
+    queue.push(Class::Normal, now + ms(5), "soon");
+    assert_eq!(queue.ahead(Class::Normal, now + ms(7)), 1);
+    let displaced = queue.push(Class::Urgent, now + ms(99), "urgent");
+    assert!(matches!(displaced, Push::Displaced(_, "bulk")));
+    let full = queue.push(Class::Bulk, now, "other");
+    assert!(matches!(full, Push::Full("other")));
+    let order: Vec<_> = std::iter::from_fn(|| queue.pop()).collect();
+    assert_eq!(order, ["urgent", "soon", "late"]);
+}
