feat(ledger): bound the writes a second to a partition

Group commit alone saved nothing at the rates that are expected: with 64 partitions a write is over before the next call of the same partition comes, so every call cost two writes.

An entry holds one state; what a claim needs goes once there is an outcome. Payloads that would make the object long are dropped oldest first. The model now checks that a claim is changed only by the instance that made it.

--- a/crates/ledger/src/change.rs
+++ b/crates/ledger/src/change.rs
@@ -16,7 +16,7 @@
     object::{
         Entry,
         Object,
-        Outcome, //
+        State, //
     },
 };
 
@@ -45,17 +45,23 @@
 }
 
 impl Stake {
-    fn entry(&self, outcome: Option<Outcome>) -> Entry {
+    fn entry(&self, state: State) -> Entry {
         Entry {
-            claim: self.claim.clone(),
             fingerprint: self.fingerprint.clone(),
-            at_ms: self.at_ms,
-            outcome,
+            state,
         }
     }
 
-    fn owns(&self, entry: &Entry) -> bool {
-        entry.claim == self.claim
+    fn claimed(&self) -> Entry {
+        self.entry(State::Claimed {
+            by: self.claim.clone(),
+            at_ms: self.at_ms,
+        })
+    }
+
+    /// Returns whether the key may be claimed although it has an entry.
+    fn is_free(&self, entry: &Entry) -> bool {
+        entry.state == State::NotRun && entry.fingerprint == self.fingerprint
     }
 }
 
@@ -67,7 +73,7 @@
     /// Voids the key if nobody claimed it.
     Fence,
     /// Sets the outcome of the claim.
-    Record(Outcome),
+    Record(State),
     /// Sets the outcome of a claim that will not be used, wherever its write ends up.
     Abandon,
 }
@@ -117,7 +123,7 @@
     }
 
     /// Makes the recording of an outcome.
-    pub(crate) fn recording(stake: Stake, outcome: Outcome, until: Instant) -> Self {
+    pub(crate) fn recording(stake: Stake, outcome: State, until: Instant) -> Self {
         Self::lasting(Kind::Record(outcome), stake, until)
     }
 
@@ -152,27 +158,27 @@
     }
 
     /// Applies the change to `object`; returns what it finds and whether `object` changed.
-    pub(crate) fn apply(&self, object: &mut Object, room: Room) -> (Step, bool) {
+    ///
+    /// New keys are taken in only if there is `room`.
+    pub(crate) fn apply(&self, object: &mut Object, room: bool) -> (Step, bool) {
         if object.is_below_floor(&self.stake.key) {
             return (Step::Expired, false);
         }
         match &self.kind {
             Kind::Claim => self.claim(object, room),
             Kind::Fence => self.fence(object),
-            Kind::Record(outcome) => self.record(object, outcome.clone(), room),
+            Kind::Record(outcome) => self.record(object, outcome),
             Kind::Abandon => self.abandon(object),
         }
     }
 
-    fn claim(&self, object: &mut Object, room: Room) -> (Step, bool) {
+    fn claim(&self, object: &mut Object, room: bool) -> (Step, bool) {
         match object.get(&self.stake.key) {
-            Some(entry) if self.stake.owns(entry) && entry.outcome.is_none() => {
-                (Step::Granted, false)
-            }
-            Some(entry) if !is_free(entry, &self.stake) => (Step::Entry(entry.clone()), false),
-            _ if !room.for_claims => (Step::Full, false),
+            Some(entry) if entry.is_claimed_by(&self.stake.claim) => (Step::Granted, false),
+            Some(entry) if !self.stake.is_free(entry) => (Step::Entry(entry.clone()), false),
+            _ if !room => (Step::Full, false),
             _ => {
-                object.insert(&self.stake.key, self.stake.entry(None));
+                object.insert(&self.stake.key, self.stake.claimed());
                 (Step::Granted, true)
             }
         }
@@ -180,22 +186,19 @@
 
     fn fence(&self, object: &mut Object) -> (Step, bool) {
         match object.get(&self.stake.key) {
-            Some(entry) if !is_free(entry, &self.stake) => (Step::Entry(entry.clone()), false),
+            Some(entry) if !self.stake.is_free(entry) => (Step::Entry(entry.clone()), false),
             _ => {
-                let entry = self.stake.entry(Some(Outcome::Void));
+                let entry = self.stake.entry(State::Void);
                 object.insert(&self.stake.key, entry.clone());
                 (Step::Entry(entry), true)
             }
         }
     }
 
-    fn record(&self, object: &mut Object, outcome: Outcome, room: Room) -> (Step, bool) {
+    fn record(&self, object: &mut Object, outcome: &State) -> (Step, bool) {
         match object.get_mut(&self.stake.key) {
-            Some(entry) if self.stake.owns(entry) && entry.outcome.is_none() => {
-                entry.outcome = Some(match room.for_payloads {
-                    true => outcome,
-                    false => outcome.without_payload(),
-                });
+            Some(entry) if entry.is_claimed_by(&self.stake.claim) => {
+                entry.state = outcome.clone();
                 (Step::Nothing, true)
             }
             _ => (Step::Nothing, false),
@@ -206,23 +209,12 @@
     /// on its way can't take effect.
     fn abandon(&self, object: &mut Object) -> (Step, bool) {
         match object.get(&self.stake.key) {
-            None => {}
-            Some(entry) if self.stake.owns(entry) && entry.outcome.is_none() => {}
-            Some(_) => return (Step::Nothing, false),
+            Some(entry) if !entry.is_claimed_by(&self.stake.claim) => (Step::Nothing, false),
+            _ => {
+                let entry = self.stake.entry(State::NotRun);
+                object.insert(&self.stake.key, entry);
+                (Step::Nothing, true)
+            }
         }
-        let entry = self.stake.entry(Some(Outcome::NotRun));
-        object.insert(&self.stake.key, entry);
-        (Step::Nothing, true)
     }
 }
-
-/// What the size of the object leaves room for.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Room {
-    pub(crate) for_claims: bool,
-    pub(crate) for_payloads: bool,
-}
-
-fn is_free(entry: &Entry, stake: &Stake) -> bool {
-    entry.outcome == Some(Outcome::NotRun) && entry.fingerprint == stake.fingerprint
-}
--- a/crates/ledger/src/claim.rs
+++ b/crates/ledger/src/claim.rs
@@ -7,19 +7,19 @@
 
 use crate::{
     change::Stake,
-    object::Outcome, //
+    object::State, //
 };
 
 /// Takes outcomes that are to be recorded.
 pub(crate) trait Sink {
     /// Queues `outcome` of the claim in `stake`.
-    fn record(self: Rc<Self>, stake: Stake, outcome: Outcome);
+    fn record(self: Rc<Self>, stake: Stake, outcome: State);
 }
 
 /// A stage of a claim.
 pub(crate) trait Stage {
     /// Outcome that is recorded if the claim is dropped in this stage.
-    const DROPPED: Outcome;
+    const DROPPED: State;
 }
 
 /// The claim is in the object and nothing was sent.
@@ -27,7 +27,7 @@
 pub(crate) struct Confirmed;
 
 impl Stage for Confirmed {
-    const DROPPED: Outcome = Outcome::NotRun;
+    const DROPPED: State = State::NotRun;
 }
 
 /// The call may have been sent.
@@ -35,7 +35,7 @@
 pub(crate) struct Sent;
 
 impl Stage for Sent {
-    const DROPPED: Outcome = Outcome::Unknown;
+    const DROPPED: State = State::Unknown;
 }
 
 /// A claim that this process made and that nobody else can use or void.
@@ -60,7 +60,7 @@
 }
 
 impl<T: Stage> Claim<T> {
-    fn finish(&mut self, outcome: Outcome) {
+    fn finish(&mut self, outcome: State) {
         if let Some((sink, stake)) = self.parts.take() {
             sink.record(stake, outcome);
         }
@@ -86,13 +86,13 @@
 
     /// Gives the claim up unused; a later request may claim the key again.
     pub(crate) fn close(mut self) {
-        self.finish(Outcome::NotRun);
+        self.finish(State::NotRun);
     }
 }
 
 impl Claim<Sent> {
     /// Records what became of the call.
-    pub(crate) fn close(mut self, outcome: Outcome) {
+    pub(crate) fn close(mut self, outcome: State) {
         self.finish(outcome);
     }
 }
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -43,7 +43,7 @@
     },
     object::{
         Entry,
-        Outcome, //
+        State, //
     },
     partition::{
         count,
@@ -253,7 +253,7 @@
             if self.is_short(deadline) {
                 return Asked::Settled(reply::may_have_run(Reason::OutcomeUnknown));
             }
-            is_fresh = !entry.claim.starts_with(&*self.prefix());
+            is_fresh = !self.is_mine(&entry);
             self.runtime.sleep(backoff.next_wait()).await;
         }
     }
@@ -262,17 +262,17 @@
         if entry.fingerprint != stake.fingerprint {
             return Some(reply::not_run(Reason::KeyReused));
         }
-        match entry.outcome.as_ref()? {
-            Outcome::Done {
+        match &entry.state {
+            State::Done {
                 status,
                 server,
                 payload,
                 ..
             } => Some(reply::recorded(*status, server, payload.as_deref())),
-            Outcome::Unknown => Some(reply::may_have_run(Reason::OutcomeUnknown)),
-            Outcome::Void => Some(reply::not_run(Reason::KeyExpired)),
-            // It is free and was claimed or fenced in the same step.
-            Outcome::NotRun => None,
+            State::Unknown => Some(reply::may_have_run(Reason::OutcomeUnknown)),
+            State::Void => Some(reply::not_run(Reason::KeyExpired)),
+            // One that is free was claimed or fenced in the same step.
+            State::Claimed { .. } | State::NotRun => None,
         }
     }
 
@@ -304,6 +304,11 @@
         })
     }
 
+    /// Returns whether this process made the claim, so that it knows of an outcome first.
+    fn is_mine(&self, entry: &Entry) -> bool {
+        matches!(&entry.state, State::Claimed { by, .. } if by.starts_with(&self.prefix()))
+    }
+
     fn prefix(&self) -> String {
         format!("{}-{:016x}-", self.me, self.run)
     }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod key;
 pub mod ledger;
 pub mod object;
+mod pace;
 mod partition;
 mod reply;
 pub mod runtime;
--- a/crates/ledger/src/object.rs
+++ b/crates/ledger/src/object.rs
@@ -19,11 +19,11 @@
 };
 
 /// Longest value that is read or written, in bytes.
-pub const VALUE_MAX: usize = 900 * 1024;
+pub const VALUE_MAX: usize = 1000 * 1000;
 /// Size up to which new keys are taken in, in bytes; the rest is room for their outcomes.
-pub const CLAIMS_MAX: usize = 448 * 1024;
-/// Size up to which payloads are recorded, in bytes.
-pub const PAYLOADS_MAX: usize = 320 * 1024;
+pub const CLAIMS_MAX: usize = 640 * 1024;
+/// Size above which the oldest payloads are dropped, in bytes.
+pub const PAYLOADS_MAX: usize = 512 * 1024;
 /// Longest payload that is recorded, in bytes.
 pub const PAYLOAD_MAX: usize = 4 * 1024;
 /// Longest server name that is recorded, in bytes.
@@ -49,10 +49,17 @@
 
 impl std::error::Error for Fault {}
 
-/// What became of a key.
+/// What is known of one key.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
-pub enum Outcome {
+pub enum State {
+    /// It is claimed and may have been sent.
+    Claimed {
+        /// Identifies the claim; unique over all instances and their restarts.
+        by: Arc<str>,
+        /// Time by the claimant's clock, in milliseconds since the Unix epoch.
+        at_ms: u64,
+    },
     /// A backend server answered.
     Done {
         /// Status of the answer.
@@ -61,7 +68,7 @@
         server: Arc<str>,
         /// Hash of the payload, as 16 hexadecimal digits.
         digest: Arc<str>,
-        /// The payload, if it is text and short enough.
+        /// The payload, if it is text and short enough and there was room for it.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         payload: Option<Arc<str>>,
     },
@@ -73,7 +80,7 @@
     Void,
 }
 
-impl Outcome {
+impl State {
     /// Makes the outcome of an answered call.
     pub fn done(status: u32, server: &str, payload: &[u8]) -> Self {
         let end = server.floor_char_boundary(SERVER_MAX);
@@ -88,38 +95,30 @@
         }
     }
 
-    /// Returns the outcome without its payload.
-    pub fn without_payload(self) -> Self {
+    /// Drops the payload and returns its length in bytes.
+    fn drop_payload(&mut self) -> usize {
         match self {
-            Self::Done {
-                status,
-                server,
-                digest,
-                ..
-            } => Self::Done {
-                status,
-                server,
-                digest,
-                payload: None,
-            },
-            outcome => outcome,
+            Self::Done { payload, .. } => payload.take().map_or(0, |text| text.len()),
+            _ => 0,
         }
     }
 }
 
-/// What is known of one key.
+/// One key's call and what is known of it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Entry {
-    /// Identifies the claim; unique over all instances and their restarts.
-    pub claim: Arc<str>,
-    /// Fingerprint of the call.
+    /// Fingerprint of the call, as 16 hexadecimal digits.
     pub fingerprint: Arc<str>,
-    /// Time of the claim by the claimant's clock, in milliseconds since the Unix epoch.
-    pub at_ms: u64,
-    /// What became of it, if that is known.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub outcome: Option<Outcome>,
+    /// What is known of it.
+    pub state: State,
+}
+
+impl Entry {
+    /// Returns whether it is the claim `id` without an outcome.
+    pub fn is_claimed_by(&self, id: &str) -> bool {
+        matches!(&self.state, State::Claimed { by, .. } if **by == *id)
+    }
 }
 
 /// Keys of one partition, in buckets of one minute.
@@ -145,17 +144,38 @@
         serde_json::from_str(text).map_err(|_| Fault::Malformed)
     }
 
-    /// Makes the value of an object.
+    /// Makes the value of an object; drops the oldest payloads if it would be long.
     ///
     /// # Errors
     ///
-    /// Fails if the value would be too long.
-    pub fn encode(&self) -> Result<Box<RawValue>, Fault> {
-        let value = serde_json::value::to_raw_value(self).map_err(|_| Fault::Malformed)?;
-        if value.get().len() > VALUE_MAX {
-            return Err(Fault::Oversized);
+    /// Fails if the value would be too long even so.
+    pub fn encode(&mut self) -> Result<Box<RawValue>, Fault> {
+        let value = self.write()?;
+        let value = match value.get().len().checked_sub(PAYLOADS_MAX) {
+            Some(excess) if self.drop_payloads(excess) => self.write()?,
+            _ => value,
+        };
+        match value.get().len() > VALUE_MAX {
+            true => Err(Fault::Oversized),
+            false => Ok(value),
+        }
+    }
+
+    fn write(&self) -> Result<Box<RawValue>, Fault> {
+        serde_json::value::to_raw_value(self).map_err(|_| Fault::Malformed)
+    }
+
+    /// Drops the oldest payloads, `bytes` of them or all; returns whether there were any.
+    fn drop_payloads(&mut self, bytes: usize) -> bool {
+        let entries = self.buckets.values_mut().flat_map(BTreeMap::values_mut);
+        let mut dropped = 0;
+        for entry in entries {
+            dropped += entry.state.drop_payload();
+            if dropped > bytes {
+                break;
+            }
         }
-        Ok(value)
+        dropped > 0
     }
 
     /// Returns the entry of `key`.
--- a/crates/ledger/src/partition.rs
+++ b/crates/ledger/src/partition.rs
@@ -23,7 +23,6 @@
         Change,
         Finding,
         Kind,
-        Room,
         Stake,
         Step, //
     },
@@ -34,10 +33,10 @@
     object::{
         Fault,
         Object,
-        Outcome,
-        CLAIMS_MAX,
-        PAYLOADS_MAX, //
+        State,
+        CLAIMS_MAX, //
     },
+    pace::Pace,
     runtime::Runtime,
     KIND,
 };
@@ -116,6 +115,7 @@
     cache: RefCell<Option<Version>>,
     is_running: Cell<bool>,
     refuses_until: Cell<Option<Instant>>,
+    pace: Pace,
 }
 
 impl<S: Store, R: Runtime> Partition<S, R> {
@@ -134,6 +134,7 @@
             cache: RefCell::default(),
             is_running: Cell::new(false),
             refuses_until: Cell::new(None),
+            pace: Pace::new(),
         })
     }
 
@@ -174,7 +175,11 @@
     async fn run(self: Rc<Self>) {
         let mut contended = Backoff::seeded(CONTENDED.0, CONTENDED.1, self.runtime.random());
         let mut failed = Backoff::seeded(FAILED.0, FAILED.1, self.runtime.random());
-        while let Some(batch) = self.take() {
+        loop {
+            self.wait_for_turn().await;
+            let Some(batch) = self.take() else {
+                return;
+            };
             let wait = match self.commit(batch).await {
                 Ok(()) => {
                     contended.reset();
@@ -189,6 +194,14 @@
         }
     }
 
+    /// Waits until the partition may be written again.
+    async fn wait_for_turn(&self) {
+        let wait = self.pace.wait(self.runtime.now());
+        if !wait.is_zero() {
+            self.runtime.sleep(wait).await;
+        }
+    }
+
     /// Takes the changes of the next write; ends the task if there are none.
     fn take(&self) -> Option<Vec<Change>> {
         let now = self.runtime.now();
@@ -230,10 +243,7 @@
             Some(version) if !batch.iter().any(|change| change.is_fresh) => version,
             _ => self.read().await?,
         };
-        let room = Room {
-            for_claims: version.size < CLAIMS_MAX,
-            for_payloads: version.size < PAYLOADS_MAX,
-        };
+        let room = version.size < CLAIMS_MAX;
         // Sweeping first keeps a claim of this batch out of a bucket that is dropped.
         version.object.sweep(self.runtime.unix_ms());
         let mut changed = false;
@@ -245,6 +255,7 @@
         }
         if changed {
             let value = version.object.encode()?;
+            self.pace.spend(self.runtime.now());
             count(&self.counters.writes);
             version.number = self
                 .store
@@ -350,7 +361,7 @@
 }
 
 impl<S: Store, R: Runtime> Sink for Partition<S, R> {
-    fn record(self: Rc<Self>, stake: Stake, outcome: Outcome) {
+    fn record(self: Rc<Self>, stake: Stake, outcome: State) {
         let until = self.record_until();
         self.push(Change::recording(stake, outcome, until));
     }
--- a/crates/ledger/src/reply.rs
+++ b/crates/ledger/src/reply.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     key::Fault,
-    object::Outcome, //
+    object::State, //
 };
 
 /// Time after which a refused caller may come back.
@@ -47,11 +47,11 @@
 }
 
 /// Returns the outcome that a backend server's reply stands for.
-pub(crate) fn outcome(reply: &CallReply) -> Outcome {
+pub(crate) fn outcome(reply: &CallReply) -> State {
     match &reply.failure {
-        None => Outcome::done(reply.status, &reply.server, &reply.payload),
-        Some(failure) if failure.not_run => Outcome::NotRun,
-        Some(_) => Outcome::Unknown,
+        None => State::done(reply.status, &reply.server, &reply.payload),
+        Some(failure) if failure.not_run => State::NotRun,
+        Some(_) => State::Unknown,
     }
 }
 
--- a/crates/ledger/tests/common/explore.rs
+++ b/crates/ledger/tests/common/explore.rs
@@ -8,7 +8,7 @@
 };
 
 use ledger::{
-    object::Outcome,
+    object::State,
     Ledger, //
 };
 use wire::CallReply;
@@ -203,8 +203,8 @@
     if !callers.contains(&replies.len()) {
         found.push(format!("{} of {callers:?} replies", replies.len()));
     }
-    let outcomes = world.outcomes(KEY);
-    if outcomes.contains(&Outcome::Void) && !executions.is_empty() {
+    let states = world.states(KEY);
+    if states.contains(&State::Void) && !executions.is_empty() {
         found.push("a void key ran".to_owned());
     }
     for (id, reply) in replies {
--- a/crates/ledger/tests/common/world.rs
+++ b/crates/ledger/tests/common/world.rs
@@ -10,6 +10,7 @@
         VecDeque, //
     },
     rc::Rc,
+    sync::Arc,
     time::{
         Duration,
         Instant, //
@@ -22,7 +23,7 @@
 use ledger::object::{
     Entry,
     Object as Partition,
-    Outcome, //
+    State, //
 };
 use platform::{
     Failure,
@@ -90,6 +91,8 @@
     asks: RefCell<BTreeMap<usize, (usize, String, Ask)>>,
     sends: RefCell<BTreeMap<usize, (CallRequest, oneshot::Sender<CallReply>)>>,
     arrivals: RefCell<VecDeque<(Owner, LocalBoxFuture<'static, ()>)>>,
+    /// The instance that made each claim.
+    makers: RefCell<BTreeMap<Arc<str>, usize>>,
     timers: RefCell<BTreeMap<(Duration, usize), oneshot::Sender<()>>>,
     pub(crate) tasks: Tasks,
     pub(crate) executions: RefCell<Vec<Execution>>,
@@ -110,6 +113,7 @@
             asks: RefCell::default(),
             sends: RefCell::default(),
             arrivals: RefCell::default(),
+            makers: RefCell::default(),
             timers: RefCell::default(),
             tasks: Tasks::default(),
             executions: RefCell::default(),
@@ -186,8 +190,8 @@
             .map(|object| object.value.get().to_owned())
     }
 
-    /// Returns the outcomes of `key` in the store.
-    pub(crate) fn outcomes(&self, key: &str) -> Vec<Outcome> {
+    /// Returns what the store says of `key`.
+    pub(crate) fn states(&self, key: &str) -> Vec<State> {
         let objects = self.objects.borrow();
         let partitions = objects
             .values()
@@ -195,7 +199,7 @@
         let buckets = partitions.flat_map(|partition| partition.buckets.into_values());
         let entries = buckets.flatten();
         let entries = entries.filter(|(id, _)| id.to_string() == key);
-        entries.filter_map(|(_, entry)| entry.outcome).collect()
+        entries.map(|(_, entry)| entry.state).collect()
     }
 
     /// Returns the steps that can be taken, the plainest first.
@@ -291,7 +295,7 @@
         let reply: Box<dyn FnOnce()> = match ask {
             Ask::Held(reply) => reply,
             Ask::Ghost { expected, value } => {
-                let _ = self.apply(&name, expected, value);
+                let _ = self.apply(from, &name, expected, value);
                 return;
             }
             Ask::Read(reply) => {
@@ -316,10 +320,10 @@
                         Err(Failure::Lost)
                     }
                     Step::Lose(_) => {
-                        let _ = self.apply(&name, expected, value);
+                        let _ = self.apply(from, &name, expected, value);
                         Err(Failure::Lost)
                     }
-                    _ => self.apply(&name, expected, value),
+                    _ => self.apply(from, &name, expected, value),
                 };
                 Box::new(move || {
                     let _ = reply.send(written);
@@ -363,7 +367,13 @@
         drop(reply.send(answer));
     }
 
-    fn apply(&self, name: &str, expected: u64, value: Box<RawValue>) -> Result<u64, Failure> {
+    fn apply(
+        &self,
+        from: usize,
+        name: &str,
+        expected: u64,
+        value: Box<RawValue>,
+    ) -> Result<u64, Failure> {
         let current = self
             .objects
             .borrow()
@@ -372,7 +382,7 @@
         if current != expected && !self.unconditional {
             return Err(Failure::Conflict { current });
         }
-        self.check(name, &value);
+        self.check(from, name, &value);
         Ok(self.store(name, value))
     }
 
@@ -388,24 +398,40 @@
         version
     }
 
-    fn check(&self, name: &str, value: &RawValue) {
+    /// Notes every entry that `from` may not have changed.
+    fn check(&self, from: usize, name: &str, value: &RawValue) {
         let before = self.value(name);
         let before = before.and_then(|text| Partition::decode(&text).ok());
         let after = Partition::decode(value.get()).expect("a partition is written");
         for (bucket, entries) in before.unwrap_or_default().buckets {
             for (id, entry) in entries {
                 let next = after.buckets.get(&bucket).and_then(|next| next.get(&id));
-                let dropped = (bucket + 1) * 60_000 <= after.floor_ms;
-                if !follows(&entry, next, dropped) {
-                    let change = format!("{entry:?} became {next:?}");
+                let is_allowed = match next {
+                    None => (bucket + 1) * 60_000 <= after.floor_ms,
+                    Some(next) => entry == *next || self.is_maker(from, &entry),
+                };
+                if !is_allowed {
+                    let change = format!("{from} made {entry:?} {next:?}");
                     self.violations.borrow_mut().push(change);
                 }
             }
         }
+        let entries = after.buckets.into_values().flatten();
+        for (_, entry) in entries {
+            if let State::Claimed { by, .. } = entry.state {
+                self.makers.borrow_mut().entry(by).or_insert(from);
+            }
+        }
+    }
+
+    /// Returns whether `from` may change the entry: a free one, or its own claim.
+    fn is_maker(&self, from: usize, entry: &Entry) -> bool {
+        match &entry.state {
+            State::Claimed { by, .. } => self.makers.borrow().get(by) == Some(&from),
+            state => *state == State::NotRun,
+        }
     }
 
-    /// Nothing of the first instance runs any more, not even what its values do when dropped. Its
-    /// writes and its sends may still arrive.
     fn crash(&self) {
         self.tasks.crash();
         let mut asks = self.asks.borrow_mut();
@@ -475,22 +501,3 @@
         ..CallReply::default()
     }
 }
-
-/// Returns the process that made a claim.
-fn maker(entry: &Entry) -> Option<&str> {
-    let parts = entry.claim.rsplit_once('-');
-    parts.map(|(maker, _)| maker)
-}
-
-/// Returns whether an entry may become `next`.
-fn follows(entry: &Entry, next: Option<&Entry>, dropped: bool) -> bool {
-    match (&entry.outcome, next) {
-        (_, None) => dropped,
-        // The maker of a claim may end it and claim the key again in one write.
-        (None, Some(next)) => maker(next) == maker(entry),
-        (Some(Outcome::NotRun), Some(_)) => true,
-        (Some(outcome), Some(next)) => {
-            next.claim == entry.claim && next.outcome.as_ref() == Some(outcome)
-        }
-    }
-}
