fix(bench): take the accepted presets from the platform's stand-in

The stand-in now lists what it accepted, with times, under /control/accepted; a version that an operator was told of and that isn't on the list counts as a violation. This touches the store's stand-in and the demo, outside the verifier.

--- a/crates/bench/src/demo/events.rs
+++ b/crates/bench/src/demo/events.rs
@@ -63,6 +63,18 @@
         });
     }
 
+    /// Checks that the platform accepted every presets document that an operator was told of.
+    pub fn check(&mut self, claimed: &[Accepted], accepted: &[Accepted]) {
+        for claim in claimed {
+            if !accepted
+                .iter()
+                .any(|accepted| accepted.version == claim.version)
+            {
+                self.violate(Promise::Config);
+            }
+        }
+    }
+
     /// Notes that something but a planned stop happens to instances or connections.
     pub fn disturb(&mut self) {
         self.unplanned = true;
--- a/crates/bench/src/demo/summary.rs
+++ b/crates/bench/src/demo/summary.rs
@@ -8,6 +8,7 @@
 
 use super::{
     cluster::Cluster,
+    control,
     failure::Failure,
     instance::Used, //
 };
@@ -29,6 +30,9 @@
     },
 };
 
+/// Path of the platform's list of the presets documents that it accepted.
+const ACCEPTED: &str = "/control/accepted/config/presets";
+
 /// Counters as they were before a replay.
 #[derive(Debug)]
 pub struct Baseline {
@@ -147,6 +151,10 @@
         .await
         .change_context(Failure::Control("log"))?;
     cluster.events.borrow().add_to(&mut log);
+    // What the platform accepted counts: an operator may never learn of a write of its own.
+    let claimed = std::mem::take(&mut log.presets);
+    log.presets = control::get(cluster.layout.platform, ACCEPTED).await?;
+    cluster.events.borrow_mut().check(&claimed, &log.presets);
     Ok(log)
 }
 
--- a/crates/bench/src/store/handler.rs
+++ b/crates/bench/src/store/handler.rs
@@ -111,6 +111,13 @@
 
     fn control(&self, path: &str, request: &Request<Bytes>) -> Response<Bytes> {
         let platform = &self.platform;
+        let object = path
+            .strip_prefix("accepted/")
+            .and_then(|rest| rest.split_once('/'));
+        if let (&Method::GET, Some((kind, name))) = (request.method(), object) {
+            let accepted = platform.objects.borrow().accepted(kind, name);
+            return answer::json(StatusCode::OK, &accepted);
+        }
         match (request.method(), path) {
             (&Method::POST, "fault") => match serde_json::from_slice(request.body()) {
                 Ok(fault) => self.fault(&fault),
--- a/crates/bench/src/store/objects.rs
+++ b/crates/bench/src/store/objects.rs
@@ -16,6 +16,11 @@
 };
 use serde_json::value::RawValue;
 
+use crate::{
+    backends::now_us,
+    verify::log::Accepted, //
+};
+
 /// Changes that watches can look back over.
 const HISTORY_MAX: usize = 10_000;
 
@@ -45,6 +50,7 @@
 #[derive(Debug)]
 struct Change {
     revision: u64,
+    at_us: u64,
     kind: Arc<str>,
     name: Arc<str>,
 }
@@ -149,6 +155,16 @@
         Ok(Some(listing))
     }
 
+    /// Returns every change of an object that the history holds, oldest first.
+    pub fn accepted(&self, kind: &str, name: &str) -> Vec<Accepted> {
+        let own = |change: &&Change| &*change.kind == kind && &*change.name == name;
+        let accepted = |change: &Change| Accepted {
+            version: change.revision,
+            at_us: change.at_us,
+        };
+        self.history.iter().filter(own).map(accepted).collect()
+    }
+
     /// Returns the revision of the last change.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -167,6 +183,7 @@
         self.revision += 1;
         self.history.push_back(Change {
             revision: self.revision,
+            at_us: now_us(),
             kind: Arc::from(kind),
             name: name.clone(),
         });
