feat(policy): keep half of the hedge budget for stragglers

The first half of the burst now goes to those that are slow, the rest to those that are still out after 1.5 times the wait; the budget starts half full.

--- a/crates/policy/src/bucket.rs
+++ b/crates/policy/src/bucket.rs
@@ -36,7 +36,12 @@
 
     /// Takes one token if there is one.
     pub(crate) fn take(&mut self) -> bool {
-        if self.tokens + ROUNDING < 1.0 {
+        self.take_above(0.0)
+    }
+
+    /// Takes one token if `reserve` are left then.
+    pub(crate) fn take_above(&mut self, reserve: f64) -> bool {
+        if self.tokens + ROUNDING < reserve + 1.0 {
             return false;
         }
         self.tokens -= 1.0;
--- a/crates/policy/src/hedge.rs
+++ b/crates/policy/src/hedge.rs
@@ -7,14 +7,27 @@
 /// Hedges that may be sent at once after a quiet time.
 const BURST: f64 = 8.0;
 
+/// Hedges kept back for stragglers.
+const RESERVE: f64 = BURST / 2.0;
+
+/// How late a sub-request is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lateness {
+    /// It just passed the wait.
+    Slow,
+    /// It is far beyond what is usual.
+    Straggling,
+}
+
 /// Bounds hedges to a share of the sub-requests.
 #[derive(Debug, Clone)]
 pub struct Budget(Bucket);
 
 impl Budget {
-    /// Makes an empty budget that earns `share` of a hedge for each sub-request.
+    /// Makes a half-full budget that earns `share` of a hedge for each sub-request.
     pub fn new(share: f64) -> Self {
-        Self(Bucket::new(share, BURST, 0.0))
+        let tokens = if share > 0.0 { RESERVE } else { 0.0 };
+        Self(Bucket::new(share, BURST, tokens))
     }
 
     /// Sets the share; 0 stops hedges at once.
@@ -28,8 +41,14 @@
     }
 
     /// Takes the token for one hedge.
-    pub fn take(&mut self) -> bool {
-        self.0.take()
+    ///
+    /// One that is merely slow gets none of the reserve: where few sub-requests are sent, an empty
+    /// budget takes longer to earn the next token than a straggler takes.
+    pub fn take(&mut self, lateness: Lateness) -> bool {
+        match lateness {
+            Lateness::Slow => self.0.take_above(RESERVE),
+            Lateness::Straggling => self.0.take(),
+        }
     }
 
     /// Gives back the token of a hedge that wasn't sent.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,8 +23,9 @@
 //!
 //! let mut budget = hedge::Budget::new(0.05);
 //! (0..20).for_each(|_| budget.earn());
-//! assert!(budget.take());
-//! assert!(!budget.take());
+//! assert!(budget.take(hedge::Lateness::Slow));
+//! assert!(!budget.take(hedge::Lateness::Slow));
+//! assert!(budget.take(hedge::Lateness::Straggling));
 //!
 //! let mut queue = queue::Deadline::new(8);
 //! let soon = now + Duration::from_millis(10);
--- a/crates/pool/src/part.rs
+++ b/crates/pool/src/part.rs
@@ -24,6 +24,7 @@
     pin_mut,
     StreamExt, //
 };
+use policy::hedge::Lateness;
 use wire::{
     Failure,
     Reason, //
@@ -44,7 +45,7 @@
 /// Snapshots that a failure names at most.
 const HELD_MAX: usize = 16;
 /// Share of the wait before a hedge after which one that couldn't be sent is tried again.
-const HEDGE_AGAIN: f64 = 0.25;
+const HEDGE_AGAIN: f64 = 0.5;
 /// Shortest time between two tries to send a hedge.
 const HEDGE_AGAIN_MIN: Duration = Duration::from_millis(1);
 
@@ -81,6 +82,7 @@
             held: Vec::new(),
             hedge_at: None,
             hedged: false,
+            lateness: Lateness::Slow,
         };
         self.service
             .submit(&self.ticket)
@@ -174,11 +176,12 @@
     }
 
     fn hedge(&self, state: &mut State) {
-        if self.service.hedge(&self.ticket) {
+        if self.service.hedge(&self.ticket, state.lateness) {
             state.hedged = true;
             state.hedge_at = None;
             return;
         }
+        state.lateness = Lateness::Straggling;
         let again = self.service.hedge_wait().unwrap_or(HEDGE_AGAIN_MIN);
         let again = again.mul_f64(HEDGE_AGAIN).max(HEDGE_AGAIN_MIN);
         state.hedge_at = Some(Instant::now() + again);
@@ -209,6 +212,7 @@
     held: Vec<u64>,
     hedge_at: Option<Instant>,
     hedged: bool,
+    lateness: Lateness,
 }
 
 /// What a failed sub-request means for its part.
--- a/crates/pool/src/service.rs
+++ b/crates/pool/src/service.rs
@@ -19,12 +19,17 @@
 };
 use config::Preset;
 use policy::{
-    admission, choice, hedge,
+    admission,
+    choice,
+    hedge::{
+        self,
+        Lateness, //
+    },
     queue::{
         self,
         Push, //
     },
-    retry,
+    retry, //
 };
 use wire::Reason;
 
@@ -267,7 +272,7 @@
     }
 
     /// Sends a duplicate if a slot is free now, nothing else needs it and the budget allows.
-    pub(crate) fn hedge(self: &Rc<Self>, ticket: &Rc<Ticket>) -> bool {
+    pub(crate) fn hedge(self: &Rc<Self>, ticket: &Rc<Ticket>, lateness: Lateness) -> bool {
         if !self.queue.borrow().is_empty() {
             return false;
         }
@@ -277,7 +282,7 @@
         let Some(server) = server.filter(|server| server.inner.borrow().failures == 0) else {
             return false;
         };
-        if !self.shared.hedges.borrow_mut().take() {
+        if !self.shared.hedges.borrow_mut().take(lateness) {
             return false;
         }
         self.start(ticket, &server, Kind::Hedge, now);
