feat(policy): shed the same requests at every service

A query of 20 to 50 parts is whole only if all services keep its part. The queue shed the latest deadline, and refused what couldn't be met whichever request it was, so services lost different queries. Each request has a rank now, a hash of its id, which is the same at all services; work that would wait for more than half of its time left displaces the last rank of the last class, or is refused. The pool's tests no longer depend on a hedge in their warm-up: three failed on a busy machine when a stall of over 5 ms was hedged there.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -93,6 +93,16 @@
     (preset.in_flight as f64 * share) as usize
 }
 
+/// Share of the time left to the deadline that may be spent waiting.
+///
+/// Work that is served at the last moment is late as often as not.
+const WAIT_SHARE: f64 = 0.5;
+
+/// Returns whether work that would be served after `wait` is likely to meet its deadline.
+pub fn is_feasible(wait: Duration, left: Duration) -> bool {
+    wait <= left.mul_f64(WAIT_SHARE)
+}
+
 /// Returns the time until an item that is queued now has been served.
 ///
 /// `ahead` items go first, `slots` are served at a time, each takes `service`.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -29,7 +29,8 @@
 //!
 //! let mut queue = queue::Deadline::new(8);
 //! let soon = now + Duration::from_millis(10);
-//! assert!(matches!(queue.push(Class::Normal, soon, "part"), queue::Push::Queued(_)));
+//! let rank = queue::Rank::new(42);
+//! assert!(matches!(queue.push(Class::Normal, soon, rank, "part"), queue::Push::Queued(_)));
 //! assert_eq!(queue.pop(), Some("part"));
 //! ```
 
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -1,4 +1,8 @@
-//! A bounded queue ordered by class, then deadline.
+//! A bounded queue ordered by class, then deadline, that sheds by class, then rank.
+//!
+//! A query is whole only if every service answers its part. Services that shed at random each lose
+//! other queries, so that at twice the capacity hardly any is whole. Every request therefore has a
+//! [`Rank`] that is the same at all services, and the last rank is shed first.
 
 use std::{
     collections::BTreeMap,
@@ -20,16 +24,38 @@
 pub enum Push<T> {
     /// It is queued.
     Queued(Key),
-    /// It is queued in place of the last item, which is handed back.
+    /// It is queued in place of another item, which is handed back.
     Displaced(Key, T),
     /// The queue is full of more urgent items; the pushed one is handed back.
     Full(T),
 }
 
+/// Order in which requests of a class are kept when not all can be; smaller is kept longer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank(u64);
+
+/// Odd multiplier that spreads the bits of a request id (2^64 over the golden ratio).
+const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
+
+impl Rank {
+    /// Returns the rank of the request with the given id.
+    pub fn new(request: u128) -> Self {
+        let folded = (request as u64) ^ ((request >> 64) as u64).rotate_left(32);
+        let mixed = folded.wrapping_mul(SPREAD);
+        Self((mixed ^ (mixed >> 32)).wrapping_mul(SPREAD))
+    }
+}
+
+#[derive(Debug)]
+struct Item<T> {
+    rank: Rank,
+    item: T,
+}
+
 /// Items in order of class, then deadline, then arrival.
 #[derive(Debug)]
 pub struct Deadline<T> {
-    items: BTreeMap<Key, T>,
+    items: BTreeMap<Key, Item<T>>,
     bound: usize,
     number: u64,
 }
@@ -49,8 +75,8 @@
         self.bound = bound;
     }
 
-    /// Queues `item`; if the queue is full, the last of all goes.
-    pub fn push(&mut self, class: Class, deadline: Instant, item: T) -> Push<T> {
+    /// Queues `item`; if the queue is full, the one that is shed first goes.
+    pub fn push(&mut self, class: Class, deadline: Instant, rank: Rank, item: T) -> Push<T> {
         self.number += 1;
         let key = Key {
             class,
@@ -58,32 +84,46 @@
             number: self.number,
         };
         if self.items.len() < self.bound {
-            self.items.insert(key, item);
+            self.items.insert(key, Item { rank, item });
             return Push::Queued(key);
         }
-        match self.items.last_entry() {
-            Some(last) if *last.key() > key => {
-                let displaced = last.remove();
-                self.items.insert(key, item);
+        match self.shed(class, rank) {
+            Some(displaced) => {
+                self.items.insert(key, Item { rank, item });
                 Push::Displaced(key, displaced)
             }
-            _ => Push::Full(item),
+            None => Push::Full(item),
+        }
+    }
+
+    /// Takes the item that is shed first, if it is to go before one of `class` and `rank`.
+    pub fn shed(&mut self, class: Class, rank: Rank) -> Option<T> {
+        let last = self.items.last_key_value()?.0.class;
+        let of_last = self
+            .items
+            .iter()
+            .rev()
+            .take_while(|(key, _)| key.class == last);
+        let (key, worst) = of_last.max_by_key(|(_, item)| item.rank)?;
+        match (last, worst.rank) > (class, rank) {
+            true => self.remove(&key.clone()),
+            false => None,
         }
     }
 
     /// Takes the first item.
     pub fn pop(&mut self) -> Option<T> {
-        self.items.pop_first().map(|(_, item)| item)
+        self.items.pop_first().map(|(_, item)| item.item)
     }
 
     /// Takes the item at `key`.
     pub fn remove(&mut self, key: &Key) -> Option<T> {
-        self.items.remove(key)
+        self.items.remove(key).map(|item| item.item)
     }
 
     /// Returns the items in order.
     pub fn iter(&self) -> impl Iterator<Item = (&Key, &T)> {
-        self.items.iter()
+        self.items.iter().map(|(key, item)| (key, &item.item))
     }
 
     /// Returns the number of items that would go before an item pushed now.
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -33,7 +33,8 @@
     },
     queue::{
         Deadline,
-        Push, //
+        Push,
+        Rank, //
     },
     ramp::Ramp,
     retry,
@@ -244,21 +245,59 @@
     assert_eq!(admission::estimate(1, 0, ms(8)), ms(16));
 }
 
+/// Returns request ids from the rank that is kept longest to the one that is shed first.
+fn ranked() -> Vec<Rank> {
+    let mut ranks: Vec<_> = (0..8).map(Rank::new).collect();
+    ranks.sort();
+    ranks
+}
+
 #[test]
 fn queue_is_ordered_by_class_then_deadline() {
     let now = Instant::now();
+    let rank = Rank::new(1);
     let mut queue = Deadline::new(3);
     assert!(matches!(
-        queue.push(Class::Bulk, now + ms(1), "bulk"),
+        queue.push(Class::Bulk, now + ms(1), rank, "bulk"),
         Push::Queued(_)
     ));
-    queue.push(Class::Normal, now + ms(9), "late");
-    queue.push(Class::Normal, now + ms(5), "soon");
+    queue.push(Class::Normal, now + ms(9), rank, "late");
+    queue.push(Class::Normal, now + ms(5), rank, "soon");
     assert_eq!(queue.ahead(Class::Normal, now + ms(7)), 1);
-    let displaced = queue.push(Class::Urgent, now + ms(99), "urgent");
+    let displaced = queue.push(Class::Urgent, now + ms(99), rank, "urgent");
     assert!(matches!(displaced, Push::Displaced(_, "bulk")));
-    let full = queue.push(Class::Bulk, now, "other");
+    let full = queue.push(Class::Bulk, now, rank, "other");
     assert!(matches!(full, Push::Full("other")));
     let order: Vec<_> = std::iter::from_fn(|| queue.pop()).collect();
     assert_eq!(order, ["urgent", "soon", "late"]);
 }
+
+#[test]
+fn last_rank_is_shed_first() {
+    let now = Instant::now();
+    let ranks = ranked();
+    let mut queue = Deadline::new(2);
+    queue.push(Class::Normal, now, ranks[5], 5);
+    queue.push(Class::Normal, now, ranks[3], 3);
+    let full = queue.push(Class::Normal, now, ranks[6], 6);
+    assert!(matches!(full, Push::Full(6)));
+    let displaced = queue.push(Class::Normal, now, ranks[4], 4);
+    assert!(matches!(displaced, Push::Displaced(_, 5)));
+    assert_eq!(queue.shed(Class::Normal, ranks[4]), None);
+    assert_eq!(queue.shed(Class::Urgent, ranks[7]), Some(4));
+}
+
+#[test]
+fn services_under_the_same_load_keep_the_same_requests() {
+    let now = Instant::now();
+    let survivors = |order: &mut dyn Iterator<Item = u128>| {
+        let mut queue = Deadline::new(50);
+        for request in order {
+            queue.push(Class::Normal, now, Rank::new(request), request);
+        }
+        let mut kept: Vec<_> = std::iter::from_fn(|| queue.pop()).collect();
+        kept.sort_unstable();
+        kept
+    };
+    assert_eq!(survivors(&mut (0..100)), survivors(&mut (0..100).rev()));
+}
--- a/crates/pool/src/service.rs
+++ b/crates/pool/src/service.rs
@@ -123,17 +123,36 @@
             return Ok(());
         }
         let estimate = admission::estimate(ahead, self.usable(now), self.usual());
-        match now + estimate > ticket.deadline {
-            true => Err(Refused::new(Reason::Deadline, estimate)),
-            false => Ok(()),
+        let left = ticket.deadline.saturating_duration_since(now);
+        match admission::is_feasible(estimate, left) {
+            true => Ok(()),
+            false => self.make_room(ticket, estimate),
         }
     }
 
+    /// Sheds queued work that ranks after `ticket`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is none; then `ticket` is what is shed.
+    fn make_room(&self, ticket: &Ticket, wait: Duration) -> Result<(), Refused> {
+        let refused = Refused::new(Reason::QueueFull, wait);
+        let shed = self.queue.borrow_mut().shed(ticket.class, ticket.rank());
+        let Some(shed) = shed else {
+            return Err(refused);
+        };
+        shed.queued.set(None);
+        shed.tell(refused.event());
+        Ok(())
+    }
+
     fn enqueue(&self, ticket: &Rc<Ticket>) -> Result<(), Refused> {
-        let pushed = self
-            .queue
-            .borrow_mut()
-            .push(ticket.class, ticket.deadline, ticket.clone());
+        let pushed = self.queue.borrow_mut().push(
+            ticket.class,
+            ticket.deadline,
+            ticket.rank(),
+            ticket.clone(),
+        );
         match pushed {
             Push::Queued(key) => ticket.queued.set(Some(key)),
             Push::Displaced(key, last) => {
--- a/crates/pool/src/ticket.rs
+++ b/crates/pool/src/ticket.rs
@@ -20,7 +20,10 @@
 use bytes::Bytes;
 use config::preset::Class;
 use futures_channel::mpsc::UnboundedSender;
-use policy::queue::Key;
+use policy::queue::{
+    Key,
+    Rank, //
+};
 use uuid::Uuid;
 use wire::Reason;
 
@@ -120,6 +123,11 @@
         matches!(&self.work, Work::Call { key } if !key.is_empty())
     }
 
+    /// Returns the order in which it is shed, the same at every service.
+    pub(crate) fn rank(&self) -> Rank {
+        Rank::new(self.request.as_u128())
+    }
+
     /// Returns whether no sub-request can have run.
     pub(crate) fn is_not_run(&self) -> bool {
         self.sends.get() == self.not_run.get()
--- a/crates/pool/tests/calls.rs
+++ b/crates/pool/tests/calls.rs
@@ -86,10 +86,7 @@
     run(async {
         let a = Fake::start(|_| NOW);
         let b = Fake::start(|_| NOW);
-        let pool = pool(&[&a, &b], Preset::default()).await;
-        for number in 0..200 {
-            pool.part(job(number, 0, LONG)).await;
-        }
+        let pool = warm_pool(&[&a, &b]).await;
         let before = a.count() + b.count();
         a.behave(|_| Act::Hang);
         b.behave(|_| Act::Hang);
--- a/crates/pool/tests/common/mod.rs
+++ b/crates/pool/tests/common/mod.rs
@@ -357,6 +357,21 @@
     pool
 }
 
+/// Makes a pool that knows how long its servers take, and hasn't sent a hedge yet.
+pub(crate) async fn warm_pool(fakes: &[&Rc<Fake>]) -> Rc<pool::Pool> {
+    // A stall of the machine must not lead to a hedge.
+    let patient = Preset {
+        hedge_min_ms: 10_000,
+        ..Preset::default()
+    };
+    let pool = pool(fakes, patient).await;
+    for number in 1_000..1_200 {
+        pool.part(job(number, 0, LONG)).await;
+    }
+    pool.update(view(fakes, Preset::default(), &[]), &|_| true);
+    pool
+}
+
 /// Makes part `index` of request `number`.
 pub(crate) fn job(number: u128, index: u32, left: Duration) -> pool::Job {
     pool::Job {
--- a/crates/pool/tests/replicas.rs
+++ b/crates/pool/tests/replicas.rs
@@ -92,20 +92,12 @@
 /// Slots of two servers.
 const SLOTS: usize = 4;
 
-/// Answers a lot of parts, so that the latency is known.
-async fn warm(pool: &pool::Pool) {
-    for number in 1_000..1_200 {
-        pool.part(job(number, 0, LONG)).await;
-    }
-}
-
 #[test]
 fn straggler_is_hedged_and_cancelled() {
     run(async {
         let a = Fake::start(|_| NOW);
         let b = Fake::start(|_| NOW);
-        let pool = pool(&[&a, &b], Preset::default()).await;
-        warm(&pool).await;
+        let pool = warm_pool(&[&a, &b]).await;
         a.behave(|seen| match seen.request.ends_with("-5") {
             true if seen.attempt == 1 => Act::Hang,
             _ => NOW,
@@ -157,8 +149,7 @@
     run(async {
         let a = Fake::start(|_| NOW);
         let b = Fake::start(|_| NOW);
-        let pool = pool(&[&a, &b], Preset::default()).await;
-        warm(&pool).await;
+        let pool = warm_pool(&[&a, &b]).await;
         a.behave(|_| Act::After(ms(30)));
         b.behave(|_| Act::After(ms(30)));
         let parts: Vec<_> = (0..24)
