feat(pool): hedge by a stand-in multiple while little is known

Until then the median of all services, and four times it, stand in; the budget bounds what that costs.

--- a/crates/policy/src/latency.rs
+++ b/crates/policy/src/latency.rs
@@ -86,6 +86,8 @@
 
 /// Latency that stands for the median in a [`Shape`].
 const UNIT: Duration = Duration::from_millis(10);
+/// Multiple of the median that stands for a high quantile while nothing is known.
+const MULTIPLE: f64 = 4.0;
 /// Samples above which a service's own quantiles are better than the shared shape.
 const OWN_SAMPLES: u64 = 1_000;
 
@@ -123,9 +125,9 @@
     median: Option<Duration>,
     multiple: Option<f64>,
 ) -> Option<Duration> {
-    match (median, multiple) {
-        (Some(median), Some(multiple)) if samples < OWN_SAMPLES => Some(median.mul_f64(multiple)),
-        _ => own,
+    match own {
+        Some(own) if samples >= OWN_SAMPLES => Some(own),
+        _ => median.map(|median| median.mul_f64(multiple.unwrap_or(MULTIPLE))),
     }
 }
 
--- a/crates/pool/src/latency.rs
+++ b/crates/pool/src/latency.rs
@@ -41,10 +41,11 @@
 }
 
 impl Latency {
-    pub(crate) fn record(&mut self, now: Instant, latency: Duration, shape: &mut Common) {
+    pub(crate) fn record(&mut self, now: Instant, latency: Duration, common: &mut Common) {
         self.window.record(now, latency);
+        common.latencies.record(now, latency);
         if let Some(median) = self.usual {
-            shape.record(now, latency, median);
+            common.record(now, latency, median);
         }
         self.fresh += 1;
         if self.fresh >= REFRESH || self.usual.is_none() {
@@ -64,13 +65,14 @@
     }
 
     /// Returns the latency at `quantile`, `None` while too little is known.
-    pub(crate) fn quantile(&mut self, quantile: f64, shape: &mut Common) -> Option<Duration> {
+    pub(crate) fn quantile(&mut self, quantile: f64, common: &mut Common) -> Option<Duration> {
         if self.asked != quantile {
             self.asked = quantile;
             self.refresh();
         }
-        let multiple = shape.quantile(quantile);
-        latency::estimate(self.answer, self.window.samples(), self.usual, multiple)
+        let multiple = common.quantile(quantile);
+        let median = self.usual.or_else(|| common.latencies.quantile(0.5));
+        latency::estimate(self.answer, self.window.samples(), median, multiple)
     }
 
     /// Returns the number of samples in the window.
@@ -83,6 +85,7 @@
 #[derive(Debug)]
 pub(crate) struct Common {
     shape: Shape,
+    latencies: Window,
     asked: f64,
     answer: Option<f64>,
     fresh: u32,
@@ -92,6 +95,7 @@
     fn default() -> Self {
         Self {
             shape: Shape::new(SPAN),
+            latencies: Window::new(SPAN),
             asked: 0.0,
             answer: None,
             fresh: 0,
