--- a/crates/pool/src/service.rs
+++ b/crates/pool/src/service.rs
@@ -19,12 +19,17 @@
 };
 use config::Preset;
 use policy::{
-    admission, choice, hedge,
+    admission,
+    choice,
+    hedge::{
+        self,
+        Lateness, //
+    },
     queue::{
         self,
         Push, //
     },
-    retry,
+    retry, //
 };
 use wire::Reason;
 
@@ -118,17 +123,36 @@
             return Ok(());
         }
         let estimate = admission::estimate(ahead, self.usable(now), self.usual());
-        match now + estimate > ticket.deadline {
-            true => Err(Refused::new(Reason::Deadline, estimate)),
-            false => Ok(()),
+        let left = ticket.deadline.saturating_duration_since(now);
+        match admission::is_feasible(estimate, left) {
+            true => Ok(()),
+            false => self.make_room(ticket, estimate),
         }
     }
 
+    /// Sheds queued work that ranks after `ticket`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is none; then `ticket` is what is shed.
+    fn make_room(&self, ticket: &Ticket, wait: Duration) -> Result<(), Refused> {
+        let refused = Refused::new(Reason::QueueFull, wait);
+        let shed = self.queue.borrow_mut().shed(ticket.class, ticket.rank());
+        let Some(shed) = shed else {
+            return Err(refused);
+        };
+        shed.queued.set(None);
+        shed.tell(refused.event());
+        Ok(())
+    }
+
     fn enqueue(&self, ticket: &Rc<Ticket>) -> Result<(), Refused> {
-        let pushed = self
-            .queue
-            .borrow_mut()
-            .push(ticket.class, ticket.deadline, ticket.clone());
+        let pushed = self.queue.borrow_mut().push(
+            ticket.class,
+            ticket.deadline,
+            ticket.rank(),
+            ticket.clone(),
+        );
         match pushed {
             Push::Queued(key) => ticket.queued.set(Some(key)),
             Push::Displaced(key, last) => {
@@ -267,7 +291,7 @@
     }
 
     /// Sends a duplicate if a slot is free now, nothing else needs it and the budget allows.
-    pub(crate) fn hedge(self: &Rc<Self>, ticket: &Rc<Ticket>) -> bool {
+    pub(crate) fn hedge(self: &Rc<Self>, ticket: &Rc<Ticket>, lateness: Lateness) -> bool {
         if !self.queue.borrow().is_empty() {
             return false;
         }
@@ -277,7 +301,7 @@
         let Some(server) = server.filter(|server| server.inner.borrow().failures == 0) else {
             return false;
         };
-        if !self.shared.hedges.borrow_mut().take() {
+        if !self.shared.hedges.borrow_mut().take(lateness) {
             return false;
         }
         self.start(ticket, &server, Kind::Hedge, now);
