feat(ledger): run a call whose home went silent, refuse hopeless claims at once

Settling voided a key that nobody had claimed, so that a frozen home cost its callers a refusal and a new key each. It now claims the key and sends the call itself; the conditional update keeps the home from doing so too. Where that ends without running, the key is fenced before not_run is said, as the home could still claim a key that came free.

Claims are refused at once while some request to the platform is under way for longer than the claim has time, or the platform failed within the last 200 ms: before, every partition found out for itself. An eighth of the time is kept for the send and the reply, so that a home's refusal still reaches its entry.

--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -37,6 +37,7 @@
         Claim,
         Confirmed, //
     },
+    health::Health,
     key::{
         self,
         Key, //
@@ -62,6 +63,8 @@
 const LOOK: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(320));
 /// Time left below which nobody waits for an outcome.
 const SHORT: Duration = Duration::from_millis(20);
+/// One in this many parts of a call's time is kept for sending it.
+const SEND_SHARE: u32 = 8;
 /// Time past the deadline after which a send that has no reply is given up.
 const GRACE: Duration = Duration::from_millis(100);
 /// Wait between two checks of whether everything is recorded.
@@ -105,6 +108,7 @@
     stopping: Cell<bool>,
     partitions: RefCell<BTreeMap<u32, Rc<Partition<S, R>>>>,
     counters: Rc<Counters>,
+    health: Rc<Health>,
     calls: Calls,
 }
 
@@ -144,6 +148,7 @@
             stopping: Cell::new(false),
             partitions: RefCell::default(),
             counters: Rc::default(),
+            health: Rc::default(),
             calls: Calls::default(),
         })
     }
@@ -163,9 +168,13 @@
         self.counted(reply)
     }
 
-    /// Settles a keyed call whose home went silent: the recorded outcome, or `may_have_run`, or,
-    /// once the key is fenced so that nobody can run it any more, `not_run`.
+    /// Settles a keyed call whose home went silent.
+    ///
+    /// A key that nobody claimed is claimed and sent from here. Otherwise the reply is the recorded
+    /// one, or `may_have_run`, or, once the key is fenced so that the silent home can't run it any
+    /// more, `not_run`.
     pub async fn settle(&self, request: CallRequest, deadline: Instant) -> CallReply {
+        count(&self.calls.settled);
         let reply = self.settled(request, deadline).await;
         self.counted(reply)
     }
@@ -176,13 +185,14 @@
             Err(fault) => return reply::bad_key(fault),
         };
         let partition = self.open(stake.key.partition());
-        if partition.is_refusing() {
+        let claim_by = self.claim_by(deadline);
+        if self.health.is_hopeless(self.runtime.now(), claim_by) {
             return reply::not_run(Reason::Platform);
         }
         if !partition.has_room() {
             return reply::not_run(Reason::Overloaded);
         }
-        match self.ask(&partition, Kind::Claim, &stake, deadline).await {
+        match self.ask(&partition, Kind::Claim, &stake, claim_by).await {
             Asked::Granted(claim) => self.send(claim, request, deadline).await,
             Asked::Settled(reply) | Asked::Unclaimed(reply) => reply,
         }
@@ -217,12 +227,22 @@
             Err(_) => return unknown,
         };
         let partition = self.open(stake.key.partition());
-        match self.ask(&partition, Kind::Fence, &stake, deadline).await {
-            Asked::Settled(reply) => {
-                count(&self.calls.settled);
-                reply
-            }
+        let claim_by = self.claim_by(deadline);
+        let reply = match self.ask(&partition, Kind::Claim, &stake, claim_by).await {
+            Asked::Granted(claim) => self.send(claim, request, deadline).await,
+            Asked::Settled(reply) => return reply,
             // The home may still claim the key.
+            Asked::Unclaimed(_) => return unknown,
+        };
+        let is_free = reply
+            .failure
+            .as_ref()
+            .is_some_and(|failure| failure.not_run);
+        if !is_free {
+            return reply;
+        }
+        match self.ask(&partition, Kind::Fence, &stake, deadline).await {
+            Asked::Settled(reply) => reply,
             Asked::Granted(_) | Asked::Unclaimed(_) => unknown,
         }
     }
@@ -276,6 +296,13 @@
         }
     }
 
+    /// Returns the time by which a claim has to be confirmed: the rest is for the call and for the
+    /// reply's way back.
+    fn claim_by(&self, deadline: Instant) -> Instant {
+        let left = deadline.saturating_duration_since(self.runtime.now());
+        deadline - left / SEND_SHARE
+    }
+
     fn is_short(&self, deadline: Instant) -> bool {
         deadline.saturating_duration_since(self.runtime.now()) <= SHORT
     }
@@ -318,7 +345,8 @@
         let partition = partitions.entry(number).or_insert_with(|| {
             let store = self.store.clone();
             let runtime = self.runtime.clone();
-            Partition::new(number, store, runtime, self.counters.clone())
+            let (counters, health) = (self.counters.clone(), self.health.clone());
+            Partition::new(number, store, runtime, counters, health)
         });
         partition.clone()
     }
@@ -342,7 +370,6 @@
                 "partition": number,
                 "bytes": partition.size(),
                 "queued": partition.queued(),
-                "refusing": partition.is_refusing(),
             })
         });
         let listed = listed.collect::<Vec<_>>();
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -23,6 +23,7 @@
 
 mod change;
 mod claim;
+mod health;
 pub mod key;
 pub mod ledger;
 pub mod object;
--- a/crates/ledger/src/partition.rs
+++ b/crates/ledger/src/partition.rs
@@ -30,6 +30,7 @@
         Claim,
         Sink, //
     },
+    health::Health,
     object::{
         Fault,
         Object,
@@ -51,8 +52,6 @@
 const CONTENDED: (Duration, Duration) = (Duration::from_millis(2), Duration::from_millis(100));
 /// Shortest and longest wait after a failed read or write.
 const FAILED: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(2));
-/// Time for which claims are refused without asking after a failed read or write.
-const REFUSE_FOR: Duration = Duration::from_millis(200);
 
 /// What the partitions of one instance did.
 #[derive(Debug, Default)]
@@ -114,7 +113,7 @@
     queue: RefCell<VecDeque<Change>>,
     cache: RefCell<Option<Version>>,
     is_running: Cell<bool>,
-    refuses_until: Cell<Option<Instant>>,
+    health: Rc<Health>,
     pace: Pace,
 }
 
@@ -124,6 +123,7 @@
         store: Rc<S>,
         runtime: Rc<R>,
         counters: Rc<Counters>,
+        health: Rc<Health>,
     ) -> Rc<Self> {
         Rc::new(Self {
             name: format!("p{number:02}"),
@@ -133,7 +133,7 @@
             queue: RefCell::default(),
             cache: RefCell::default(),
             is_running: Cell::new(false),
-            refuses_until: Cell::new(None),
+            health,
             pace: Pace::new(),
         })
     }
@@ -153,12 +153,6 @@
         self.cache.borrow().as_ref().map_or(0, |cache| cache.size)
     }
 
-    /// Returns whether the platform failed so lately that claims are refused without asking it.
-    pub(crate) fn is_refusing(&self) -> bool {
-        let now = self.runtime.now();
-        self.refuses_until.get().is_some_and(|until| now < until)
-    }
-
     /// Returns whether more changes may wait.
     pub(crate) fn has_room(&self) -> bool {
         self.queued() < QUEUE_MAX
@@ -184,7 +178,7 @@
                 Ok(()) => {
                     contended.reset();
                     failed.reset();
-                    self.refuses_until.set(None);
+                    self.health.recover();
                     continue;
                 }
                 Err(halt) if halt.is_conflict() => contended.next_wait(),
@@ -257,6 +251,7 @@
             let value = version.object.encode()?;
             self.pace.spend(self.runtime.now());
             count(&self.counters.writes);
+            let _trip = self.health.start(self.runtime.now());
             version.number = self
                 .store
                 .write(KIND, &self.name, version.number, &value)
@@ -270,6 +265,7 @@
 
     async fn read(&self) -> Result<Version, Halt> {
         count(&self.counters.reads);
+        let _trip = self.health.start(self.runtime.now());
         let object = self
             .store
             .read(KIND, &self.name)
@@ -354,8 +350,7 @@
             }
         }
         if !halt.is_conflict() && !halt.is_in_doubt() {
-            let until = self.runtime.now() + REFUSE_FOR;
-            self.refuses_until.set(Some(until));
+            self.health.fail(self.runtime.now());
         }
     }
 }
--- a/crates/ledger/tests/model.rs
+++ b/crates/ledger/tests/model.rs
@@ -132,6 +132,7 @@
     holds(AGAIN, faults);
     holds(SETTLED, faults);
     holds(RELEASED, faults);
+    holds(PAUSED, faults);
 }
 
 #[test]
