--- a/crates/bench/src/report/table.rs
+++ b/crates/bench/src/report/table.rs
@@ -44,7 +44,7 @@
     counts(text, "refusals", &summary.refusals)?;
     counts(text, "faults", &summary.faults)?;
     counts(text, "missing shards", &summary.missing)?;
-    counts(text, "sub-requests", &summary.ends)?;
+    counts(text, "ended", &summary.ends)?;
     counts(text, "violations", &summary.violations)?;
     for violation in &summary.examples {
         let violation = serde_json::to_string(violation).map_err(|_| fmt::Error)?;
--- a/crates/bench/src/store/tests.rs
+++ b/crates/bench/src/store/tests.rs
@@ -80,3 +80,17 @@
     let refusal = objects.write("a", "x", Condition::Absent, value(&large));
     assert_eq!(refusal, Err(Refusal::Oversized));
 }
+
+#[test]
+fn accepted_writes_are_listed() {
+    let mut objects = Objects::default();
+    let mut write = |name, condition| objects.write("config", name, condition, value("{}"));
+    let refused = write("presets", Condition::Version(1));
+    assert!(refused.is_err());
+    assert_eq!(write("presets", Condition::Absent), Ok(1));
+    assert_eq!(write("marks", Condition::Absent), Ok(2));
+    assert_eq!(write("presets", Condition::Version(1)), Ok(3));
+    let accepted = objects.accepted("config", "presets");
+    let versions: Vec<_> = accepted.iter().map(|accepted| accepted.version).collect();
+    assert_eq!(versions, [1, 3]);
+}
