feat(policy): cut off the ranks that can't be served, at the same place everywhere

What was lost are queries whose rank lies near the cut, which differs between services by what each queue holds at the moment.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod choice;
 pub mod hedge;
 pub mod latency;
+pub mod level;
 pub mod queue;
 pub mod ramp;
 pub mod retry;
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -44,6 +44,11 @@
         let mixed = folded.wrapping_mul(SPREAD);
         Self((mixed ^ (mixed >> 32)).wrapping_mul(SPREAD))
     }
+
+    /// Returns the share of all requests that are kept longer, from 0 to 1.
+    pub fn share(self) -> f64 {
+        self.0 as f64 / u64::MAX as f64
+    }
 }
 
 #[derive(Debug)]
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -36,6 +36,7 @@
 //! # }
 //! ```
 
+mod admit;
 mod connection;
 pub mod counters;
 mod latency;
--- a/crates/pool/src/part.rs
+++ b/crates/pool/src/part.rs
@@ -31,10 +31,8 @@
 };
 
 use crate::{
-    service::{
-        Refused,
-        Service, //
-    },
+    admit::Refused,
+    service::Service,
     ticket::{
         Event,
         Kind,
--- a/crates/pool/src/service.rs
+++ b/crates/pool/src/service.rs
@@ -19,16 +19,13 @@
 };
 use config::Preset;
 use policy::{
-    admission,
     choice,
     hedge::{
         self,
         Lateness, //
     },
-    queue::{
-        self,
-        Push, //
-    },
+    level::Level,
+    queue,
     retry, //
 };
 use wire::Reason;
@@ -61,13 +58,6 @@
     pub(crate) stopping: Cell<bool>,
 }
 
-/// Work that isn't taken on.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Refused {
-    pub(crate) reason: Reason,
-    pub(crate) retry_after: Duration,
-}
-
 /// One service.
 #[derive(Debug)]
 pub(crate) struct Service<D> {
@@ -78,6 +68,7 @@
     pub(crate) queue: RefCell<queue::Deadline<Rc<Ticket>>>,
     pub(crate) retries: RefCell<retry::Budget>,
     pub(crate) latency: RefCell<Latency>,
+    pub(crate) level: RefCell<Level>,
     started: Cell<u64>,
 }
 
@@ -92,95 +83,11 @@
             queue: RefCell::new(queue::Deadline::new(preset.queue)),
             retries: RefCell::new(retry::Budget::new(preset.retry_budget)),
             latency: RefCell::default(),
+            level: RefCell::default(),
             started: Cell::new(0),
         })
     }
 
-    /// Takes on new work.
-    ///
-    /// # Errors
-    ///
-    /// Fails if it can't be run in time or at all.
-    pub(crate) fn submit(self: &Rc<Self>, ticket: &Rc<Ticket>) -> Result<(), Refused> {
-        let now = Instant::now();
-        self.check(ticket, now)?;
-        self.retries.borrow_mut().earn();
-        self.shared.hedges.borrow_mut().earn();
-        self.enqueue(ticket)?;
-        self.dispatch();
-        Ok(())
-    }
-
-    fn check(&self, ticket: &Ticket, now: Instant) -> Result<(), Refused> {
-        if now >= ticket.deadline {
-            return Err(Refused::new(Reason::Deadline, Duration::ZERO));
-        }
-        if self.is_out(now) {
-            return Err(Refused::new(Reason::Unreachable, self.rest(now)));
-        }
-        let ahead = self.queue.borrow().ahead(ticket.class, ticket.deadline);
-        if ahead == 0 {
-            return Ok(());
-        }
-        let estimate = admission::estimate(ahead, self.usable(now), self.usual());
-        let left = ticket.deadline.saturating_duration_since(now);
-        match admission::is_feasible(estimate, left) {
-            true => Ok(()),
-            false => self.make_room(ticket, estimate),
-        }
-    }
-
-    /// Sheds queued work that ranks after `ticket`.
-    ///
-    /// # Errors
-    ///
-    /// Fails if there is none; then `ticket` is what is shed.
-    fn make_room(&self, ticket: &Ticket, wait: Duration) -> Result<(), Refused> {
-        let refused = Refused::new(Reason::QueueFull, wait);
-        let shed = self.queue.borrow_mut().shed(ticket.class, ticket.rank());
-        let Some(shed) = shed else {
-            return Err(refused);
-        };
-        shed.queued.set(None);
-        shed.tell(refused.event());
-        Ok(())
-    }
-
-    fn enqueue(&self, ticket: &Rc<Ticket>) -> Result<(), Refused> {
-        let pushed = self.queue.borrow_mut().push(
-            ticket.class,
-            ticket.deadline,
-            ticket.rank(),
-            ticket.clone(),
-        );
-        match pushed {
-            Push::Queued(key) => ticket.queued.set(Some(key)),
-            Push::Displaced(key, last) => {
-                ticket.queued.set(Some(key));
-                last.queued.set(None);
-                last.tell(self.full().event());
-            }
-            Push::Full(_) => return Err(self.full()),
-        }
-        Ok(())
-    }
-
-    /// Puts work back that has to be sent to a server again.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the queue is full of more urgent work.
-    pub(crate) fn resubmit(
-        self: &Rc<Self>,
-        ticket: &Rc<Ticket>,
-        kind: Kind,
-    ) -> Result<(), Refused> {
-        ticket.kind.set(kind);
-        self.enqueue(ticket)?;
-        self.dispatch();
-        Ok(())
-    }
-
     /// Gives queued work to free slots.
     pub(crate) fn dispatch(self: &Rc<Self>) {
         if self.queue.borrow().is_empty() {
@@ -199,22 +106,6 @@
         self.connect(now);
     }
 
-    /// Refuses what can't make its deadline any more, from the head of the queue.
-    fn drop_late(&self, now: Instant) {
-        let usual = self.usual();
-        loop {
-            let late = match self.queue.borrow().iter().next() {
-                Some((key, ticket)) if now + usual > ticket.deadline => *key,
-                _ => return,
-            };
-            let Some(ticket) = self.queue.borrow_mut().remove(&late) else {
-                return;
-            };
-            ticket.queued.set(None);
-            ticket.tell(Refused::new(Reason::Deadline, usual).event());
-        }
-    }
-
     /// Returns the first work for which a replica has a free slot, and that replica.
     fn next(&self, now: Instant) -> Option<(Rc<Ticket>, Rc<Server>)> {
         let queue = self.queue.borrow();
@@ -249,6 +140,9 @@
     }
 
     fn start(self: &Rc<Self>, ticket: &Rc<Ticket>, server: &Rc<Server>, kind: Kind, now: Instant) {
+        if kind == Kind::First {
+            self.level.borrow_mut().served(ticket.class);
+        }
         let attempt = ticket.start(server.name().clone(), now);
         self.started.set(self.started.get() + 1);
         {
@@ -400,17 +294,6 @@
         });
     }
 
-    /// Takes everything from the queue unsent.
-    pub(crate) fn refuse_all(&self, reason: Reason, retry_after: Duration) {
-        loop {
-            let Some(ticket) = self.queue.borrow_mut().pop() else {
-                return;
-            };
-            ticket.queued.set(None);
-            ticket.tell(Refused::new(reason, retry_after).event());
-        }
-    }
-
     /// Drops work that nobody waits for any more, and cancels what runs of it.
     pub(crate) fn forget(&self, ticket: &Rc<Ticket>) {
         ticket.open.set(false);
@@ -478,23 +361,6 @@
             .any(|server| server.is_serving() && ticket.may_use(server.name()))
     }
 
-    /// Returns whether no server can be expected to answer.
-    fn is_out(&self, now: Instant) -> bool {
-        let servers = self.servers.borrow();
-        servers
-            .iter()
-            .all(|server| server.is_out() && !server.is_probe_due(now))
-    }
-
-    fn rest(&self, now: Instant) -> Duration {
-        let servers = self.servers.borrow();
-        let serving = servers.iter().filter(|server| server.is_serving());
-        serving
-            .map(|server| server.rest(now))
-            .min()
-            .unwrap_or_default()
-    }
-
     pub(crate) fn usable(&self, now: Instant) -> usize {
         self.servers
             .borrow()
@@ -524,28 +390,6 @@
         let observed = self.latency.borrow_mut().quantile(quantile, &mut common);
         hedge::wait(observed, Duration::from_millis(preset.hedge_min_ms))
     }
-
-    fn full(&self) -> Refused {
-        let ahead = self.queue.borrow().len();
-        let wait = admission::estimate(ahead, self.usable(Instant::now()), self.usual());
-        Refused::new(Reason::QueueFull, wait)
-    }
-}
-
-impl Refused {
-    pub(crate) fn new(reason: Reason, retry_after: Duration) -> Self {
-        Self {
-            reason,
-            retry_after,
-        }
-    }
-
-    fn event(self) -> Event {
-        Event::Refused {
-            reason: self.reason,
-            retry_after: self.retry_after,
-        }
-    }
 }
 
 fn is_not_run(outcome: &Outcome) -> bool {
