refactor(pool): take the cut-off of ranks back out

The burst of the first second drives the level down, and it rises by only 5% in three seconds while the queues are empty: coverage was 0.67 to 0.75 in seconds 1 to 5 with a p99 of 62 to 118 ms, so slots were idle. Ruled out: a larger room, which makes the cut as blunt as without it. A controller on the queue's wait is left for later. The split into admit.rs stays.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -39,7 +39,6 @@
 pub mod choice;
 pub mod hedge;
 pub mod latency;
-pub mod level;
 pub mod queue;
 pub mod ramp;
 pub mod retry;
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -31,7 +31,6 @@
         Shape,
         Window, //
     },
-    level::Level,
     queue::{
         Deadline,
         Push,
@@ -303,27 +302,6 @@
     assert_eq!(survivors(&mut (0..100)), survivors(&mut (0..100).rev()));
 }
 
-/// Offers 200 requests a second for 10 s to a service that serves every `every`th of them.
-fn level_after(every: u32) -> f64 {
-    let start = Instant::now();
-    let mut level = Level::default();
-    for number in 0..2_000 {
-        level.offered(start + ms(u64::from(number) * 5), Class::Normal);
-        match number % every {
-            0 => level.served(Class::Normal),
-            _ => level.shed(Class::Normal),
-        }
-    }
-    level.get(Class::Normal)
-}
-
-#[test]
-fn level_follows_the_share_that_is_served() {
-    let levels = [1, 2, 4].map(|every| (level_after(every) * 100.0).round() as u32);
-    assert_eq!(levels, [100, 52, 26]);
-    assert_eq!(Level::default().get(Class::Bulk), 1.0);
-}
-
 #[test]
 fn ranks_are_spread_evenly() {
     let low = (0..10_000)
--- a/crates/pool/src/admit.rs
+++ b/crates/pool/src/admit.rs
@@ -55,7 +55,6 @@
     /// Fails if it can't be run in time or at all.
     pub(crate) fn submit(self: &Rc<Self>, ticket: &Rc<Ticket>) -> Result<(), Refused> {
         let now = Instant::now();
-        self.level.borrow_mut().offered(now, ticket.class);
         self.check(ticket, now)?;
         self.retries.borrow_mut().earn();
         self.shared.hedges.borrow_mut().earn();
@@ -77,10 +76,6 @@
         }
         let estimate = admission::estimate(ahead, self.usable(now), self.usual());
         let left = ticket.deadline.saturating_duration_since(now);
-        if !self.level.borrow().admits(ticket.class, ticket.rank()) {
-            self.level.borrow_mut().shed(ticket.class);
-            return Err(Refused::new(Reason::QueueFull, estimate));
-        }
         match admission::is_feasible(estimate, left) {
             true => Ok(()),
             false => self.make_room(ticket, estimate),
@@ -96,7 +91,6 @@
         let refused = Refused::new(Reason::QueueFull, wait);
         let shed = self.queue.borrow_mut().shed(ticket.class, ticket.rank());
         let Some(shed) = shed else {
-            self.level.borrow_mut().shed(ticket.class);
             return Err(refused);
         };
         self.drop_shed(&shed, refused);
@@ -104,7 +98,6 @@
     }
 
     fn drop_shed(&self, ticket: &Ticket, refused: Refused) {
-        self.level.borrow_mut().shed(ticket.class);
         ticket.queued.set(None);
         ticket.tell(refused.event());
     }
@@ -122,10 +115,7 @@
                 ticket.queued.set(Some(key));
                 self.drop_shed(&last, self.full());
             }
-            Push::Full(_) => {
-                self.level.borrow_mut().shed(ticket.class);
-                return Err(self.full());
-            }
+            Push::Full(_) => return Err(self.full()),
         }
         Ok(())
     }
--- a/crates/pool/src/service.rs
+++ b/crates/pool/src/service.rs
@@ -24,7 +24,6 @@
         self,
         Lateness, //
     },
-    level::Level,
     queue,
     retry, //
 };
@@ -68,7 +67,6 @@
     pub(crate) queue: RefCell<queue::Deadline<Rc<Ticket>>>,
     pub(crate) retries: RefCell<retry::Budget>,
     pub(crate) latency: RefCell<Latency>,
-    pub(crate) level: RefCell<Level>,
     started: Cell<u64>,
 }
 
@@ -83,7 +81,6 @@
             queue: RefCell::new(queue::Deadline::new(preset.queue)),
             retries: RefCell::new(retry::Budget::new(preset.retry_budget)),
             latency: RefCell::default(),
-            level: RefCell::default(),
             started: Cell::new(0),
         })
     }
@@ -140,9 +137,6 @@
     }
 
     fn start(self: &Rc<Self>, ticket: &Rc<Ticket>, server: &Rc<Server>, kind: Kind, now: Instant) {
-        if kind == Kind::First {
-            self.level.borrow_mut().served(ticket.class);
-        }
         let attempt = ticket.start(server.name().clone(), now);
         self.started.set(self.started.get() + 1);
         {
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -6,7 +6,6 @@
 };
 
 use backend::Dial;
-use config::preset::Class;
 use serde::Serialize;
 
 use crate::{
@@ -43,8 +42,6 @@
     median_ms: f64,
     hedge_after_ms: Option<f64>,
     retry_tokens: f64,
-    /// Share of the ranks that is admitted, by class, the most urgent first.
-    levels: [f64; 3],
     servers_total: usize,
     servers: Vec<Replica>,
 }
@@ -83,7 +80,6 @@
             samples,
             median_ms: ms(usual),
             hedge_after_ms: service.hedge_wait().map(ms),
-            levels: Class::ALL.map(|class| service.level.borrow().get(class)),
             retry_tokens: service.retries.borrow().tokens(),
             servers_total: servers.len(),
             servers: servers
