--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -55,6 +55,9 @@
 /// Members that hear first that this instance leaves, besides one for each doubling of the fleet.
 const LEAVE_PEERS: usize = 3;
 
+/// Times that a peer which doesn't answer is told that this instance leaves.
+const LEAVE_TRIES: usize = 2;
+
 /// The fleet as this instance sees it.
 #[derive(Debug)]
 pub struct Fleet<S> {
@@ -270,8 +273,13 @@
             self.renew();
         }
         let count = LEAVE_PEERS + doublings(self.table.borrow().running()) as usize;
-        let peers = self.some_peers(count);
-        join_all(peers.iter().map(|peer| heartbeat::tell(self, peer))).await;
+        let mut peers = self.some_peers(count);
+        for _ in 0..LEAVE_TRIES {
+            let tells = peers.iter().map(|peer| heartbeat::tell(self, peer));
+            let answers = join_all(tells).await;
+            let mut answers = answers.into_iter();
+            peers.retain(|_| answers.next() == Some(false));
+        }
     }
 
     fn ownership(&self) -> Rc<Ownership> {
--- a/crates/fleet/src/heartbeat.rs
+++ b/crates/fleet/src/heartbeat.rs
@@ -110,15 +110,18 @@
     ProbeReply { alive }
 }
 
-/// Sends one heartbeat to `member`, whatever comes of it.
-pub(crate) async fn tell<S: Store>(fleet: &Fleet<S>, member: &Member) {
-    exchange(fleet, member.address, Some(&member.name)).await;
+/// Sends one heartbeat to `member`; returns whether it answered.
+pub(crate) async fn tell<S: Store>(fleet: &Fleet<S>, member: &Member) -> bool {
+    exchange(fleet, member.address, Some(&member.name)).await
 }
 
 async fn round<S: Store>(fleet: &Fleet<S>, target: Target) {
     let member = match target {
         Target::Member(member) => member,
-        Target::Failed(member) => return tell(fleet, &member).await,
+        Target::Failed(member) => {
+            tell(fleet, &member).await;
+            return;
+        }
         Target::Address(address) => {
             exchange(fleet, address, None).await;
             return;
--- a/crates/fleet/src/watch.rs
+++ b/crates/fleet/src/watch.rs
@@ -91,6 +91,7 @@
         let turn = take_turn(fleet, failures, acting).await;
         let is_cut_off = turn == Turn::Straggler && fleet.contact.age(Instant::now()).is_some();
         let wait = turn.wait(fleet.settings.heartbeat);
+        let start = Instant::now();
         match news(fleet, revision, wait).await {
             Ok(listing) => {
                 failures = 0;
@@ -101,6 +102,10 @@
                     acting = Some(now + fleet.settings.heartbeat * ACTING_HEARTBEATS);
                 }
                 take_in(fleet, &listing);
+                // A watch that ends at once with nothing to tell must not turn into a busy loop.
+                if listing.objects.is_empty() && start.elapsed() < wait / 2 {
+                    sleep(jittered(fleet.settings.heartbeat)).await;
+                }
             }
             Err(failure) => {
                 tracing::warn!("fleet: documents can't be read: {failure}.");
