--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,12 +23,14 @@
 //!
 //! let mut budget = hedge::Budget::new(0.05);
 //! (0..20).for_each(|_| budget.earn());
-//! assert!(budget.take());
-//! assert!(!budget.take());
+//! assert!(budget.take(hedge::Lateness::Slow));
+//! assert!(!budget.take(hedge::Lateness::Slow));
+//! assert!(budget.take(hedge::Lateness::Straggling));
 //!
 //! let mut queue = queue::Deadline::new(8);
 //! let soon = now + Duration::from_millis(10);
-//! assert!(matches!(queue.push(Class::Normal, soon, "part"), queue::Push::Queued(_)));
+//! let rank = queue::Rank::new(42);
+//! assert!(matches!(queue.push(Class::Normal, soon, rank, "part"), queue::Push::Queued(_)));
 //! assert_eq!(queue.pop(), Some("part"));
 //! ```
 
