feat(ledger): try to record an outcome for as long as its key is remembered

Two minutes were less than the platform may be down for. An outcome that waits costs one try in two seconds and partition at most. Also drops dependencies that nothing uses, and tests which instances a preset command reports.

--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -182,7 +182,7 @@
     async fn run(&self, request: CallRequest, deadline: Instant) -> CallReply {
         let stake = match self.stake(&request) {
             Ok(stake) => stake,
-            Err(fault) => return reply::bad_key(fault),
+            Err(_) => return reply::not_run(Reason::KeyExpired),
         };
         let partition = self.open(stake.key.partition());
         let claim_by = self.claim_by(deadline);
@@ -223,7 +223,7 @@
         let stake = match self.stake(&request) {
             Ok(stake) => stake,
             // A malformed key is refused wherever it goes; an old one may have been claimed in time.
-            Err(key::Fault::Malformed) => return reply::bad_key(key::Fault::Malformed),
+            Err(key::Fault::Malformed) => return reply::not_run(Reason::KeyExpired),
             Err(_) => return unknown,
         };
         let partition = self.open(stake.key.partition());
--- a/crates/ledger/src/partition.rs
+++ b/crates/ledger/src/partition.rs
@@ -31,6 +31,7 @@
         Sink, //
     },
     health::Health,
+    key::WINDOW_MS,
     object::{
         Fault,
         Object,
@@ -46,8 +47,8 @@
 const BATCH_MAX: usize = 512;
 /// Most changes that wait for a write.
 const QUEUE_MAX: usize = 4096;
-/// Time for which the recording of an outcome is tried.
-const RECORD_FOR: Duration = Duration::from_secs(120);
+/// Time for which the recording of an outcome is tried; after it the key is forgotten anyway.
+const RECORD_FOR: Duration = Duration::from_millis(WINDOW_MS);
 /// Shortest and longest wait after another instance's write came first.
 const CONTENDED: (Duration, Duration) = (Duration::from_millis(2), Duration::from_millis(100));
 /// Shortest and longest wait after a failed read or write.
--- a/crates/ledger/src/reply.rs
+++ b/crates/ledger/src/reply.rs
@@ -9,10 +9,7 @@
     Reason, //
 };
 
-use crate::{
-    key::Fault,
-    object::State, //
-};
+use crate::object::State;
 
 /// Time after which a refused caller may come back.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -27,14 +24,6 @@
     refusal(reason, false)
 }
 
-/// Makes the refusal of a key.
-pub(crate) fn bad_key(fault: Fault) -> CallReply {
-    let reason = match fault {
-        Fault::Malformed | Fault::Expired | Fault::Ahead => Reason::KeyExpired,
-    };
-    not_run(reason)
-}
-
 /// Makes the reply that repeats an answered call.
 pub(crate) fn recorded(status: u32, server: &str, payload: Option<&str>) -> CallReply {
     CallReply {
--- a/crates/tanageryoke/tests/commands.rs
+++ b/crates/tanageryoke/tests/commands.rs
@@ -109,6 +109,24 @@
     insta::assert_snapshot!(told);
 }
 
+#[test]
+fn instances_that_lag_are_told() {
+    let store = Store::start(Vec::new());
+    let instance = store.address.to_string();
+    let peak = file("lag.toml", "queue = 7\n");
+    let peak = peak.to_str().expect("a path");
+    let reach = ["--instance", &instance, "--wait", "0s"];
+    let put = |name| [&["preset", "put", name, peak], &reach[..]].concat();
+    let choose = |name| [&["preset", "use", name], &reach[..], &["--json"]].concat();
+    let told = [
+        run(&store, &put("ordinary")),
+        run(&store, &put("ordinary")),
+        run(&store, &put("peak")),
+        run(&store, &choose("peak")),
+    ];
+    insta::assert_snapshot!(told.join("\n"));
+}
+
 #[test]
 fn a_refused_write_is_told() {
     let (told, store) = use_under(vec![Fault::Refuse]);
--- a/crates/tanageryoke/tests/common/store.rs
+++ b/crates/tanageryoke/tests/common/store.rs
@@ -74,6 +74,11 @@
         Ok(self.version)
     }
 
+    /// Returns the state of an instance that has the first version in force.
+    fn state() -> String {
+        "{\"instance\":{\"name\":\"one\"},\"versions\":{\"presets\":1}}".to_owned()
+    }
+
     fn rival(&mut self, name: &str, value: &'static str) {
         let current = self.current(name);
         let _ = self.write(name, current, Bytes::from_static(value.as_bytes()));
@@ -131,6 +136,7 @@
         let name = path.rsplit('/').next().unwrap_or_default();
         let mut objects = self.0.lock().expect("a lock");
         let (status, body) = match *request.method() {
+            _ if path == "/debug/state" => (200, Objects::state()),
             _ if path == "/v1/instances" => (200, "{\"instances\":[]}".to_owned()),
             Method::PUT => {
                 let expected = request.headers().get(IF_MATCH);
