fix(entry): remember that an earlier attempt may have run; bound and aim moves

Cause: parts whose instance was judged silent moved on, and only the later refusal was counted. Ruled out: the pool's count of sends, which takes every send into its refusal. Calls without a key had the same fault between two owners.

A silent peer is avoided for a second, and moves of parts that may have run draw on the preset's retry budget.

Left: a keyed call refused at the gate said not_run though an earlier request with its key had run; next.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -94,7 +94,7 @@
         match at_home(entry, home, request.clone(), deadline).await {
             Ok(reply) => return reply,
             // Nothing was sent, so the next home may take the call.
-            Err(Error::Unreachable) => entry.router.fleet.suspect(&home.name),
+            Err(Error::Unreachable) => entry.router.lost(home),
             Err(Error::Broken) if Instant::now() < deadline => {
                 return entry.ledger.settle(request, deadline).await;
             }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -1,8 +1,8 @@
 //! The handle that answers callers.
 
 use std::{
-    cell::Cell,
     rc::Rc,
+    sync::Arc,
     time::{
         Duration,
         Instant, //
@@ -10,6 +10,7 @@
 };
 
 use bytes::Bytes;
+use config::Preset;
 use http::{
     header::{
         HeaderValue,
@@ -20,6 +21,10 @@
 };
 use ledger::Ledger;
 use platform::Store;
+use policy::admission::{
+    Gate,
+    Permit, //
+};
 
 use crate::{
     call,
@@ -57,7 +62,7 @@
     pub patience: Patience,
     /// Metrics.
     pub meter: Meter,
-    in_flight: Cell<usize>,
+    gate: Gate,
 }
 
 impl<S: Store> Entry<S> {
@@ -69,21 +74,25 @@
             pins: pin::Memory::default(),
             patience: Patience::default(),
             meter,
-            in_flight: Cell::new(0),
+            gate: Gate::default(),
         })
     }
 
+    /// Takes in the preset that bounds admission and the moves of parts.
+    pub fn update(&self, preset: &Arc<Preset>) {
+        self.gate.update(preset.clone());
+        self.router.update(preset);
+    }
+
     /// Returns the requests that are being answered.
     pub fn in_flight(&self) -> usize {
-        self.in_flight.get()
+        self.gate.in_flight()
     }
 
     /// Answers a request under `/v1/`.
     pub async fn answer(&self, request: Request<Bytes>) -> Response<Bytes> {
         let started = Instant::now();
-        self.in_flight.set(self.in_flight.get() + 1);
         let response = self.run(&request, started).await;
-        self.in_flight.set(self.in_flight.get() - 1);
         echo(&request, response)
     }
 
@@ -121,33 +130,26 @@
         match Route::read(request.method(), request.uri().path())? {
             Route::Query(group) => {
                 let query = Query::read(request.body())?;
-                self.admit(head, group)?;
+                let _permit = self.admit(head, group)?;
                 let body = query::run(self, head, group, &query).await?;
                 Ok((group, body))
             }
             Route::Call(service) => {
                 let key = request::key(request.headers())?;
                 let body = request::call_body(request)?;
-                self.admit(head, service)?;
+                let _permit = self.admit(head, service)?;
                 let body = call::run(self, head, service, key, body).await?;
                 Ok((service, body))
             }
         }
     }
 
-    fn admit(&self, head: &Head, target: &str) -> Result<(), Problem> {
-        let preset = &head.view.preset;
-        let share = match preset.class(target) {
-            config::preset::Class::Urgent => 1.0,
-            config::preset::Class::Normal => preset.normal_share,
-            config::preset::Class::Bulk => preset.bulk_share,
-        };
-        let bound = (preset.in_flight as f64 * share) as usize;
-        if self.in_flight.get() <= bound {
-            return Ok(());
-        }
-        let detail = format!("more than {bound} requests are running");
-        Err(Problem::new(Kind::Overloaded, Run::NotRun, detail).retry_after(COME_BACK))
+    fn admit(&self, head: &Head, target: &str) -> Result<Permit, Problem> {
+        self.gate
+            .admit(head.view.preset.class(target))
+            .map_err(|full| {
+                Problem::new(Kind::Overloaded, Run::NotRun, full.to_string()).retry_after(COME_BACK)
+            })
     }
 
     fn refuse(&self, id: Option<&str>, problem: &Problem) -> Response<Bytes> {
--- a/crates/entry/src/gather.rs
+++ b/crates/entry/src/gather.rs
@@ -93,9 +93,19 @@
     plan: &'a Plan,
     partials: RefCell<Vec<Option<Partial>>>,
     missing: Cell<usize>,
+    may_have_run: Cell<bool>,
     done: RefCell<Stop>,
 }
 
+/// What a query's parts came to.
+#[derive(Debug)]
+pub struct Gathered {
+    /// A partial for each shard that has one, by position in the snapshot.
+    pub partials: Vec<Option<Partial>>,
+    /// Whether a part may have run at an instance that was lost.
+    pub may_have_run: bool,
+}
+
 impl<'a> Collector<'a> {
     fn new(plan: &'a Plan) -> Self {
         let shards = plan.snapshot.shards.len();
@@ -103,6 +113,7 @@
             plan,
             partials: RefCell::new(vec![None; shards]),
             missing: Cell::new(shards),
+            may_have_run: Cell::new(false),
             done: RefCell::new(Stop::new()),
         }
     }
@@ -167,11 +178,7 @@
 ///
 /// Always returns by the plan's deadline. Parts of an instance that can't be reached, or that stays
 /// silent and doesn't answer a probe, go to the next owner.
-pub async fn gather<S: Store>(
-    router: &Router<S>,
-    patience: &Patience,
-    plan: &Plan,
-) -> Vec<Option<Partial>> {
+pub async fn gather<S: Store>(router: &Router<S>, patience: &Patience, plan: &Plan) -> Gathered {
     let collector = Collector::new(plan);
     let mut gathering = Gathering {
         router,
@@ -185,7 +192,10 @@
     gathering.run().await;
     gathering.cancel();
     drop(gathering);
-    collector.partials.into_inner()
+    Gathered {
+        may_have_run: collector.may_have_run.get(),
+        partials: collector.partials.into_inner(),
+    }
 }
 
 struct Gathering<'a, S> {
@@ -200,25 +210,32 @@
 impl<'a, S: Store> Gathering<'a, S> {
     fn start(&mut self) {
         let all: Vec<u32> = (0..self.plan.snapshot.shards.len() as u32).collect();
+        self.router.earn(all.len());
         self.send(&all, 1);
     }
 
-    /// Sends `parts` to the owners of rank `attempt`.
+    /// Sends `parts` to the instances of rank `attempt`.
     fn send(&mut self, parts: &[u32], attempt: u32) {
+        let targets = parts
+            .iter()
+            .filter_map(|index| Some((*index, self.target(*index, attempt)?)));
+        let targets: Vec<_> = targets.collect();
+        self.place(targets, attempt);
+    }
+
+    /// Sends each part to its instance, those of the same instance together.
+    fn place(&mut self, parts: Vec<(u32, Rc<Member>)>, attempt: u32) {
         let mut batches: Vec<Batch> = Vec::new();
-        for index in parts {
-            let Some(member) = self.target(*index, attempt) else {
-                continue;
-            };
+        for (index, member) in parts {
             match batches
                 .iter_mut()
                 .find(|batch| batch.member.name == member.name)
             {
-                Some(batch) => batch.parts.push(*index),
+                Some(batch) => batch.parts.push(index),
                 None => batches.push(Batch {
                     member,
                     attempt,
-                    parts: vec![*index],
+                    parts: vec![index],
                 }),
             }
         }
@@ -227,8 +244,7 @@
 
     fn target(&self, index: u32, attempt: u32) -> Option<Rc<Member>> {
         let service = &self.plan.snapshot.shards[index as usize].service;
-        let owners = self.router.fleet.owners(service);
-        owners.get(attempt as usize - 1).cloned()
+        self.router.target(service, attempt as usize - 1)
     }
 
     fn launch(&mut self, batch: Batch) {
@@ -295,20 +311,40 @@
             Err(error) => {
                 let name = &running.batch.member.name;
                 tracing::info!("entry: instance {name} lost during a query: {error}.");
-                self.router.fleet.suspect(name);
-                self.move_on(&running.batch);
+                self.router.lost(&running.batch.member);
+                self.move_on(&running.batch, error == Error::Unreachable);
             }
         }
     }
 
-    /// Sends the open parts of a lost batch to the next owner.
-    fn move_on(&mut self, batch: &Batch) {
-        let open = self.collector.open(batch);
-        if batch.attempt < ATTEMPTS && !open.is_empty() {
-            self.send(&open, batch.attempt + 1);
+    /// Sends the open parts of a lost batch to the next instance.
+    ///
+    /// Parts that may have run already draw on the budget, as they may be served twice.
+    fn move_on(&mut self, batch: &Batch, unsent: bool) {
+        if !unsent {
+            self.collector.may_have_run.set(true);
+        }
+        let mut open = self.collector.open(batch);
+        open.retain(|_| unsent || self.router.may_move());
+        if batch.attempt < ATTEMPTS {
+            self.send_past(&open, batch);
         }
     }
 
+    /// Sends `parts` to the first instances that aren't the one of `batch`.
+    fn send_past(&mut self, parts: &[u32], batch: &Batch) {
+        let past = |targets: Vec<Rc<Member>>| {
+            let mut others = targets.into_iter();
+            others.find(|member| member.name != batch.member.name)
+        };
+        let placed = parts.iter().filter_map(|index| {
+            let service = &self.plan.snapshot.shards[*index as usize].service;
+            Some((*index, past(self.router.targets(service))?))
+        });
+        let placed: Vec<_> = placed.collect();
+        self.place(placed, batch.attempt + 1);
+    }
+
     /// Sends parts that an instance refused to take on to the next owner; returns whether any went.
     fn retry_refused(&mut self) -> bool {
         let refused: Vec<(u32, u32)> = self
@@ -350,7 +386,7 @@
     fn lose(&mut self, id: usize) {
         if let Some(running) = self.running[id].take() {
             tracing::info!("entry: instance {} is silent.", running.batch.member.name);
-            self.move_on(&running.batch);
+            self.move_on(&running.batch, false);
         }
     }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod pin;
 pub mod problem;
 pub mod query;
+pub mod reach;
 pub mod request;
 pub mod router;
 pub mod scatter;
--- a/crates/entry/src/query.rs
+++ b/crates/entry/src/query.rs
@@ -25,7 +25,10 @@
         Preset, //
     },
     entry::Entry,
-    gather::gather,
+    gather::{
+        gather,
+        Gathered, //
+    },
     pin,
     problem::{
         Kind,
@@ -72,14 +75,17 @@
         .choose(name, group)
         .ok_or_else(|| Problem::new(Kind::Unavailable, Run::NotRun, "the group has no snapshot"))?;
     let mut plan = plan(head, name, snapshot, query);
-    let mut partials = gather(&entry.router, &entry.patience, &plan).await;
-    if let Some(snapshot) = second(entry, head, name, group, &plan, &partials) {
+    let mut gathered = gather(&entry.router, &entry.patience, &plan).await;
+    entry.meter.sub_requests(&gathered.partials);
+    if let Some(snapshot) = second(entry, head, name, group, &plan, &gathered.partials) {
         entry.meter.rerun();
         plan.snapshot = snapshot;
-        partials = gather(&entry.router, &entry.patience, &plan).await;
+        let ran = may_have_run(&gathered);
+        gathered = gather(&entry.router, &entry.patience, &plan).await;
+        gathered.may_have_run |= ran;
+        entry.meter.sub_requests(&gathered.partials);
     }
-    entry.meter.sub_requests(&partials);
-    finish(entry, head, query, &plan, &partials)
+    finish(entry, head, query, &plan, &gathered)
 }
 
 fn plan(head: &Head, group: &Arc<str>, snapshot: &Arc<Snapshot>, query: &Query) -> Plan {
@@ -125,14 +131,15 @@
     head: &Head,
     query: &Query,
     plan: &Plan,
-    partials: &[Option<Partial>],
+    gathered: &Gathered,
 ) -> Result<Bytes, Problem> {
+    let partials = &gathered.partials;
     let merged = merged(plan, partials);
     let coverage = coverage(plan, partials, merged.len());
     entry.meter.coverage(&plan.group, &coverage);
     let share = merged.len() as f64 / plan.snapshot.shards.len().max(1) as f64;
     if merged.is_empty() || share < head.view.preset.coverage_min {
-        return Err(too_little(plan, partials, &coverage));
+        return Err(too_little(plan, gathered, &coverage));
     }
     let head = answer::Head {
         request: head.id.to_string(),
@@ -184,15 +191,22 @@
     name.strip_prefix("REASON_").unwrap_or(name).to_lowercase()
 }
 
-/// Makes the refusal of a query that too few shards answered.
-fn too_little(plan: &Plan, partials: &[Option<Partial>], coverage: &Coverage<'_>) -> Problem {
-    let ran = partials.iter().any(|partial| match partial {
+/// Returns whether a byte of the query may have reached a backend server that ran it.
+fn may_have_run(gathered: &Gathered) -> bool {
+    let ran = |partial: &Option<Partial>| match partial {
         None => true,
         Some(partial) => partial
             .failure
             .as_ref()
             .is_none_or(|failure| !failure.not_run),
-    });
+    };
+    gathered.may_have_run || gathered.partials.iter().any(ran)
+}
+
+/// Makes the refusal of a query that too few shards answered.
+fn too_little(plan: &Plan, gathered: &Gathered, coverage: &Coverage<'_>) -> Problem {
+    let partials = &gathered.partials;
+    let ran = may_have_run(gathered);
     let failures = || partials.iter().flatten().filter_map(|p| p.failure.as_ref());
     let overloaded = failures().any(|failure| {
         matches!(
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -1,6 +1,7 @@
 //! Finds the instance that does a piece of work and hands the work to it.
 
 use std::{
+    cell::RefCell,
     rc::Rc,
     time::{
         Duration,
@@ -8,12 +9,15 @@
     },
 };
 
+use config::Preset;
 use fleet::{
     Fleet,
     Member, //
 };
+use futures_channel::oneshot;
 use monoio::time::timeout;
 use platform::Store;
+use policy::retry;
 use pool::Pool;
 use wire::{
     client::{
@@ -26,8 +30,13 @@
     Reason, //
 };
 
-/// Longest wait for a peer's sign of life.
-const PROBE: Duration = Duration::from_millis(50);
+use crate::reach::{
+    self,
+    Reach, //
+};
+
+/// Parts that may move to another instance at once, whatever the recent load.
+const MOVES: f64 = 64.0;
 /// Time that the reply of a peer may take over the deadline of its work.
 const REPLY_MARGIN: Duration = Duration::from_millis(5);
 
@@ -40,26 +49,86 @@
     pub pool: Rc<Pool>,
     /// Connections to peers.
     pub peers: Peers,
+    reach: Rc<Reach>,
+    moves: RefCell<retry::Budget>,
 }
 
 impl<S: Store> Router<S> {
     /// Makes a router over an instance's parts.
     pub fn new(fleet: Rc<Fleet<S>>, pool: Rc<Pool>, peers: Peers) -> Rc<Self> {
-        Rc::new(Self { fleet, pool, peers })
+        Rc::new(Self {
+            fleet,
+            pool,
+            peers,
+            reach: Rc::default(),
+            moves: RefCell::new(retry::Budget::with_burst(0.0, MOVES)),
+        })
+    }
+
+    /// Returns the members that may run parts of `service`: owner and substitutes, those that were
+    /// silent a moment ago last.
+    pub fn targets(&self, service: &str) -> Vec<Rc<Member>> {
+        let owners = self.fleet.owners(service);
+        let (silent, mut targets): (Vec<_>, Vec<_>) = owners
+            .into_iter()
+            .partition(|member| self.reach.is_avoided(&member.name));
+        targets.extend(silent);
+        targets
+    }
+
+    /// Returns the member of rank `rank`, from 0, among the targets of `service`.
+    pub fn target(&self, service: &str, rank: usize) -> Option<Rc<Member>> {
+        match self.reach.is_calm() {
+            true => self.fleet.ranked(service).get(rank).cloned(),
+            false => self.targets(service).into_iter().nth(rank),
+        }
     }
 
-    /// Returns whether `member` answers at once; one that doesn't is suspected.
+    /// Takes in the preset that bounds how many parts may move to another instance.
+    pub fn update(&self, preset: &Preset) {
+        let mut moves = self.moves.borrow_mut();
+        match moves.tokens() {
+            0.0 => *moves = retry::Budget::with_burst(preset.retry_budget, MOVES),
+            _ => moves.set_share(preset.retry_budget),
+        }
+    }
+
+    /// Counts `parts` that are sent for the first time.
+    pub fn earn(&self, parts: usize) {
+        let mut moves = self.moves.borrow_mut();
+        (0..parts).for_each(|_| moves.earn());
+    }
+
+    /// Takes the token for moving one part that may have run already.
+    pub fn may_move(&self) -> bool {
+        self.moves.borrow_mut().take()
+    }
+
+    /// Takes note that `member` is lost: it is avoided for a moment, and suspected.
+    pub fn lost(&self, member: &Member) {
+        self.reach.silent(&member.name);
+        self.fleet.suspect(&member.name);
+    }
+
+    /// Returns whether `member` answers a probe in the time that it usually takes; one that doesn't
+    /// is lost until it answers.
     pub async fn is_alive(&self, member: &Member) -> bool {
-        let probe = wire::ProbeRequest {
-            target: Some(wire::Member {
-                name: member.name.to_string(),
-                ..wire::Member::default()
-            }),
-        };
-        let answered = timeout(PROBE, self.peers.probe(member.address, probe)).await;
-        let alive = matches!(answered, Ok(Ok(reply)) if reply.alive);
+        let (answer, answered) = oneshot::channel();
+        let (peers, reach) = (self.peers.clone(), self.reach.clone());
+        let (name, address) = (member.name.clone(), member.address);
+        monoio::spawn(async move {
+            let started = Instant::now();
+            let reply = timeout(reach::WAIT_MAX, peers.probe(address, probe(&name))).await;
+            let alive = matches!(reply, Ok(Ok(reply)) if reply.alive);
+            if alive {
+                reach.answered(&name, started.elapsed());
+            }
+            let _ = answer.send(alive);
+        });
+        let answered = timeout(self.reach.wait(&member.name), answered).await;
+        let alive = matches!(answered, Ok(Ok(true)));
         if !alive {
-            self.fleet.suspect(&member.name);
+            self.lost(member);
         }
         alive
     }
@@ -69,15 +138,15 @@
     /// A call with a key leaves for at most one backend server: once a byte may have left, no other
     /// owner is tried. A call without a key is tried at one more owner.
     pub async fn send(&self, request: CallRequest, deadline: Instant) -> CallReply {
-        let owners = self.fleet.owners(&request.service);
         let mut last = refusal(Reason::Unreachable, true);
-        for owner in owners.iter().take(2) {
-            if self.fleet.is_me(owner) {
-                return self.pool.send(request, deadline).await;
-            }
-            match self.send_to(owner, request.clone(), deadline).await {
-                Ok(reply) => return reply,
-                Err(Error::Unreachable) => self.fleet.suspect(&owner.name),
+        for owner in self.targets(&request.service).iter().take(2) {
+            let reply = match self.fleet.is_me(owner) {
+                true => Ok(self.pool.send(request.clone(), deadline).await),
+                false => self.send_to(owner, request.clone(), deadline).await,
+            };
+            match reply {
+                Ok(reply) => return after(&last, reply),
+                Err(Error::Unreachable) => self.lost(owner),
                 Err(Error::Broken) => {
                     last = refusal(Reason::Broken, false);
                     if !request.key.is_empty() {
@@ -111,6 +180,24 @@
     }
 }
 
+fn probe(name: &str) -> wire::ProbeRequest {
+    wire::ProbeRequest {
+        target: Some(wire::Member {
+            name: name.to_owned(),
+            ..wire::Member::default()
+        }),
+    }
+}
+
+/// Returns `reply` as it is true after an earlier owner ended with `last`, which may have run the call.
+pub fn after(last: &CallReply, mut reply: CallReply) -> CallReply {
+    let ran = last.failure.as_ref().is_some_and(|last| !last.not_run);
+    if let Some(failure) = &mut reply.failure {
+        failure.not_run &= !ran;
+    }
+    reply
+}
+
 /// Makes the reply to a call that failed.
 pub fn refusal(reason: Reason, not_run: bool) -> CallReply {
     CallReply {
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -12,8 +12,13 @@
 impl Budget {
     /// Makes a full budget that earns `share` of a retry for each sub-request.
     pub fn new(share: f64) -> Self {
-        let tokens = if share > 0.0 { BURST } else { 0.0 };
-        Self(Bucket::new(share, BURST, tokens))
+        Self::with_burst(share, BURST)
+    }
+
+    /// Makes a full budget that holds `burst` retries at most.
+    pub fn with_burst(share: f64, burst: f64) -> Self {
+        let tokens = if share > 0.0 { burst } else { 0.0 };
+        Self(Bucket::new(share, burst, tokens))
     }
 
     /// Sets the share; 0 stops retries at once.
--- a/crates/tanageryoke/src/commands/serve.rs
+++ b/crates/tanageryoke/src/commands/serve.rs
@@ -104,7 +104,9 @@
             let owners = fleet.owners(service);
             owners.first().is_some_and(|owner| fleet.is_me(owner))
         };
-        context.pool.update(fleet.view(), &owned);
+        let view = fleet.view();
+        context.entry.update(&view.preset);
+        context.pool.update(view, &owned);
         fleet.changed().await;
     }
 }
