feat(entry): give up at once a query that can't reach its least coverage

Under overload each service shed other parts of other queries: most answers were partial and late, and took slots from those that could be whole. Once more shards are lost than the preset's least coverage allows, the query is refused at once with Retry-After and its open parts are cancelled. The demo's presets ask for 0.9.

Keyed calls refused at the gate now say may_have_run: an earlier request with the key may have run, and the entry hasn't looked.

--- a/crates/bench/src/demo/presets.rs
+++ b/crates/bench/src/demo/presets.rs
@@ -26,6 +26,9 @@
 /// Name of the preset for maintenance.
 pub const MAINTENANCE: &str = "maintenance";
 
+/// Least share of the shards that an answer covers: one shard of twenty may be lost for good.
+const COVERAGE_MIN: f64 = 0.9;
+
 /// Makes a user's presets; `file` stands in for the ordinary one.
 ///
 /// # Errors
@@ -83,6 +86,7 @@
     };
     Preset {
         hedge_budget,
+        coverage_min: COVERAGE_MIN,
         classes: classes
             .into_iter()
             .map(|(name, class)| (name.to_owned(), class))
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -137,7 +137,8 @@
             Route::Call(service) => {
                 let key = request::key(request.headers())?;
                 let body = request::call_body(request)?;
-                let _permit = self.admit(head, service)?;
+                let permit = self.admit(head, service);
+                let _permit = permit.map_err(|problem| unsure(problem, key.is_some()))?;
                 let body = call::run(self, head, service, key, body).await?;
                 Ok((service, body))
             }
@@ -164,6 +165,14 @@
     }
 }
 
+/// Makes a refusal true of the key: an earlier request with it may have run.
+fn unsure(mut problem: Problem, keyed: bool) -> Problem {
+    if keyed {
+        problem.run = Run::MayHaveRun;
+    }
+    problem
+}
+
 fn json(body: Bytes) -> Response<Bytes> {
     let mut response = Response::new(body);
     response
--- a/crates/entry/src/gather.rs
+++ b/crates/entry/src/gather.rs
@@ -127,6 +127,7 @@
             );
             return;
         }
+        let failed = partial.failure.is_some();
         let mut partials = self.partials.borrow_mut();
         let Some(slot) = partials.get_mut(partial.index as usize) else {
             return;
@@ -141,11 +142,15 @@
             }
             Some(_) => {}
         }
-        if self.missing.get() == 0 {
+        if self.missing.get() == 0 || (failed && is_hopeless(self.plan, &partials)) {
             self.done.borrow().set();
         }
     }
 
+    fn is_hopeless(&self) -> bool {
+        is_hopeless(self.plan, &self.partials.borrow())
+    }
+
     /// Forgets the failure of a part that is tried elsewhere.
     fn reopen(&self, index: u32) {
         let mut partials = self.partials.borrow_mut();
@@ -268,6 +273,7 @@
                 Step::Event(Event::Ended(id, result)) => self.end(id, result),
                 Step::Event(Event::Probed(id, false)) => self.lose(id),
                 Step::Event(Event::Probed(_, true)) => {}
+                Step::Done if self.collector.is_hopeless() => return,
                 Step::Done if self.retry_refused() => {}
                 Step::Done => return,
                 Step::Timer if Instant::now() >= self.plan.deadline => return,
@@ -419,6 +425,19 @@
     Timer,
 }
 
+/// Returns whether so many shards are lost that no answer can come of the query.
+///
+/// Work for a query that will be refused only takes slots from others. A part that another instance
+/// or another snapshot may still serve isn't lost.
+fn is_hopeless(plan: &Plan, partials: &[Option<Partial>]) -> bool {
+    let is_lost = |failure: &wire::Failure| {
+        !matches!(failure.reason(), Reason::Stopping | Reason::SnapshotGone)
+    };
+    let failures = partials.iter().flatten().filter_map(|p| p.failure.as_ref());
+    let lost = failures.filter(|failure| is_lost(failure)).count();
+    lost > plan.snapshot.shards.len() - plan.least.min(plan.snapshot.shards.len())
+}
+
 fn is_refused_by_instance(partial: &Partial) -> bool {
     partial
         .failure
--- a/crates/entry/src/query.rs
+++ b/crates/entry/src/query.rs
@@ -79,6 +79,7 @@
     entry.meter.sub_requests(&gathered.partials);
     if let Some(snapshot) = second(entry, head, name, group, &plan, &gathered.partials) {
         entry.meter.rerun();
+        plan.least = least(head, &snapshot);
         plan.snapshot = snapshot;
         let ran = may_have_run(&gathered);
         gathered = gather(&entry.router, &entry.patience, &plan).await;
@@ -95,11 +96,18 @@
         snapshot: snapshot.clone(),
         presets: head.view.versions.presets,
         class: head.view.preset.class(group).number(),
+        least: least(head, snapshot),
         body: Bytes::copy_from_slice(query.query.get().as_bytes()),
         deadline: head.deadline - MERGE,
     }
 }
 
+/// Returns the shards that an answer covers at least, never none.
+fn least(head: &Head, snapshot: &Snapshot) -> usize {
+    let shards = snapshot.shards.len() as f64 * head.view.preset.coverage_min;
+    (shards.ceil() as usize).max(1)
+}
+
 /// Returns the snapshot for a second run, if a service no longer holds the pinned one.
 fn second<S>(
     entry: &Entry<S>,
@@ -137,8 +145,7 @@
     let merged = merged(plan, partials);
     let coverage = coverage(plan, partials, merged.len());
     entry.meter.coverage(&plan.group, &coverage);
-    let share = merged.len() as f64 / plan.snapshot.shards.len().max(1) as f64;
-    if merged.is_empty() || share < head.view.preset.coverage_min {
+    if merged.len() < plan.least {
         return Err(too_little(plan, gathered, &coverage));
     }
     let head = answer::Head {
--- a/crates/entry/src/scatter.rs
+++ b/crates/entry/src/scatter.rs
@@ -38,6 +38,8 @@
     pub presets: u64,
     /// Number of the admission class.
     pub class: u32,
+    /// Shards that an answer covers at least.
+    pub least: usize,
     /// The query, as JSON.
     pub body: Bytes,
     /// When partials are of no more use.
