--- a/crates/bench/src/balancer.rs
+++ b/crates/bench/src/balancer.rs
@@ -27,7 +27,10 @@
     Response,
     StatusCode, //
 };
-use monoio::time::sleep;
+use monoio::{
+    net::TcpListener,
+    time::sleep, //
+};
 use serde::Serialize;
 use web::{
     client::{
@@ -66,7 +69,13 @@
 
 /// Runs the balancer until it is killed.
 pub fn run(options: Options) -> ExitCode {
-    match crate::runtime::run(serve(options)) {
+    let result = crate::runtime::run(async {
+        let listener = crate::listen::bind(options.listen)?;
+        tracing::info!("balancer: listening on {}.", options.listen);
+        serve(listener, options.to).await;
+        Ok(())
+    });
+    match result {
         Ok(Ok(())) => ExitCode::SUCCESS,
         Ok(Err(error)) | Err(error) => {
             tracing::error!("balancer: {error}.");
@@ -75,10 +84,9 @@
     }
 }
 
-async fn serve(options: Options) -> std::io::Result<()> {
-    let listener = crate::listen::bind(options.listen)?;
-    tracing::info!("balancer: listening on {}.", options.listen);
-    let instances: Vec<_> = options.to.into_iter().map(Instance::new).collect();
+/// Balances over the instances at `to` for ever.
+pub async fn serve(listener: TcpListener, to: Vec<SocketAddr>) {
+    let instances: Vec<_> = to.into_iter().map(Instance::new).collect();
     for instance in &instances {
         monoio::spawn(check(instance.clone()));
     }
@@ -88,7 +96,6 @@
     });
     let make = move |_| Handler(fleet.clone());
     crate::listen::serve(listener, make, limits()).await;
-    Ok(())
 }
 
 fn limits() -> Limits {
