--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -301,3 +301,11 @@
     };
     assert_eq!(survivors(&mut (0..100)), survivors(&mut (0..100).rev()));
 }
+
+#[test]
+fn ranks_are_spread_evenly() {
+    let low = (0..10_000)
+        .filter(|id| Rank::new(*id).share() < 0.25)
+        .count();
+    assert!((2_300..2_700).contains(&low), "{low}");
+}
