--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -65,6 +65,8 @@
 const SHORT: Duration = Duration::from_millis(20);
 /// One in this many parts of a call's time is kept for sending it.
 const SEND_SHARE: u32 = 8;
+/// Objects that are kept in memory between two writes.
+const OBJECTS_MAX: usize = 32;
 /// Time past the deadline after which a send that has no reply is given up.
 const GRACE: Duration = Duration::from_millis(100);
 /// Wait between two checks of whether everything is recorded.
@@ -342,6 +344,10 @@
 
     fn open(&self, number: u32) -> Rc<Partition<S, R>> {
         let mut partitions = self.partitions.borrow_mut();
+        let kept = partitions.values().filter(|partition| partition.size() > 0);
+        if kept.count() > OBJECTS_MAX {
+            partitions.values().for_each(|partition| partition.forget());
+        }
         let partition = partitions.entry(number).or_insert_with(|| {
             let store = self.store.clone();
             let runtime = self.runtime.clone();
--- a/crates/ledger/src/partition.rs
+++ b/crates/ledger/src/partition.rs
@@ -154,6 +154,11 @@
         self.cache.borrow().as_ref().map_or(0, |cache| cache.size)
     }
 
+    /// Drops the object that is kept, which the next write reads again.
+    pub(crate) fn forget(&self) {
+        *self.cache.borrow_mut() = None;
+    }
+
     /// Returns whether more changes may wait.
     pub(crate) fn has_room(&self) -> bool {
         self.queued() < QUEUE_MAX
