--- a/crates/tanageryoke/src/context.rs
+++ b/crates/tanageryoke/src/context.rs
@@ -34,6 +34,8 @@
 pub struct Context {
     /// Settings.
     pub settings: Settings,
+    /// The platform's store.
+    pub store: Rc<Client>,
     /// Members, ownership and documents.
     pub fleet: Rc<Fleet<Client>>,
     /// Connections to backend servers.
@@ -65,11 +67,12 @@
         let fleet = Fleet::new(members(&settings), store.clone(), peers.clone());
         let pool = Pool::new(settings.zone.clone());
         let router = Router::new(fleet.clone(), pool.clone(), peers);
-        let ledger = Ledger::new(store, router.clone(), settings.name.clone());
+        let ledger = Ledger::new(store.clone(), router.clone(), settings.name.clone());
         let meter = entry::meter::Meter::new(&metrics.meter());
         let entry = Entry::new(router.clone(), ledger.clone(), meter);
         Ok(Rc::new(Self {
             settings,
+            store,
             fleet,
             pool,
             ledger,
--- a/crates/tanageryoke/src/state.rs
+++ b/crates/tanageryoke/src/state.rs
@@ -28,5 +28,7 @@
         "fleet": context.fleet.state(),
         "pool": context.pool.state(),
         "ledger": context.ledger.state(),
+        "platform": context.store.counters(),
+        "counters": context.pool.counters(),
     })
 }
