fix(pool): don't start a server cold that only changed its owner

A server that was new to the instance started cold, so that after a change of ownership one of two slots was used for slow_start_ms. Now only a server that the catalog didn't list before, or that is marked as joining, starts cold. server_that_is_taken_over_is_warm_and_a_new_one_is_cold fails before with (1, 1) busy slots, passes now with (2, 1).

--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -149,7 +149,6 @@
             .borrow_mut()
             .set_share(view.preset.hedge_budget);
         let before = std::mem::replace(&mut *self.view.borrow_mut(), view.clone());
-        let cold = before.is_ready();
         self.drop_unlisted(&view);
         for (name, listed) in &view.catalog.services {
             let owned = owned(name);
@@ -159,7 +158,7 @@
                 None if owned => self.add(name),
                 None => continue,
             };
-            update::apply(&service, listed, &view, owned, cold);
+            update::apply(&service, listed, &view, owned, &before);
         }
     }
 
@@ -193,7 +192,7 @@
                 &config::catalog::Service::default(),
                 view,
                 false,
-                false,
+                view,
             );
         }
     }
@@ -206,7 +205,7 @@
         let view = self.view.borrow().clone();
         let (name, listed) = view.catalog.services.get_key_value(name)?;
         let service = self.add(name);
-        update::apply(&service, listed, &view, false, false);
+        update::apply(&service, listed, &view, false, &view);
         Some(service)
     }
 
@@ -358,7 +357,7 @@
         let view = self.view.borrow().clone();
         let services = self.services();
         for service in &services {
-            update::apply(service, &empty, &view, false, false);
+            update::apply(service, &empty, &view, false, &view);
         }
         let open = || services.iter().any(|service| has_connections(service));
         while open() && Instant::now() < until {
--- a/crates/pool/src/update.rs
+++ b/crates/pool/src/update.rs
@@ -15,6 +15,7 @@
         self,
         Server as Spec, //
     },
+    marks::Mark,
     Preset,
     View, //
 };
@@ -63,13 +64,14 @@
 
 /// Brings `service` in line with the catalog, the marks and the preset of `view`.
 ///
-/// `cold` tells whether a server that wasn't known before starts cold.
+/// A server that the catalog didn't list in `before` starts cold. One that is only new to this
+/// instance, as after a change of ownership, doesn't.
 pub(crate) fn apply<D: Dial>(
     service: &Rc<Service<D>>,
     listed: &catalog::Service,
     view: &View,
     owned: bool,
-    cold: bool,
+    before: &View,
 ) {
     let preset = &view.preset;
     service.queue.borrow_mut().set_bound(preset.queue);
@@ -82,7 +84,10 @@
         let share = share(spec, preset, owned);
         let server = match find(service, spec) {
             Some(server) => server,
-            None => add(service, spec, share, cold.then_some((now, slow_start))),
+            None => {
+                let cold = is_cold(&service.name, spec, view, before);
+                add(service, spec, share, cold.then_some((now, slow_start)))
+            }
         };
         server.set_share(share);
         server.set_standing(standing(spec, view), now, slow_start);
@@ -94,6 +99,23 @@
     service.dispatch();
 }
 
+fn is_cold(service: &str, spec: &Spec, view: &View, before: &View) -> bool {
+    let joins = view.marks.servers.get(&spec.name) == Some(&Mark::Joining);
+    let listed = before
+        .catalog
+        .services
+        .get(service)
+        .is_some_and(|service| lists(service, spec));
+    joins || (before.is_ready() && !listed)
+}
+
+fn lists(service: &catalog::Service, spec: &Spec) -> bool {
+    service
+        .servers
+        .iter()
+        .any(|one| one.name == spec.name && one.address == spec.address)
+}
+
 fn find<D: Dial>(service: &Service<D>, spec: &Spec) -> Option<Rc<Server>> {
     let servers = service.servers.borrow();
     let same = |server: &&Rc<Server>| {
@@ -120,14 +142,8 @@
 }
 
 fn retire_missing<D: Dial>(service: &Service<D>, listed: &catalog::Service) {
-    let is_listed = |server: &Server| {
-        listed
-            .servers
-            .iter()
-            .any(|spec| spec.name == server.spec.name && spec.address == server.spec.address)
-    };
     let servers = service.servers.borrow().clone();
-    for server in servers.iter().filter(|server| !is_listed(server)) {
+    for server in servers.iter().filter(|server| !lists(listed, &server.spec)) {
         server.set_standing(Standing::Gone, Instant::now(), Duration::ZERO);
     }
     prune(service);
--- a/crates/pool/tests/slots.rs
+++ b/crates/pool/tests/slots.rs
@@ -144,3 +144,18 @@
         );
     });
 }
+
+#[test]
+fn server_that_is_taken_over_is_warm_and_a_new_one_is_cold() {
+    run(async {
+        let a = Fake::start(|_| Act::After(ms(5)));
+        let b = Fake::start(|_| Act::After(ms(5)));
+        let pool = pool::Pool::new("a".into());
+        pool.update(view(&[&a], Preset::default(), &[]), &|_| false);
+        pool.update(view(&[&a], Preset::default(), &[]), &|_| true);
+        pool.update(view(&[&a, &b], Preset::default(), &[]), &|_| true);
+        until(|| a.open.get() + b.open.get() == 6).await;
+        assert_eq!(burst(&pool, 0..20, LONG).await, 20);
+        assert_eq!((a.busy_peak.get(), b.busy_peak.get()), (2, 1));
+    });
+}
