--- a/crates/bench/tests/verify.rs
+++ b/crates/bench/tests/verify.rs
@@ -4,6 +4,7 @@
 
 use bench::{
     backends::hits::hits,
+    balancer,
     replay::{
         answer::hash,
         record::{
@@ -231,7 +232,10 @@
     }),
 ];
 
-const CALLS: [(&str, Change); 9] = [
+const CALLS: [(&str, Change); 10] = [
+    ("answered call that no server finished", |case| {
+        case.log.records[2].outcome = None;
+    }),
     ("refused query that started", |case| {
         refuse(&mut case.records[0], Run::NotRun);
     }),
@@ -274,7 +278,11 @@
     }),
 ];
 
-const INSTANCES: [(&str, Change); 4] = [
+const INSTANCES: [(&str, Change); 5] = [
+    ("request cut behind the balancer", |case| {
+        refuse(&mut case.records[0], Run::MayHaveRun);
+        case.records[0].problem = Some(balancer::LOST.into());
+    }),
     ("cut request", |case| {
         case.records[0].fault = Some(Fault::Cut);
         case.records[0].status = 0;
--- a/crates/ledger/src/partition.rs
+++ b/crates/ledger/src/partition.rs
@@ -23,7 +23,6 @@
         Change,
         Finding,
         Kind,
-        Room,
         Stake,
         Step, //
     },
@@ -31,13 +30,15 @@
         Claim,
         Sink, //
     },
+    health::Health,
+    key::WINDOW_MS,
     object::{
         Fault,
         Object,
-        Outcome,
-        CLAIMS_MAX,
-        PAYLOADS_MAX, //
+        State,
+        CLAIMS_MAX, //
     },
+    pace::Pace,
     runtime::Runtime,
     KIND,
 };
@@ -46,14 +47,12 @@
 const BATCH_MAX: usize = 512;
 /// Most changes that wait for a write.
 const QUEUE_MAX: usize = 4096;
-/// Time for which the recording of an outcome is tried.
-const RECORD_FOR: Duration = Duration::from_secs(120);
+/// Time for which the recording of an outcome is tried; after it the key is forgotten anyway.
+const RECORD_FOR: Duration = Duration::from_millis(WINDOW_MS);
 /// Shortest and longest wait after another instance's write came first.
 const CONTENDED: (Duration, Duration) = (Duration::from_millis(2), Duration::from_millis(100));
 /// Shortest and longest wait after a failed read or write.
 const FAILED: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(2));
-/// Time for which claims are refused without asking after a failed read or write.
-const REFUSE_FOR: Duration = Duration::from_millis(200);
 
 /// What the partitions of one instance did.
 #[derive(Debug, Default)]
@@ -115,7 +114,8 @@
     queue: RefCell<VecDeque<Change>>,
     cache: RefCell<Option<Version>>,
     is_running: Cell<bool>,
-    refuses_until: Cell<Option<Instant>>,
+    health: Rc<Health>,
+    pace: Pace,
 }
 
 impl<S: Store, R: Runtime> Partition<S, R> {
@@ -124,6 +124,7 @@
         store: Rc<S>,
         runtime: Rc<R>,
         counters: Rc<Counters>,
+        health: Rc<Health>,
     ) -> Rc<Self> {
         Rc::new(Self {
             name: format!("p{number:02}"),
@@ -133,7 +134,8 @@
             queue: RefCell::default(),
             cache: RefCell::default(),
             is_running: Cell::new(false),
-            refuses_until: Cell::new(None),
+            health,
+            pace: Pace::new(),
         })
     }
 
@@ -152,10 +154,9 @@
         self.cache.borrow().as_ref().map_or(0, |cache| cache.size)
     }
 
-    /// Returns whether the platform failed so lately that claims are refused without asking it.
-    pub(crate) fn is_refusing(&self) -> bool {
-        let now = self.runtime.now();
-        self.refuses_until.get().is_some_and(|until| now < until)
+    /// Drops the object that is kept, which the next write reads again.
+    pub(crate) fn forget(&self) {
+        *self.cache.borrow_mut() = None;
     }
 
     /// Returns whether more changes may wait.
@@ -174,12 +175,16 @@
     async fn run(self: Rc<Self>) {
         let mut contended = Backoff::seeded(CONTENDED.0, CONTENDED.1, self.runtime.random());
         let mut failed = Backoff::seeded(FAILED.0, FAILED.1, self.runtime.random());
-        while let Some(batch) = self.take() {
+        loop {
+            self.wait_for_turn().await;
+            let Some(batch) = self.take() else {
+                return;
+            };
             let wait = match self.commit(batch).await {
                 Ok(()) => {
                     contended.reset();
                     failed.reset();
-                    self.refuses_until.set(None);
+                    self.health.recover();
                     continue;
                 }
                 Err(halt) if halt.is_conflict() => contended.next_wait(),
@@ -189,6 +194,14 @@
         }
     }
 
+    /// Waits until the partition may be written again.
+    async fn wait_for_turn(&self) {
+        let wait = self.pace.wait(self.runtime.now());
+        if !wait.is_zero() {
+            self.runtime.sleep(wait).await;
+        }
+    }
+
     /// Takes the changes of the next write; ends the task if there are none.
     fn take(&self) -> Option<Vec<Change>> {
         let now = self.runtime.now();
@@ -230,10 +243,7 @@
             Some(version) if !batch.iter().any(|change| change.is_fresh) => version,
             _ => self.read().await?,
         };
-        let room = Room {
-            for_claims: version.size < CLAIMS_MAX,
-            for_payloads: version.size < PAYLOADS_MAX,
-        };
+        let room = version.size < CLAIMS_MAX;
         // Sweeping first keeps a claim of this batch out of a bucket that is dropped.
         version.object.sweep(self.runtime.unix_ms());
         let mut changed = false;
@@ -245,7 +255,9 @@
         }
         if changed {
             let value = version.object.encode()?;
+            self.pace.spend(self.runtime.now());
             count(&self.counters.writes);
+            let _trip = self.health.start(self.runtime.now());
             version.number = self
                 .store
                 .write(KIND, &self.name, version.number, &value)
@@ -259,6 +271,7 @@
 
     async fn read(&self) -> Result<Version, Halt> {
         count(&self.counters.reads);
+        let _trip = self.health.start(self.runtime.now());
         let object = self
             .store
             .read(KIND, &self.name)
@@ -343,14 +356,13 @@
             }
         }
         if !halt.is_conflict() && !halt.is_in_doubt() {
-            let until = self.runtime.now() + REFUSE_FOR;
-            self.refuses_until.set(Some(until));
+            self.health.fail(self.runtime.now());
         }
     }
 }
 
 impl<S: Store, R: Runtime> Sink for Partition<S, R> {
-    fn record(self: Rc<Self>, stake: Stake, outcome: Outcome) {
+    fn record(self: Rc<Self>, stake: Stake, outcome: State) {
         let until = self.record_until();
         self.push(Change::recording(stake, outcome, until));
     }
--- a/crates/ledger/src/reply.rs
+++ b/crates/ledger/src/reply.rs
@@ -9,10 +9,7 @@
     Reason, //
 };
 
-use crate::{
-    key::Fault,
-    object::Outcome, //
-};
+use crate::object::State;
 
 /// Time after which a refused caller may come back.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -27,14 +24,6 @@
     refusal(reason, false)
 }
 
-/// Makes the refusal of a key.
-pub(crate) fn bad_key(fault: Fault) -> CallReply {
-    let reason = match fault {
-        Fault::Malformed | Fault::Expired | Fault::Ahead => Reason::KeyExpired,
-    };
-    not_run(reason)
-}
-
 /// Makes the reply that repeats an answered call.
 pub(crate) fn recorded(status: u32, server: &str, payload: Option<&str>) -> CallReply {
     CallReply {
@@ -47,11 +36,11 @@
 }
 
 /// Returns the outcome that a backend server's reply stands for.
-pub(crate) fn outcome(reply: &CallReply) -> Outcome {
+pub(crate) fn outcome(reply: &CallReply) -> State {
     match &reply.failure {
-        None => Outcome::done(reply.status, &reply.server, &reply.payload),
-        Some(failure) if failure.not_run => Outcome::NotRun,
-        Some(_) => Outcome::Unknown,
+        None => State::done(reply.status, &reply.server, &reply.payload),
+        Some(failure) if failure.not_run => State::NotRun,
+        Some(_) => State::Unknown,
     }
 }
 
--- a/crates/ledger/tests/common/world.rs
+++ b/crates/ledger/tests/common/world.rs
@@ -10,18 +10,7 @@
         VecDeque, //
     },
     rc::Rc,
-    sync::{
-        atomic::{
-            AtomicBool,
-            Ordering, //
-        },
-        Arc, //
-    },
-    task::{
-        Context,
-        Wake,
-        Waker, //
-    },
+    sync::Arc,
     time::{
         Duration,
         Instant, //
@@ -34,13 +23,24 @@
 use ledger::object::{
     Entry,
     Object as Partition,
-    Outcome, //
+    State, //
 };
 use platform::{
     Failure,
     Object, //
 };
 use serde_json::value::RawValue;
+
+use super::{
+    step::{
+        Faults,
+        Step, //
+    },
+    tasks::{
+        Owner,
+        Tasks, //
+    },
+};
 use wire::{
     CallReply,
     CallRequest,
@@ -55,53 +55,6 @@
 /// A time past the window.
 const SKIP: Duration = Duration::from_secs(20 * 60);
 
-/// One step that the world can take next.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Step {
-    /// The store carries out a request and replies.
-    Apply(usize),
-    /// The same, but the reply is held up.
-    Hold(usize),
-    /// The same, but the reply is lost.
-    Lose(usize),
-    /// The reply is reported lost and the write is still on its way.
-    Late(usize),
-    /// The store refuses a request.
-    Down(usize),
-    /// A held reply arrives.
-    Release(usize),
-    /// A write that was on its way arrives.
-    Land(usize),
-    /// The backend server runs a call and replies.
-    Run(usize),
-    /// The same, but the reply is lost.
-    Break(usize),
-    /// The backend server refuses a call.
-    Refuse(usize),
-    /// The next caller arrives.
-    Arrive,
-    /// Time passes up to the next timer.
-    Tick,
-    /// Time passes up to the callers' deadlines.
-    Jump,
-    /// The time of day leaves the window, and the monotonic clock stands still.
-    Skip,
-}
-
-/// How many faults of each kind a run may meet.
-#[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct Faults {
-    pub(crate) pauses: u32,
-    pub(crate) losses: u32,
-    pub(crate) outages: u32,
-    pub(crate) breaks: u32,
-    pub(crate) refusals: u32,
-    /// Timers that may fire although the store or the server could act.
-    pub(crate) ticks: u32,
-    pub(crate) jumps: u32,
-    pub(crate) skips: u32,
-}
-
 enum Ask {
     Read(oneshot::Sender<Result<Option<Object>, Failure>>),
     Write {
@@ -116,19 +69,6 @@
     Held(Box<dyn FnOnce()>),
 }
 
-struct Task {
-    future: Option<LocalBoxFuture<'static, ()>>,
-    flag: Arc<Flag>,
-}
-
-struct Flag(AtomicBool);
-
-impl Wake for Flag {
-    fn wake(self: Arc<Self>) {
-        self.0.store(true, Ordering::Relaxed);
-    }
-}
-
 /// A call that was run by the backend server.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct Execution {
@@ -147,12 +87,14 @@
     next: Cell<usize>,
     version: Cell<u64>,
     objects: RefCell<BTreeMap<String, Object>>,
-    asks: RefCell<BTreeMap<usize, (String, Ask)>>,
+    /// Requests to the store by number: the instance, the object and what is asked.
+    asks: RefCell<BTreeMap<usize, (usize, String, Ask)>>,
     sends: RefCell<BTreeMap<usize, (CallRequest, oneshot::Sender<CallReply>)>>,
-    arrivals: RefCell<VecDeque<LocalBoxFuture<'static, ()>>>,
+    arrivals: RefCell<VecDeque<(Owner, LocalBoxFuture<'static, ()>)>>,
+    /// The instance that made each claim.
+    makers: RefCell<BTreeMap<Arc<str>, usize>>,
     timers: RefCell<BTreeMap<(Duration, usize), oneshot::Sender<()>>>,
-    tasks: RefCell<Vec<Task>>,
-    spawned: RefCell<Vec<Task>>,
+    pub(crate) tasks: Tasks,
     pub(crate) executions: RefCell<Vec<Execution>>,
     pub(crate) violations: RefCell<Vec<String>>,
 }
@@ -171,9 +113,9 @@
             asks: RefCell::default(),
             sends: RefCell::default(),
             arrivals: RefCell::default(),
+            makers: RefCell::default(),
             timers: RefCell::default(),
-            tasks: RefCell::default(),
-            spawned: RefCell::default(),
+            tasks: Tasks::default(),
             executions: RefCell::default(),
             violations: RefCell::default(),
         })
@@ -188,16 +130,9 @@
         START_MS + passed.as_millis() as u64
     }
 
-    pub(crate) fn spawn(&self, future: LocalBoxFuture<'static, ()>) {
-        self.spawned.borrow_mut().push(Task {
-            future: Some(future),
-            flag: Arc::new(Flag(AtomicBool::new(true))),
-        });
-    }
-
     /// Runs `future` when the next caller arrives.
-    pub(crate) fn arrive(&self, future: LocalBoxFuture<'static, ()>) {
-        self.arrivals.borrow_mut().push_back(future);
+    pub(crate) fn arrive(&self, owner: Owner, future: LocalBoxFuture<'static, ()>) {
+        self.arrivals.borrow_mut().push_back((owner, future));
     }
 
     pub(crate) fn timer(&self, duration: Duration) -> oneshot::Receiver<()> {
@@ -207,14 +142,15 @@
         receiver
     }
 
-    pub(crate) async fn read(&self, name: &str) -> Result<Option<Object>, Failure> {
+    pub(crate) async fn read(&self, from: usize, name: &str) -> Result<Option<Object>, Failure> {
         let (sender, receiver) = oneshot::channel();
-        self.ask(name, Ask::Read(sender));
+        self.ask(from, name, Ask::Read(sender));
         receiver.await.unwrap_or(Err(Failure::Lost))
     }
 
     pub(crate) async fn write(
         &self,
+        from: usize,
         name: &str,
         expected: u64,
         value: &RawValue,
@@ -222,6 +158,7 @@
         let (reply, receiver) = oneshot::channel();
         let value = value.to_owned();
         self.ask(
+            from,
             name,
             Ask::Write {
                 expected,
@@ -253,8 +190,8 @@
             .map(|object| object.value.get().to_owned())
     }
 
-    /// Returns the outcomes of `key` in the store.
-    pub(crate) fn outcomes(&self, key: &str) -> Vec<Outcome> {
+    /// Returns what the store says of `key`.
+    pub(crate) fn states(&self, key: &str) -> Vec<State> {
         let objects = self.objects.borrow();
         let partitions = objects
             .values()
@@ -262,44 +199,7 @@
         let buckets = partitions.flat_map(|partition| partition.buckets.into_values());
         let entries = buckets.flatten();
         let entries = entries.filter(|(id, _)| id.to_string() == key);
-        entries.filter_map(|(_, entry)| entry.outcome).collect()
-    }
-
-    /// Polls every task that was woken until none is.
-    pub(crate) fn settle(&self) {
-        loop {
-            self.tasks
-                .borrow_mut()
-                .append(&mut self.spawned.borrow_mut());
-            let mut idle = true;
-            let count = self.tasks.borrow().len();
-            for index in 0..count {
-                idle &= !self.poll(index);
-            }
-            if idle && self.spawned.borrow().is_empty() {
-                return;
-            }
-        }
-    }
-
-    fn poll(&self, index: usize) -> bool {
-        let (future, flag) = {
-            let mut tasks = self.tasks.borrow_mut();
-            let task = &mut tasks[index];
-            match task.flag.0.swap(false, Ordering::Relaxed) {
-                true => (task.future.take(), task.flag.clone()),
-                false => return false,
-            }
-        };
-        let Some(mut future) = future else {
-            return false;
-        };
-        let waker = Waker::from(flag);
-        let polled = future.as_mut().poll(&mut Context::from_waker(&waker));
-        if polled.is_pending() {
-            self.tasks.borrow_mut()[index].future = Some(future);
-        }
-        true
+        entries.map(|(_, entry)| entry.state).collect()
     }
 
     /// Returns the steps that can be taken, the plainest first.
@@ -307,7 +207,7 @@
         let faults = self.faults.get();
         let mut plain = Vec::new();
         let mut faulty = Vec::new();
-        for (&id, (_, ask)) in &*self.asks.borrow() {
+        for (&id, (_, _, ask)) in &*self.asks.borrow() {
             match ask {
                 Ask::Held(_) => plain.push(Step::Release(id)),
                 Ask::Ghost { .. } => faulty.push(Step::Land(id)),
@@ -336,6 +236,12 @@
         {
             faulty.push(Step::Tick);
         }
+        if faults.crashes > 0 && !plain.is_empty() {
+            faulty.push(Step::Crash);
+        }
+        if faults.cancels > 0 && self.tasks.has_caller() {
+            faulty.push(Step::Cancel);
+        }
         if faults.jumps > 0 && !plain.is_empty() {
             faulty.push(Step::Jump);
         }
@@ -353,30 +259,23 @@
     /// Takes one step and lets the instances go as far as they can.
     pub(crate) fn take(&self, step: Step) {
         let mut faults = self.faults.get();
-        match step {
-            Step::Hold(_) => faults.pauses -= 1,
-            Step::Lose(_) | Step::Late(_) => faults.losses -= 1,
-            Step::Down(_) => faults.outages -= 1,
-            Step::Break(_) => faults.breaks -= 1,
-            Step::Refuse(_) => faults.refusals -= 1,
-            Step::Jump => faults.jumps -= 1,
-            Step::Skip => faults.skips -= 1,
-            Step::Tick => faults.ticks = faults.ticks.saturating_sub(1),
-            _ => {}
-        }
+        faults.spend(step);
         self.faults.set(faults);
         match step {
             Step::Arrive => {
                 let arrival = self.arrivals.borrow_mut().pop_front();
-                arrival.into_iter().for_each(|future| self.spawn(future));
+                let arrival = arrival.into_iter();
+                arrival.for_each(|(owner, future)| self.tasks.spawn(owner, future));
             }
+            Step::Crash => self.crash(),
+            Step::Cancel => self.tasks.cancel(),
             Step::Tick => self.tick(),
             Step::Jump => self.jump(JUMP),
             Step::Skip => self.skipped.set(self.skipped.get() + SKIP),
             Step::Run(id) | Step::Break(id) | Step::Refuse(id) => self.serve(id, step),
             _ => self.answer(step),
         }
-        self.settle();
+        self.tasks.settle();
     }
 
     fn answer(&self, step: Step) {
@@ -390,13 +289,13 @@
         else {
             return;
         };
-        let Some((name, ask)) = self.asks.borrow_mut().remove(&id) else {
+        let Some((from, name, ask)) = self.asks.borrow_mut().remove(&id) else {
             return;
         };
         let reply: Box<dyn FnOnce()> = match ask {
             Ask::Held(reply) => reply,
             Ask::Ghost { expected, value } => {
-                let _ = self.apply(&name, expected, value);
+                let _ = self.apply(from, &name, expected, value);
                 return;
             }
             Ask::Read(reply) => {
@@ -415,14 +314,16 @@
                     Step::Down(_) => Err(Failure::Unavailable),
                     Step::Late(_) => {
                         let ghost = Ask::Ghost { expected, value };
-                        self.asks.borrow_mut().insert(id, (name.clone(), ghost));
+                        self.asks
+                            .borrow_mut()
+                            .insert(id, (from, name.clone(), ghost));
                         Err(Failure::Lost)
                     }
                     Step::Lose(_) => {
-                        let _ = self.apply(&name, expected, value);
+                        let _ = self.apply(from, &name, expected, value);
                         Err(Failure::Lost)
                     }
-                    _ => self.apply(&name, expected, value),
+                    _ => self.apply(from, &name, expected, value),
                 };
                 Box::new(move || {
                     let _ = reply.send(written);
@@ -431,7 +332,9 @@
         };
         match step {
             Step::Hold(_) => {
-                self.asks.borrow_mut().insert(id, (name, Ask::Held(reply)));
+                self.asks
+                    .borrow_mut()
+                    .insert(id, (from, name, Ask::Held(reply)));
             }
             _ => reply(),
         }
@@ -464,7 +367,13 @@
         drop(reply.send(answer));
     }
 
-    fn apply(&self, name: &str, expected: u64, value: Box<RawValue>) -> Result<u64, Failure> {
+    fn apply(
+        &self,
+        from: usize,
+        name: &str,
+        expected: u64,
+        value: Box<RawValue>,
+    ) -> Result<u64, Failure> {
         let current = self
             .objects
             .borrow()
@@ -473,7 +382,7 @@
         if current != expected && !self.unconditional {
             return Err(Failure::Conflict { current });
         }
-        self.check(name, &value);
+        self.check(from, name, &value);
         Ok(self.store(name, value))
     }
 
@@ -489,20 +398,55 @@
         version
     }
 
-    fn check(&self, name: &str, value: &RawValue) {
+    /// Notes every entry that `from` may not have changed.
+    fn check(&self, from: usize, name: &str, value: &RawValue) {
         let before = self.value(name);
         let before = before.and_then(|text| Partition::decode(&text).ok());
         let after = Partition::decode(value.get()).expect("a partition is written");
         for (bucket, entries) in before.unwrap_or_default().buckets {
             for (id, entry) in entries {
                 let next = after.buckets.get(&bucket).and_then(|next| next.get(&id));
-                let dropped = (bucket + 1) * 60_000 <= after.floor_ms;
-                if !follows(&entry, next, dropped) {
-                    let change = format!("{entry:?} became {next:?}");
+                let is_allowed = match next {
+                    None => (bucket + 1) * 60_000 <= after.floor_ms,
+                    Some(next) => entry == *next || self.is_maker(from, &entry),
+                };
+                if !is_allowed {
+                    let change = format!("{from} made {entry:?} {next:?}");
                     self.violations.borrow_mut().push(change);
                 }
             }
         }
+        let entries = after.buckets.into_values().flatten();
+        for (_, entry) in entries {
+            if let State::Claimed { by, .. } = entry.state {
+                self.makers.borrow_mut().entry(by).or_insert(from);
+            }
+        }
+    }
+
+    /// Returns whether `from` may change the entry: a free one, or its own claim.
+    fn is_maker(&self, from: usize, entry: &Entry) -> bool {
+        match &entry.state {
+            State::Claimed { by, .. } => self.makers.borrow().get(by) == Some(&from),
+            state => *state == State::NotRun,
+        }
+    }
+
+    fn crash(&self) {
+        self.tasks.crash();
+        let mut asks = self.asks.borrow_mut();
+        for (id, (from, name, ask)) in std::mem::take(&mut *asks) {
+            match ask {
+                Ask::Write {
+                    expected, value, ..
+                } if from == 0 => {
+                    let ghost = Ask::Ghost { expected, value };
+                    asks.insert(id, (from, name, ghost));
+                }
+                Ask::Read(_) | Ask::Held(_) if from == 0 => {}
+                ask => drop(asks.insert(id, (from, name, ask))),
+            }
+        }
     }
 
     fn tick(&self) {
@@ -532,9 +476,10 @@
         !timers.is_empty()
     }
 
-    fn ask(&self, name: &str, ask: Ask) {
+    fn ask(&self, from: usize, name: &str, ask: Ask) {
         let id = self.id();
-        self.asks.borrow_mut().insert(id, (name.to_owned(), ask));
+        let ask = (from, name.to_owned(), ask);
+        self.asks.borrow_mut().insert(id, ask);
     }
 
     /// Returns a number that wasn't returned before.
@@ -556,22 +501,3 @@
         ..CallReply::default()
     }
 }
-
-/// Returns the process that made a claim.
-fn maker(entry: &Entry) -> Option<&str> {
-    let parts = entry.claim.rsplit_once('-');
-    parts.map(|(maker, _)| maker)
-}
-
-/// Returns whether an entry may become `next`.
-fn follows(entry: &Entry, next: Option<&Entry>, dropped: bool) -> bool {
-    match (&entry.outcome, next) {
-        (_, None) => dropped,
-        // The maker of a claim may end it and claim the key again in one write.
-        (None, Some(next)) => maker(next) == maker(entry),
-        (Some(Outcome::NotRun), Some(_)) => true,
-        (Some(outcome), Some(next)) => {
-            next.claim == entry.claim && next.outcome.as_ref() == Some(outcome)
-        }
-    }
-}
