--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -65,6 +65,8 @@
 const SHORT: Duration = Duration::from_millis(20);
 /// One in this many parts of a call's time is kept for sending it.
 const SEND_SHARE: u32 = 8;
+/// Objects that are kept in memory between two writes.
+const OBJECTS_MAX: usize = 32;
 /// Time past the deadline after which a send that has no reply is given up.
 const GRACE: Duration = Duration::from_millis(100);
 /// Wait between two checks of whether everything is recorded.
@@ -182,7 +184,7 @@
     async fn run(&self, request: CallRequest, deadline: Instant) -> CallReply {
         let stake = match self.stake(&request) {
             Ok(stake) => stake,
-            Err(fault) => return reply::bad_key(fault),
+            Err(_) => return reply::not_run(Reason::KeyExpired),
         };
         let partition = self.open(stake.key.partition());
         let claim_by = self.claim_by(deadline);
@@ -223,7 +225,7 @@
         let stake = match self.stake(&request) {
             Ok(stake) => stake,
             // A malformed key is refused wherever it goes; an old one may have been claimed in time.
-            Err(key::Fault::Malformed) => return reply::bad_key(key::Fault::Malformed),
+            Err(key::Fault::Malformed) => return reply::not_run(Reason::KeyExpired),
             Err(_) => return unknown,
         };
         let partition = self.open(stake.key.partition());
@@ -342,6 +344,10 @@
 
     fn open(&self, number: u32) -> Rc<Partition<S, R>> {
         let mut partitions = self.partitions.borrow_mut();
+        let kept = partitions.values().filter(|partition| partition.size() > 0);
+        if kept.count() > OBJECTS_MAX {
+            partitions.values().for_each(|partition| partition.forget());
+        }
         let partition = partitions.entry(number).or_insert_with(|| {
             let store = self.store.clone();
             let runtime = self.runtime.clone();
