fix(ledger): say not_run of a key only if no request with it has run

Cause: a second try was refused before the partition was read, at the gate, for want of room, or because the platform was out of reach, and spoke of the try and not of the call. Ruled out: reading the partition first, which costs the platform a read for each refused call at the moment when it or we are short.

The model test now also holds each not_run against all that had run by then.

A home that is stopping has taken nothing on; the entry goes to the next one.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -92,6 +92,8 @@
             return entry.ledger.call(request, deadline).await;
         }
         match at_home(entry, home, request.clone(), deadline).await {
+            // A home that stops has taken nothing on, and the next one may.
+            Ok(reply) if is_stopping(&reply) => {}
             Ok(reply) => return reply,
             // Nothing was sent, so the next home may take the call.
             Err(Error::Unreachable) => entry.router.lost(home),
@@ -104,6 +106,11 @@
     entry.ledger.call(request, deadline).await
 }
 
+fn is_stopping(reply: &CallReply) -> bool {
+    let failure = reply.failure.as_ref();
+    failure.is_some_and(|failure| failure.reason() == Reason::Stopping)
+}
+
 /// Calls the home and, while it doesn't reply, probes it.
 async fn at_home<S: Store>(
     entry: &Entry<S>,
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -99,7 +99,7 @@
     async fn run(&self, request: &Request<Bytes>, started: Instant) -> Response<Bytes> {
         let head = match self.head(request) {
             Ok(head) => head,
-            Err(problem) => return self.refuse(None, &problem),
+            Err(problem) => return self.refuse(None, &unsure(problem, request)),
         };
         let id = head.id.to_string();
         match self.dispatch(&head, request).await {
@@ -138,7 +138,7 @@
                 let key = request::key(request.headers())?;
                 let body = request::call_body(request)?;
                 let permit = self.admit(head, service);
-                let _permit = permit.map_err(|problem| unsure(problem, key.is_some()))?;
+                let _permit = permit.map_err(|problem| unsure(problem, request))?;
                 let body = call::run(self, head, service, key, body).await?;
                 Ok((service, body))
             }
@@ -165,9 +165,10 @@
     }
 }
 
-/// Makes a refusal true of the key: an earlier request with it may have run.
-fn unsure(mut problem: Problem, keyed: bool) -> Problem {
-    if keyed {
+/// Makes a refusal true of the request's key: an earlier request with it may have run.
+fn unsure(mut problem: Problem, request: &Request<Bytes>) -> Problem {
+    let waits = matches!(problem.kind, Kind::NotReady | Kind::Overloaded);
+    if waits && request.headers().contains_key(request::KEY) {
         problem.run = Run::MayHaveRun;
     }
     problem
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -162,7 +162,7 @@
     /// `deadline`, then answered as one that may have run.
     pub async fn call(&self, request: CallRequest, deadline: Instant) -> CallReply {
         if self.stopping.get() {
-            return self.counted(reply::not_run(Reason::Stopping));
+            return self.counted(reply::may_have_run(Reason::Stopping));
         }
         self.calls.in_flight.set(self.calls.in_flight.get() + 1);
         let reply = self.run(request, deadline).await;
@@ -184,15 +184,15 @@
     async fn run(&self, request: CallRequest, deadline: Instant) -> CallReply {
         let stake = match self.stake(&request) {
             Ok(stake) => stake,
-            Err(_) => return reply::not_run(Reason::KeyExpired),
+            Err(fault) => return reply::unfit(fault),
         };
         let partition = self.open(stake.key.partition());
         let claim_by = self.claim_by(deadline);
         if self.health.is_hopeless(self.runtime.now(), claim_by) {
-            return reply::not_run(Reason::Platform);
+            return reply::may_have_run(Reason::Platform);
         }
         if !partition.has_room() {
-            return reply::not_run(Reason::Overloaded);
+            return reply::may_have_run(Reason::Overloaded);
         }
         match self.ask(&partition, Kind::Claim, &stake, claim_by).await {
             Asked::Granted(claim) => self.send(claim, request, deadline).await,
@@ -224,9 +224,7 @@
         let unknown = reply::may_have_run(Reason::OutcomeUnknown);
         let stake = match self.stake(&request) {
             Ok(stake) => stake,
-            // A malformed key is refused wherever it goes; an old one may have been claimed in time.
-            Err(key::Fault::Malformed) => return reply::not_run(Reason::KeyExpired),
-            Err(_) => return unknown,
+            Err(fault) => return reply::unfit(fault),
         };
         let partition = self.open(stake.key.partition());
         let claim_by = self.claim_by(deadline);
@@ -413,12 +411,13 @@
 
 /// Makes the reply to a call whose claim wasn't confirmed.
 ///
-/// This process alone could use the claim, and its id is dropped with the change.
+/// This process alone could use the claim, and its id is dropped with the change. But only a full
+/// partition was read and didn't hold the key: otherwise an earlier request with it may have run.
 fn unclaimed(found: Option<Finding>) -> CallReply {
     match found {
-        Some(Finding::Expired) => reply::not_run(Reason::KeyExpired),
         Some(Finding::Full) => reply::not_run(Reason::Overloaded),
-        Some(_) => reply::not_run(Reason::Platform),
-        None => reply::not_run(Reason::Deadline),
+        Some(Finding::Expired) => reply::may_have_run(Reason::KeyExpired),
+        Some(_) => reply::may_have_run(Reason::Platform),
+        None => reply::may_have_run(Reason::Deadline),
     }
 }
--- a/crates/ledger/src/reply.rs
+++ b/crates/ledger/src/reply.rs
@@ -9,21 +9,32 @@
     Reason, //
 };
 
-use crate::object::State;
+use crate::{
+    key::Fault,
+    object::State, //
+};
 
 /// Time after which a refused caller may come back.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Makes a refusal that says that this request was not run.
+/// Makes a refusal that says that no request with the key has run.
 pub(crate) fn not_run(reason: Reason) -> CallReply {
     refusal(reason, true)
 }
 
-/// Makes a refusal that says that the call may have run.
+/// Makes a refusal that says that a request with the key may have run.
 pub(crate) fn may_have_run(reason: Reason) -> CallReply {
     refusal(reason, false)
 }
 
+/// Makes the refusal of a key that can't be claimed.
+///
+/// A malformed one is refused wherever it goes. One that is out of its time here may have been
+/// claimed in time, or by a clock that differs.
+pub(crate) fn unfit(fault: Fault) -> CallReply {
+    refusal(Reason::KeyExpired, fault == Fault::Malformed)
+}
+
 /// Makes the reply that repeats an answered call.
 pub(crate) fn recorded(status: u32, server: &str, payload: Option<&str>) -> CallReply {
     CallReply {
--- a/crates/ledger/tests/common/explore.rs
+++ b/crates/ledger/tests/common/explore.rs
@@ -67,6 +67,8 @@
     id: u8,
     /// Whether the caller gets it: whoever settles a call has given up on its home's reply.
     is_heard: bool,
+    /// Whether any request with the key had run by then.
+    has_run: bool,
     reply: CallReply,
 }
 
@@ -154,6 +156,7 @@
                 replies.borrow_mut().push(Told {
                     id,
                     is_heard,
+                    has_run: clock.executions.borrow().iter().any(|ran| ran.key == KEY),
                     reply,
                 });
             }
@@ -221,12 +224,14 @@
     for Told {
         id,
         is_heard,
+        has_run,
         reply,
     } in replies
     {
         let own = executions.iter().any(|ran| ran.request[0] == *id);
         let fault = match &reply.failure {
             Some(failure) if failure.not_run && own && *is_heard => Some("not_run is untrue"),
+            Some(failure) if failure.not_run && *has_run => Some("not_run of a key that has run"),
             None if executions.is_empty() => Some("an answer from nowhere"),
             None if !is_answer(reply, executions[0].request[0]) => Some("another's answer"),
             _ => None,
