--- a/crates/bench/examples/calibrate.rs
+++ b/crates/bench/examples/calibrate.rs
@@ -13,7 +13,8 @@
 };
 
 use bench::{
-    replay, report,
+    replay,
+    report,
     trace::{
         generate,
         profile::User, //
@@ -21,7 +22,7 @@
     verify::{
         Log,
         Verdict, //
-    },
+    }, //
 };
 use bytes::Bytes;
 use http::{
--- a/crates/bench/tests/report.rs
+++ b/crates/bench/tests/report.rs
@@ -1,7 +1,8 @@
 //! Tests of the report: its counts, its table, stated outcomes and plots.
 
 use bench::{
-    compare, plot,
+    compare,
+    plot,
     replay::{
         record::{
             Coverage,
@@ -25,7 +26,7 @@
         Log,
         Verdict,
         Violation, //
-    },
+    }, //
 };
 use serde_json::json;
 
