fix(ledger): count callers that go away, say what was seen, tell one slow request from an outage

- A dropped call stayed in flight for good, so that close waited until its deadline; a settling wasn't counted, so that close could end before its outcome was recorded.
- A request that had seen another one's claim and then lost the platform was told not_run.
That is true of itself, but a caller who asks again with a key takes it for both: it is told that the outcome isn't known.
- One request that hangs made every claim hopeless until it timed out, although later ones went well.
Only requests that started after the last good one count.

--- a/crates/entry/tests/run.rs
+++ b/crates/entry/tests/run.rs
@@ -13,5 +13,8 @@
     let unsent = refusal(Reason::Unreachable, true);
     let truly = after(&unsent, refusal(Reason::QueueFull, true));
     let not_run = |reply: wire::CallReply| reply.failure.map(|failure| failure.not_run);
-    assert_eq!((not_run(refused), not_run(truly)), (Some(false), Some(true)));
+    assert_eq!(
+        (not_run(refused), not_run(truly)),
+        (Some(false), Some(true))
+    );
 }
--- a/crates/ledger/src/health.rs
+++ b/crates/ledger/src/health.rs
@@ -22,6 +22,8 @@
     next: Cell<u64>,
     started: RefCell<BTreeMap<u64, Instant>>,
     failed: Cell<Option<Instant>>,
+    /// Start of the latest request that went well.
+    alive: Cell<Option<Instant>>,
 }
 
 /// A request to the platform that is under way until this is dropped.
@@ -29,6 +31,16 @@
 pub(crate) struct Trip {
     health: Rc<Health>,
     number: u64,
+    start: Instant,
+}
+
+impl Trip {
+    /// Notes that the request went well.
+    pub(crate) fn close(self) {
+        let health = &self.health;
+        health.alive.set(health.alive.get().max(Some(self.start)));
+        health.failed.set(None);
+    }
 }
 
 impl Drop for Trip {
@@ -46,6 +58,7 @@
         Trip {
             health: self.clone(),
             number,
+            start: now,
         }
     }
 
@@ -54,19 +67,15 @@
         self.failed.set(Some(now));
     }
 
-    /// Notes that a request went well.
-    pub(crate) fn recover(&self) {
-        self.failed.set(None);
-    }
-
     /// Returns whether a claim would come too late: the platform failed just now, or some request
-    /// has been under way for longer than the claim has.
+    /// has been under way for longer than the claim has and no later one went well.
     pub(crate) fn is_hopeless(&self, now: Instant, deadline: Instant) -> bool {
         let failed = self.failed.get();
         let has_failed = failed.is_some_and(|failed| now < failed + REFUSE_FOR);
         let left = deadline.saturating_duration_since(now);
         let started = self.started.borrow();
-        let oldest = started.first_key_value().map(|(_, started)| *started);
+        let mut waiting = started.values().copied();
+        let oldest = waiting.find(|started| Some(*started) > self.alive.get());
         has_failed || oldest.is_some_and(|oldest| now.saturating_duration_since(oldest) > left)
     }
 }
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -87,6 +87,23 @@
     settled: Cell<u64>,
 }
 
+/// A call that is counted as in flight until this is dropped.
+#[derive(Debug)]
+struct Flight<'a>(&'a Cell<u64>);
+
+impl<'a> Flight<'a> {
+    fn start(count: &'a Cell<u64>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for Flight<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// What became of the wish to claim or to fence a key.
 #[derive(Debug)]
 enum Asked {
@@ -164,9 +181,8 @@
         if self.stopping.get() {
             return self.counted(reply::not_run(Reason::Stopping));
         }
-        self.calls.in_flight.set(self.calls.in_flight.get() + 1);
+        let _flight = Flight::start(&self.calls.in_flight);
         let reply = self.run(request, deadline).await;
-        self.calls.in_flight.set(self.calls.in_flight.get() - 1);
         self.counted(reply)
     }
 
@@ -177,6 +193,7 @@
     /// more, `not_run`.
     pub async fn settle(&self, request: CallRequest, deadline: Instant) -> CallReply {
         count(&self.calls.settled);
+        let _flight = Flight::start(&self.calls.in_flight);
         let reply = self.settled(request, deadline).await;
         self.counted(reply)
     }
@@ -260,21 +277,27 @@
         stake: &Stake,
         deadline: Instant,
     ) -> Asked {
+        let unknown = reply::may_have_run(Reason::OutcomeUnknown);
         let mut backoff = Backoff::seeded(LOOK.0, LOOK.1, self.runtime.random());
         let mut is_fresh = false;
+        let mut is_seen = false;
         loop {
             let change = Change::asking(kind.clone(), stake.clone(), deadline, is_fresh);
             let entry = match self.push(partition, change, deadline).await {
                 Some(Finding::Granted(claim)) => return Asked::Granted(claim),
                 Some(Finding::Entry(entry)) => entry,
+                // This request wasn't run, but the one that was seen may have been: whoever asks
+                // again with a key wants to know of both.
+                _ if is_seen => return Asked::Settled(unknown),
                 other => return Asked::Unclaimed(unclaimed(other)),
             };
             if let Some(reply) = self.answer(stake, &entry) {
                 return Asked::Settled(reply);
             }
             if self.is_short(deadline) {
-                return Asked::Settled(reply::may_have_run(Reason::OutcomeUnknown));
+                return Asked::Settled(unknown);
             }
+            is_seen = true;
             is_fresh = !self.is_mine(&entry);
             self.runtime.sleep(backoff.next_wait()).await;
         }
--- a/crates/ledger/src/partition.rs
+++ b/crates/ledger/src/partition.rs
@@ -184,7 +184,6 @@
                 Ok(()) => {
                     contended.reset();
                     failed.reset();
-                    self.health.recover();
                     continue;
                 }
                 Err(halt) if halt.is_conflict() => contended.next_wait(),
@@ -257,12 +256,13 @@
             let value = version.object.encode()?;
             self.pace.spend(self.runtime.now());
             count(&self.counters.writes);
-            let _trip = self.health.start(self.runtime.now());
+            let trip = self.health.start(self.runtime.now());
             version.number = self
                 .store
                 .write(KIND, &self.name, version.number, &value)
                 .await
                 .map_err(Halt::Write)?;
+            trip.close();
             version.size = value.get().len();
         }
         *self.cache.borrow_mut() = Some(version);
@@ -271,12 +271,13 @@
 
     async fn read(&self) -> Result<Version, Halt> {
         count(&self.counters.reads);
-        let _trip = self.health.start(self.runtime.now());
+        let trip = self.health.start(self.runtime.now());
         let object = self
             .store
             .read(KIND, &self.name)
             .await
             .map_err(Halt::Read)?;
+        trip.close();
         match object {
             Some(object) => Ok(Version {
                 number: object.version,
--- a/crates/ledger/tests/model.rs
+++ b/crates/ledger/tests/model.rs
@@ -13,7 +13,10 @@
         KEY, //
     },
     node, request,
-    step::Faults,
+    step::{
+        Faults,
+        Step, //
+    },
     tasks::Owner,
     world::World,
 };
@@ -202,6 +205,24 @@
     });
 }
 
+#[test]
+fn a_caller_who_goes_away_is_not_in_flight() {
+    let faults = Faults { cancels: 1, ..NONE };
+    let world = World::new(faults, false);
+    let node = node(&world, 0, "a");
+    let deadline = world.now() + common::explore::BUDGET;
+    let caller = node.clone();
+    let call = async move { drop(caller.call(request(0, KEY), deadline).await) };
+    world.tasks.spawn(Owner::Caller(0), Box::pin(call));
+    world.tasks.settle();
+    assert_eq!(node.state()["in_flight"], 1);
+    world.take(Step::Cancel);
+    while let Some(step) = world.steps().first().copied() {
+        world.take(step);
+    }
+    assert_eq!(node.state()["in_flight"], 0);
+}
+
 #[test]
 fn a_malformed_object_is_left_as_it_is() {
     let world = World::new(NONE, false);
