--- a/crates/entry/src/pin.rs
+++ b/crates/entry/src/pin.rs
@@ -12,52 +12,61 @@
 
 use config::catalog::{
     Group,
+    Shard,
     Snapshot, //
 };
 
-/// Time for which queries avoid a snapshot that a service didn't hold.
-const AVOID: Duration = Duration::from_millis(300);
+/// Time for which it is remembered what a service holds.
+const REMEMBER: Duration = Duration::from_millis(300);
 
-/// Remembers which snapshots weren't held, by group.
+/// The snapshots that a service said it holds, and when that is forgotten.
+#[derive(Debug)]
+struct Held {
+    snapshots: Vec<u64>,
+    until: Instant,
+}
+
+/// What services that didn't hold a pinned snapshot said they hold, by service.
 #[derive(Debug, Default)]
 pub struct Memory {
-    avoided: RefCell<HashMap<(Arc<str>, u64), Instant>>,
+    services: RefCell<HashMap<Arc<str>, Held>>,
 }
 
 impl Memory {
-    /// Chooses the newest snapshot of `group` that isn't avoided, or the newest if all are.
-    pub fn choose<'a>(&self, name: &Arc<str>, group: &'a Group) -> Option<&'a Arc<Snapshot>> {
-        let avoided = self.avoided.borrow();
-        if avoided.is_empty() {
+    /// Chooses the snapshot of `group` that the fewest services are known to lack, the newest of
+    /// these.
+    pub fn choose<'a>(&self, group: &'a Group) -> Option<&'a Arc<Snapshot>> {
+        if self.services.borrow().is_empty() {
             return group.snapshots.first();
         }
-        let now = Instant::now();
-        let is_avoided = |snapshot: &Snapshot| {
-            avoided
-                .get(&(name.clone(), snapshot.number))
-                .is_some_and(|until| *until > now)
+        self.forget();
+        let lacking = |snapshot: &&Arc<Snapshot>| self.lacking(snapshot);
+        // The newest comes first, and the first of equals is taken.
+        group.snapshots.iter().min_by_key(lacking)
+    }
+
+    /// Returns the shards of `snapshot` whose service is known to lack it.
+    pub fn lacking(&self, snapshot: &Snapshot) -> usize {
+        let services = self.services.borrow();
+        let lacks = |shard: &&Shard| {
+            let held = services.get(&shard.service);
+            held.is_some_and(|held| !held.snapshots.contains(&snapshot.number))
         };
-        group
-            .snapshots
-            .iter()
-            .find(|snapshot| !is_avoided(snapshot))
-            .or_else(|| group.snapshots.first())
+        snapshot.shards.iter().filter(lacks).count()
     }
 
-    /// Takes note that a service of `group` doesn't hold the snapshot.
-    pub fn avoid(&self, group: &Arc<str>, snapshot: u64) {
-        let now = Instant::now();
-        let mut avoided = self.avoided.borrow_mut();
-        avoided.retain(|_, until| *until > now);
-        avoided.insert((group.clone(), snapshot), now + AVOID);
+    /// Takes note of what a service holds.
+    pub fn learn(&self, service: &Arc<str>, snapshots: &[u64]) {
+        let held = Held {
+            snapshots: snapshots.to_vec(),
+            until: Instant::now() + REMEMBER,
+        };
+        self.services.borrow_mut().insert(service.clone(), held);
     }
-}
 
-/// Chooses the snapshot for a second run: the newest other one that each failed service holds.
-pub fn other<'a>(group: &'a Group, pinned: u64, held: &[&[u64]]) -> Option<&'a Arc<Snapshot>> {
-    group
-        .snapshots
-        .iter()
-        .filter(|snapshot| snapshot.number != pinned)
-        .find(|snapshot| held.iter().all(|held| held.contains(&snapshot.number)))
+    fn forget(&self) {
+        let now = Instant::now();
+        let mut services = self.services.borrow_mut();
+        services.retain(|_, held| held.until > now);
+    }
 }
--- a/crates/entry/src/query.rs
+++ b/crates/entry/src/query.rs
@@ -29,7 +29,6 @@
         gather,
         Gathered, //
     },
-    pin,
     problem::{
         Kind,
         Problem,
@@ -72,19 +71,25 @@
         })?;
     let snapshot = entry
         .pins
-        .choose(name, group)
+        .choose(group)
         .ok_or_else(|| Problem::new(Kind::Unavailable, Run::NotRun, "the group has no snapshot"))?;
     let mut plan = plan(head, name, snapshot, query);
     let mut gathered = gather(&entry.router, &entry.patience, &plan).await;
     entry.meter.sub_requests(&gathered.partials);
-    if let Some(snapshot) = second(entry, head, name, group, &plan, &gathered.partials) {
+    if let Some(snapshot) = second(entry, head, group, &plan, &gathered.partials) {
         entry.meter.rerun();
-        plan.least = least(head, &snapshot);
-        plan.snapshot = snapshot;
-        let ran = may_have_run(&gathered);
-        gathered = gather(&entry.router, &entry.patience, &plan).await;
-        gathered.may_have_run |= ran;
-        entry.meter.sub_requests(&gathered.partials);
+        let again = Plan {
+            least: least(head, &snapshot),
+            snapshot,
+            ..plan.clone()
+        };
+        let mut other = gather(&entry.router, &entry.patience, &again).await;
+        entry.meter.sub_requests(&other.partials);
+        other.may_have_run |= may_have_run(&gathered);
+        // Each run is of one snapshot; the one that covers more is answered with.
+        if lost(&other.partials) < lost(&gathered.partials) {
+            (plan, gathered) = (again, other);
+        }
     }
     finish(entry, head, query, &plan, &gathered)
 }
@@ -108,30 +113,42 @@
     (shards.ceil() as usize).max(1)
 }
 
-/// Returns the snapshot for a second run, if a service no longer holds the pinned one.
+/// Returns the snapshot for a second run, if services no longer or not yet hold the pinned one and
+/// fewer are known to lack another.
 fn second<S>(
     entry: &Entry<S>,
     head: &Head,
-    name: &Arc<str>,
     group: &Group,
     plan: &Plan,
     partials: &[Option<Partial>],
 ) -> Option<Arc<Snapshot>> {
-    let held: Vec<&[u64]> = partials
-        .iter()
-        .flatten()
-        .filter_map(|partial| partial.failure.as_ref())
-        .filter(|failure| failure.reason() == Reason::SnapshotGone)
-        .map(|failure| failure.held.as_slice())
-        .collect();
-    if held.is_empty() {
-        return None;
+    let mut gone = 0;
+    for (shard, partial) in plan.snapshot.shards.iter().zip(partials) {
+        let failure = partial
+            .as_ref()
+            .and_then(|partial| partial.failure.as_ref());
+        match failure {
+            Some(failure) if failure.reason() == Reason::SnapshotGone => {
+                entry.pins.learn(&shard.service, &failure.held);
+                gone += 1;
+            }
+            _ => {}
+        }
     }
-    entry.pins.avoid(name, plan.snapshot.number);
-    if head.left() < RERUN_MIN {
+    if gone == 0 || head.left() < RERUN_MIN {
         return None;
     }
-    pin::other(group, plan.snapshot.number, &held).cloned()
+    let other = entry.pins.choose(group)?;
+    let better = other.number != plan.snapshot.number && entry.pins.lacking(other) < gone;
+    better.then(|| other.clone())
+}
+
+fn lost(partials: &[Option<Partial>]) -> usize {
+    let is_lost = |partial: &&Option<Partial>| match partial {
+        None => true,
+        Some(partial) => partial.failure.is_some(),
+    };
+    partials.iter().filter(is_lost).count()
 }
 
 fn finish<S>(
