--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -103,6 +103,8 @@
     tickets: RefCell<BTreeMap<Id, Rc<Ticket>>>,
     me: std::rc::Weak<Self>,
     upkeep: Cell<bool>,
+    /// Whether all work has ended, so that no connection is opened any more.
+    closed: Cell<bool>,
 }
 
 impl Pool<Http> {
@@ -132,6 +134,7 @@
             tickets: RefCell::default(),
             me: me.clone(),
             upkeep: Cell::new(false),
+            closed: Cell::new(false),
         })
     }
 
@@ -142,6 +145,9 @@
     /// idle connections are closed at once; what still comes for it runs over a few connections
     /// that are opened on demand.
     pub fn update(&self, view: Arc<View>, owned: &dyn Fn(&str) -> bool) {
+        if self.closed.get() {
+            return;
+        }
         self.start_upkeep();
         *self.shared.preset.borrow_mut() = view.preset.clone();
         self.shared
@@ -353,6 +359,7 @@
         while self.in_flight() > 0 && Instant::now() < until {
             monoio::time::sleep(DRAIN_PERIOD).await;
         }
+        self.closed.set(true);
         let empty = config::catalog::Service::default();
         let view = self.view.borrow().clone();
         let services = self.services();
--- a/crates/pool/tests/slots.rs
+++ b/crates/pool/tests/slots.rs
@@ -137,6 +137,9 @@
         pool.clone().close().await;
         assert_eq!(running.await.failure, None);
         until(|| fake.open.get() == 0).await;
+        pool.update(view(&[&fake], Preset::default(), &[]), &|_| true);
+        sleep(ms(20)).await;
+        assert_eq!(fake.open.get(), 0);
         let refused = pool.part(job(2, 0, LONG)).await;
         assert_eq!(
             reason(&refused.failure),
