fix(pool): earn hedges and retries by what is sent

Cause: work that was queued and then shed earned tokens too, so that under overload the budgets were a share of what was offered.

--- a/crates/pool/src/admit.rs
+++ b/crates/pool/src/admit.rs
@@ -56,8 +56,6 @@
     pub(crate) fn submit(self: &Rc<Self>, ticket: &Rc<Ticket>) -> Result<(), Refused> {
         let now = Instant::now();
         self.check(ticket, now)?;
-        self.retries.borrow_mut().earn();
-        self.shared.hedges.borrow_mut().earn();
         self.enqueue(ticket)?;
         self.dispatch();
         Ok(())
--- a/crates/pool/src/service.rs
+++ b/crates/pool/src/service.rs
@@ -137,6 +137,10 @@
     }
 
     fn start(self: &Rc<Self>, ticket: &Rc<Ticket>, server: &Rc<Server>, kind: Kind, now: Instant) {
+        if kind == Kind::First {
+            self.retries.borrow_mut().earn();
+            self.shared.hedges.borrow_mut().earn();
+        }
         let attempt = ticket.start(server.name().clone(), now);
         self.started.set(self.started.get() + 1);
         {
--- a/crates/pool/tests/slots.rs
+++ b/crates/pool/tests/slots.rs
@@ -162,3 +162,17 @@
         assert_eq!((a.busy_peak.get(), b.busy_peak.get()), (2, 1));
     });
 }
+
+#[test]
+fn budgets_grow_by_what_is_sent() {
+    run(async {
+        let fake = Fake::start(|_| Act::Hang);
+        let pool = pool(&[&fake], Preset::default()).await;
+        let tokens = || pool.state()["hedge_tokens"].as_f64().expect("a number");
+        let before = tokens();
+        assert_eq!(burst(&pool, 0..50, ms(50)).await, 0);
+        let earned = Preset::default().hedge_budget * fake.count() as f64;
+        assert!(fake.count() < 20, "{}", fake.count());
+        assert!((tokens() - before - earned).abs() < 1e-6, "{}", tokens());
+    });
+}
