--- a/crates/pool/tests/slots.rs
+++ b/crates/pool/tests/slots.rs
@@ -137,6 +137,9 @@
         pool.clone().close().await;
         assert_eq!(running.await.failure, None);
         until(|| fake.open.get() == 0).await;
+        pool.update(view(&[&fake], Preset::default(), &[]), &|_| true);
+        sleep(ms(20)).await;
+        assert_eq!(fake.open.get(), 0);
         let refused = pool.part(job(2, 0, LONG)).await;
         assert_eq!(
             reason(&refused.failure),
@@ -159,3 +162,17 @@
         assert_eq!((a.busy_peak.get(), b.busy_peak.get()), (2, 1));
     });
 }
+
+#[test]
+fn budgets_grow_by_what_is_sent() {
+    run(async {
+        let fake = Fake::start(|_| Act::Hang);
+        let pool = pool(&[&fake], Preset::default()).await;
+        let tokens = || pool.state()["hedge_tokens"].as_f64().expect("a number");
+        let before = tokens();
+        assert_eq!(burst(&pool, 0..50, ms(50)).await, 0);
+        let earned = Preset::default().hedge_budget * fake.count() as f64;
+        assert!(fake.count() < 20, "{}", fake.count());
+        assert!((tokens() - before - earned).abs() < 1e-6, "{}", tokens());
+    });
+}
