fix(fleet): leave no waker behind when a wait is given up

Each heartbeat gives up a wait for the queues of probes and fetches, and each left a waker until the next change: some six a second in a quiet fleet. Seen failing: 100 wakers after 100 waits that were given up. A wait now takes its waker back when it is dropped. Ruled out: comparing wakers by will_wake, which doesn't hold between clones of the same waker.

The package's documentation has an example that compiles.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,6 +2,31 @@
 //!
 //! A [`Fleet`] learns members and documents from the platform's store and from its peers. Ownership
 //! is a hint for efficiency; no promise rests on it.
+//!
+//! # Examples
+//!
+//! ```
+//! use fleet::{Fleet, Member, Settings};
+//! use std::{rc::Rc, time::Duration};
+//!
+//! let me = Member {
+//!     name: "entry-0".into(),
+//!     address: "127.0.0.1:8081".parse().expect("an address"),
+//!     zone: "northmere-a".into(),
+//! };
+//! let settings = Settings {
+//!     me: me.clone(),
+//!     seeds: Vec::new(),
+//!     heartbeat: Duration::from_millis(500),
+//!     direct: false,
+//! };
+//! let address = "127.0.0.1:9000".parse().expect("an address");
+//! let store = platform::http::Client::new(address, Duration::from_secs(2));
+//! let fleet = Fleet::new(settings, Rc::new(store), wire::client::Peers::new());
+//! // `fleet.run()` is spawned on the runtime; until it has learned more, the instance is alone.
+//! assert!(!fleet.view().is_ready());
+//! assert_eq!(*fleet.owners("deskline-00")[0], me);
+//! ```
 
 mod contact;
 pub mod documents;
--- a/crates/fleet/src/signal.rs
+++ b/crates/fleet/src/signal.rs
@@ -5,8 +5,11 @@
         Cell,
         RefCell, //
     },
-    future::poll_fn,
+    collections::BTreeMap,
+    future::Future,
+    pin::Pin,
     task::{
+        Context,
         Poll,
         Waker, //
     },
@@ -17,28 +20,58 @@
 pub(crate) struct Signal {
     raised: Cell<u64>,
     seen: Cell<u64>,
-    wakers: RefCell<Vec<Waker>>,
+    waits: Cell<u64>,
+    wakers: RefCell<BTreeMap<u64, Waker>>,
 }
 
 impl Signal {
     /// Counts one change and wakes every waiter.
     pub(crate) fn raise(&self) {
         self.raised.set(self.raised.get() + 1);
-        let wakers = std::mem::take(&mut *self.wakers.borrow_mut());
-        wakers.into_iter().for_each(Waker::wake);
+        let wakers = self.wakers.take();
+        wakers.into_values().for_each(Waker::wake);
     }
 
     /// Waits for a change that no earlier call has returned for.
-    pub(crate) async fn wait(&self) {
-        let seen = self.seen.get();
-        poll_fn(|cx| {
-            if self.raised.get() == seen {
-                self.wakers.borrow_mut().push(cx.waker().clone());
-                return Poll::Pending;
-            }
-            self.seen.set(self.raised.get());
-            Poll::Ready(())
-        })
-        .await;
+    pub(crate) fn wait(&self) -> Wait<'_> {
+        let id = self.waits.get();
+        self.waits.set(id + 1);
+        Wait {
+            signal: self,
+            seen: self.seen.get(),
+            id,
+        }
     }
 }
+
+/// Waits for the next change of a [`Signal`]; leaves no waker behind if it is given up.
+#[derive(Debug)]
+pub(crate) struct Wait<'a> {
+    signal: &'a Signal,
+    seen: u64,
+    id: u64,
+}
+
+impl Future for Wait<'_> {
+    type Output = ();
+
+    fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        let raised = self.signal.raised.get();
+        if raised == self.seen {
+            let mut wakers = self.signal.wakers.borrow_mut();
+            wakers.insert(self.id, cx.waker().clone());
+            return Poll::Pending;
+        }
+        self.signal.seen.set(raised);
+        Poll::Ready(())
+    }
+}
+
+impl Drop for Wait<'_> {
+    fn drop(&mut self) {
+        self.signal.wakers.borrow_mut().remove(&self.id);
+    }
+}
+
+#[cfg(test)]
+mod tests;
