--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -99,7 +99,7 @@
     async fn run(&self, request: &Request<Bytes>, started: Instant) -> Response<Bytes> {
         let head = match self.head(request) {
             Ok(head) => head,
-            Err(problem) => return self.refuse(None, &problem),
+            Err(problem) => return self.refuse(None, &unsure(problem, request)),
         };
         let id = head.id.to_string();
         match self.dispatch(&head, request).await {
@@ -137,7 +137,8 @@
             Route::Call(service) => {
                 let key = request::key(request.headers())?;
                 let body = request::call_body(request)?;
-                let _permit = self.admit(head, service)?;
+                let permit = self.admit(head, service);
+                let _permit = permit.map_err(|problem| unsure(problem, request))?;
                 let body = call::run(self, head, service, key, body).await?;
                 Ok((service, body))
             }
@@ -164,6 +165,15 @@
     }
 }
 
+/// Makes a refusal true of the request's key: an earlier request with it may have run.
+fn unsure(mut problem: Problem, request: &Request<Bytes>) -> Problem {
+    let waits = matches!(problem.kind, Kind::NotReady | Kind::Overloaded);
+    if waits && request.headers().contains_key(request::KEY) {
+        problem.run = Run::MayHaveRun;
+    }
+    problem
+}
+
 fn json(body: Bytes) -> Response<Bytes> {
     let mut response = Response::new(body);
     response
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -65,6 +65,8 @@
 const SHORT: Duration = Duration::from_millis(20);
 /// One in this many parts of a call's time is kept for sending it.
 const SEND_SHARE: u32 = 8;
+/// Objects that are kept in memory between two writes.
+const OBJECTS_MAX: usize = 32;
 /// Time past the deadline after which a send that has no reply is given up.
 const GRACE: Duration = Duration::from_millis(100);
 /// Wait between two checks of whether everything is recorded.
@@ -85,6 +87,23 @@
     settled: Cell<u64>,
 }
 
+/// A call that is counted as in flight until this is dropped.
+#[derive(Debug)]
+struct Flight<'a>(&'a Cell<u64>);
+
+impl<'a> Flight<'a> {
+    fn start(count: &'a Cell<u64>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for Flight<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// What became of the wish to claim or to fence a key.
 #[derive(Debug)]
 enum Asked {
@@ -160,11 +179,10 @@
     /// `deadline`, then answered as one that may have run.
     pub async fn call(&self, request: CallRequest, deadline: Instant) -> CallReply {
         if self.stopping.get() {
-            return self.counted(reply::not_run(Reason::Stopping));
+            return self.counted(reply::may_have_run(Reason::Stopping));
         }
-        self.calls.in_flight.set(self.calls.in_flight.get() + 1);
+        let _flight = Flight::start(&self.calls.in_flight);
         let reply = self.run(request, deadline).await;
-        self.calls.in_flight.set(self.calls.in_flight.get() - 1);
         self.counted(reply)
     }
 
@@ -175,6 +193,7 @@
     /// more, `not_run`.
     pub async fn settle(&self, request: CallRequest, deadline: Instant) -> CallReply {
         count(&self.calls.settled);
+        let _flight = Flight::start(&self.calls.in_flight);
         let reply = self.settled(request, deadline).await;
         self.counted(reply)
     }
@@ -182,15 +201,15 @@
     async fn run(&self, request: CallRequest, deadline: Instant) -> CallReply {
         let stake = match self.stake(&request) {
             Ok(stake) => stake,
-            Err(_) => return reply::not_run(Reason::KeyExpired),
+            Err(fault) => return reply::unfit(fault),
         };
         let partition = self.open(stake.key.partition());
         let claim_by = self.claim_by(deadline);
         if self.health.is_hopeless(self.runtime.now(), claim_by) {
-            return reply::not_run(Reason::Platform);
+            return reply::may_have_run(Reason::Platform);
         }
         if !partition.has_room() {
-            return reply::not_run(Reason::Overloaded);
+            return reply::may_have_run(Reason::Overloaded);
         }
         match self.ask(&partition, Kind::Claim, &stake, claim_by).await {
             Asked::Granted(claim) => self.send(claim, request, deadline).await,
@@ -222,9 +241,7 @@
         let unknown = reply::may_have_run(Reason::OutcomeUnknown);
         let stake = match self.stake(&request) {
             Ok(stake) => stake,
-            // A malformed key is refused wherever it goes; an old one may have been claimed in time.
-            Err(key::Fault::Malformed) => return reply::not_run(Reason::KeyExpired),
-            Err(_) => return unknown,
+            Err(fault) => return reply::unfit(fault),
         };
         let partition = self.open(stake.key.partition());
         let claim_by = self.claim_by(deadline);
@@ -258,21 +275,27 @@
         stake: &Stake,
         deadline: Instant,
     ) -> Asked {
+        let unknown = reply::may_have_run(Reason::OutcomeUnknown);
         let mut backoff = Backoff::seeded(LOOK.0, LOOK.1, self.runtime.random());
         let mut is_fresh = false;
+        let mut is_seen = false;
         loop {
             let change = Change::asking(kind.clone(), stake.clone(), deadline, is_fresh);
             let entry = match self.push(partition, change, deadline).await {
                 Some(Finding::Granted(claim)) => return Asked::Granted(claim),
                 Some(Finding::Entry(entry)) => entry,
+                // This request wasn't run, but the one that was seen may have been: whoever asks
+                // again with a key wants to know of both.
+                _ if is_seen => return Asked::Settled(unknown),
                 other => return Asked::Unclaimed(unclaimed(other)),
             };
             if let Some(reply) = self.answer(stake, &entry) {
                 return Asked::Settled(reply);
             }
             if self.is_short(deadline) {
-                return Asked::Settled(reply::may_have_run(Reason::OutcomeUnknown));
+                return Asked::Settled(unknown);
             }
+            is_seen = true;
             is_fresh = !self.is_mine(&entry);
             self.runtime.sleep(backoff.next_wait()).await;
         }
@@ -342,6 +365,10 @@
 
     fn open(&self, number: u32) -> Rc<Partition<S, R>> {
         let mut partitions = self.partitions.borrow_mut();
+        let kept = partitions.values().filter(|partition| partition.size() > 0);
+        if kept.count() > OBJECTS_MAX {
+            partitions.values().for_each(|partition| partition.forget());
+        }
         let partition = partitions.entry(number).or_insert_with(|| {
             let store = self.store.clone();
             let runtime = self.runtime.clone();
@@ -407,12 +434,13 @@
 
 /// Makes the reply to a call whose claim wasn't confirmed.
 ///
-/// This process alone could use the claim, and its id is dropped with the change.
+/// This process alone could use the claim, and its id is dropped with the change. But only a full
+/// partition was read and didn't hold the key: otherwise an earlier request with it may have run.
 fn unclaimed(found: Option<Finding>) -> CallReply {
     match found {
-        Some(Finding::Expired) => reply::not_run(Reason::KeyExpired),
         Some(Finding::Full) => reply::not_run(Reason::Overloaded),
-        Some(_) => reply::not_run(Reason::Platform),
-        None => reply::not_run(Reason::Deadline),
+        Some(Finding::Expired) => reply::may_have_run(Reason::KeyExpired),
+        Some(_) => reply::may_have_run(Reason::Platform),
+        None => reply::may_have_run(Reason::Deadline),
     }
 }
