fix(tanageryoke): own nothing for three heartbeats after the start

Cause: an instance that starts knows only itself, owns every service and opens its connections; 21 times 3 is 63 and 25 are accepted. Ruled out: the pool's share (3 connections a server and owner).

Parts that an instance without the catalog refuses go to the next one: a replaced instance had left 3 shards missing as unknown_service.

--- a/crates/entry/src/gather.rs
+++ b/crates/entry/src/gather.rs
@@ -431,7 +431,7 @@
 /// or another snapshot may still serve isn't lost.
 fn is_hopeless(plan: &Plan, partials: &[Option<Partial>]) -> bool {
     let is_lost = |failure: &wire::Failure| {
-        !matches!(failure.reason(), Reason::Stopping | Reason::SnapshotGone)
+        !is_of_instance(failure) && failure.reason() != Reason::SnapshotGone
     };
     let failures = partials.iter().flatten().filter_map(|p| p.failure.as_ref());
     let lost = failures.filter(|failure| is_lost(failure)).count();
@@ -439,8 +439,12 @@
 }
 
 fn is_refused_by_instance(partial: &Partial) -> bool {
-    partial
-        .failure
-        .as_ref()
-        .is_some_and(|failure| failure.not_run && failure.reason() == Reason::Stopping)
+    partial.failure.as_ref().is_some_and(is_of_instance)
+}
+
+/// Returns whether another instance may take on what this one refused: it stops, or it has just
+/// started and lacks the catalog.
+fn is_of_instance(failure: &wire::Failure) -> bool {
+    let reason = failure.reason();
+    failure.not_run && matches!(reason, Reason::Stopping | Reason::UnknownService)
 }
--- a/crates/tanageryoke/src/commands/serve.rs
+++ b/crates/tanageryoke/src/commands/serve.rs
@@ -15,6 +15,7 @@
         ListenerOpts,
         TcpListener, //
     },
+    time::timeout,
     LegacyDriver,
     RuntimeBuilder, //
 };
@@ -98,16 +99,20 @@
 
 /// Keeps the pool's connections in step with documents and ownership.
 async fn follow(context: Rc<Context>) {
+    let fleet = &context.fleet;
     loop {
-        let fleet = &context.fleet;
+        let unsettled = context.unsettled();
         let owned = |service: &str| {
-            let owners = fleet.owners(service);
-            owners.first().is_some_and(|owner| fleet.is_me(owner))
+            let owners = fleet.ranked(service);
+            unsettled.is_zero() && owners.first().is_some_and(|owner| fleet.is_me(owner))
         };
         let view = fleet.view();
         context.entry.update(&view.preset);
         context.pool.update(view, &owned);
-        fleet.changed().await;
+        match unsettled.is_zero() {
+            true => fleet.changed().await,
+            false => drop(timeout(unsettled, fleet.changed()).await),
+        }
     }
 }
 
--- a/crates/tanageryoke/src/context.rs
+++ b/crates/tanageryoke/src/context.rs
@@ -29,6 +29,9 @@
     metrics::Metrics, //
 };
 
+/// Heartbeats in which an instance that starts hears of its peers.
+const SETTLE: u32 = 3;
+
 /// The parts of one instance.
 #[derive(Debug)]
 pub struct Context {
@@ -86,7 +89,15 @@
 
     /// Returns whether the balancer may send requests here.
     pub fn is_ready(&self) -> bool {
-        !self.leaving.get() && self.fleet.view().is_ready()
+        !self.leaving.get() && self.unsettled().is_zero() && self.fleet.view().is_ready()
+    }
+
+    /// Returns the time left until the instance may own services.
+    ///
+    /// One that has just started doesn't know its peers yet and would own everything: a start of the
+    /// whole fleet would open more connections than the backend servers accept.
+    pub fn unsettled(&self) -> Duration {
+        (SETTLE * self.settings.heartbeat).saturating_sub(self.started.elapsed())
     }
 
     /// Returns the longest time that a stop waits for work in flight.
