--- a/crates/bench/src/backends/control.rs
+++ b/crates/bench/src/backends/control.rs
@@ -34,7 +34,10 @@
     server::Status,
     Site,
 };
-use crate::answer;
+use crate::{
+    answer,
+    parameter, //
+};
 
 /// A switch of the index to the next snapshot.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
@@ -130,8 +133,8 @@
     }
 
     fn log(&self, query: &str) -> Response<Bytes> {
-        let after = parameter(query, "after").unwrap_or(0);
-        let limit = parameter(query, "limit").map_or(usize::MAX, |limit| limit as usize);
+        let after = parameter::number(query, "after").unwrap_or(0);
+        let limit = parameter::number(query, "limit").map_or(usize::MAX, |limit| limit as usize);
         let (records, dropped) = {
             let log = self.site.log();
             (log.after(after, limit), log.dropped())
@@ -164,11 +167,3 @@
         }
     }
 }
-
-fn parameter(query: &str, name: &str) -> Option<u64> {
-    query
-        .split('&')
-        .filter_map(|pair| pair.split_once('='))
-        .find(|(key, _)| *key == name)
-        .and_then(|(_, value)| value.parse().ok())
-}
--- a/crates/bench/src/store/handler.rs
+++ b/crates/bench/src/store/handler.rs
@@ -48,6 +48,7 @@
 };
 use crate::{
     answer,
+    parameter,
     socket::Socket, //
 };
 
@@ -236,8 +237,8 @@
 
     async fn watch(&self, kind: &str, request: &Request<Bytes>) -> Response<Bytes> {
         let query = request.uri().query().unwrap_or_default();
-        let after = parameter(query, "after").unwrap_or(0);
-        let wait = Duration::from_millis(parameter(query, "wait_ms").unwrap_or(0));
+        let after = parameter::number(query, "after").unwrap_or(0);
+        let wait = Duration::from_millis(parameter::number(query, "wait_ms").unwrap_or(0));
         let end = Instant::now() + wait.min(WATCH_MAX);
         loop {
             let changed = self.platform.objects.borrow().changed(kind, after);
@@ -293,11 +294,3 @@
     let value = headers.get(IF_MATCH)?.to_str().ok()?;
     value.trim_matches('"').parse().ok().map(Condition::Version)
 }
-
-fn parameter(query: &str, name: &str) -> Option<u64> {
-    query
-        .split('&')
-        .filter_map(|pair| pair.split_once('='))
-        .find(|(key, _)| *key == name)
-        .and_then(|(_, value)| value.parse().ok())
-}
