fix: end peers' connections on a stop, announce the end, send marks along

The inner protocol's server kept answering on open connections after its stop: a dropped join handle detaches its task. Connections now end with the server. An instance announces that it has left at the end of its drain, and an entry that hears a mark first sends it along with its next call to the owner.

A runtime that is dropped while streams are open can lock their connection twice (seen in hung test runs of the fleet, with backtraces); the process ends without dropping it.

--- a/crates/entry/src/scatter.rs
+++ b/crates/entry/src/scatter.rs
@@ -120,7 +120,7 @@
         group: plan.group.to_string(),
         parts: batch.parts.iter().map(|index| plan.part(*index)).collect(),
         body: plan.body.clone(),
-        marks: Vec::new(),
+        marks: marks(router, plan, batch),
     };
     let mut partials = router.peers.scatter(batch.member.address, request).await?;
     let mut left = batch.parts.len();
@@ -132,6 +132,15 @@
     Ok(())
 }
 
+/// Returns the marks that the owner may not have heard of yet.
+fn marks<S: Store>(router: &Router<S>, plan: &Plan, batch: &Batch) -> Vec<wire::Mark> {
+    let services = batch.parts.iter().map(|index| {
+        let shard = &plan.snapshot.shards[*index as usize];
+        &*shard.service
+    });
+    router.fleet.marks_for(services)
+}
+
 async fn run_here<S: Store>(
     router: &Router<S>,
     plan: &Plan,
--- a/crates/tanageryoke/src/commands/serve.rs
+++ b/crates/tanageryoke/src/commands/serve.rs
@@ -55,7 +55,10 @@
         .enable_timer()
         .build()
         .change_context(Error::Runtime)?;
-    match runtime.block_on(serve(settings))? {
+    let served = runtime.block_on(serve(settings));
+    // Tasks that still hold a stream can lock its connection twice while they are dropped.
+    std::mem::forget(runtime);
+    match served? {
         true => Ok(ExitCode::SUCCESS),
         false => Ok(ExitCode::FAILURE),
     }
--- a/crates/tanageryoke/src/drain.rs
+++ b/crates/tanageryoke/src/drain.rs
@@ -107,6 +107,7 @@
             return false;
         }
         self.context.pool.clone().close().await;
+        self.context.fleet.clone().close().await;
         tracing::info!("serve: stopped.");
         true
     }
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -18,6 +18,7 @@
         Either, //
     },
     pin_mut,
+    FutureExt,
     StreamExt, //
 };
 use monoio::{
@@ -193,15 +194,23 @@
     stop: impl Future<Output = ()>,
 ) {
     let (jobs, receiver) = mpsc::unbounded();
-    let dispatcher = monoio::spawn(dispatch(receiver, handler));
+    // The dispatcher ends with the last connection.
+    monoio::spawn(dispatch(receiver, handler));
     let service = PeerServer::new(Bridge { jobs }).max_decoding_message_size(MESSAGE_MAX);
+    let (open, closed) = oneshot::channel::<()>();
+    let closed = closed.map(drop).shared();
     pin_mut!(stop);
     loop {
         let accept = listener.accept();
         pin_mut!(accept);
         match select(accept, &mut stop).await {
             Either::Left((Ok((stream, _)), _)) => {
-                monoio::spawn(connection(stream, Service(service.clone())));
+                let connection = connection(stream, Service(service.clone()));
+                let closed = closed.clone();
+                monoio::spawn(async move {
+                    pin_mut!(connection);
+                    select(connection, closed).await;
+                });
             }
             Either::Left((Err(error), _)) => {
                 tracing::warn!("wire: accept failed: {error}.");
@@ -210,7 +219,7 @@
             Either::Right(_) => break,
         }
     }
-    drop(dispatcher);
+    drop(open);
 }
 
 async fn connection(stream: TcpStream, service: Service) {
