--- a/crates/entry/src/gather.rs
+++ b/crates/entry/src/gather.rs
@@ -119,18 +119,20 @@
     }
 
     /// Takes in one partial; the first payload of a part wins, a failure gives way to a payload.
-    fn take(&self, batch: &Batch, partial: Partial) {
+    ///
+    /// Returns false for a partial that isn't one of the batch.
+    fn take(&self, batch: &Batch, partial: Partial) -> bool {
         if !self.plan.matches(batch, &partial) {
             tracing::warn!(
                 "entry: partial dropped, it belongs to another request or snapshot, from {}.",
                 batch.member.name
             );
-            return;
+            return false;
         }
         let failed = partial.failure.is_some();
         let mut partials = self.partials.borrow_mut();
         let Some(slot) = partials.get_mut(partial.index as usize) else {
-            return;
+            return false;
         };
         match slot {
             None => {
@@ -145,6 +147,7 @@
         if self.missing.get() == 0 || (failed && is_hopeless(self.plan, &partials)) {
             self.done.borrow().set();
         }
+        true
     }
 
     fn is_hopeless(&self) -> bool {
--- a/crates/entry/src/query.rs
+++ b/crates/entry/src/query.rs
@@ -2,7 +2,10 @@
 
 use std::{
     sync::Arc,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use bytes::Bytes;
@@ -194,7 +197,8 @@
     let shards = plan.snapshot.shards.iter().zip(partials);
     let missing = shards.filter_map(|(shard, partial)| {
         let reason = match partial {
-            None => "deadline".to_owned(),
+            None if is_late(plan) => "deadline".to_owned(),
+            None => "unreachable".to_owned(),
             Some(partial) => name(partial.failure.as_ref()?.reason()),
         };
         Some(Missing {
@@ -209,6 +213,11 @@
     }
 }
 
+/// Returns whether the deadline has passed; otherwise a part without an outcome has nobody to run it.
+fn is_late(plan: &Plan) -> bool {
+    Instant::now() >= plan.deadline
+}
+
 /// Returns the reason as callers read it, such as `snapshot_gone`.
 fn name(reason: Reason) -> String {
     let name = reason.as_str_name();
@@ -238,7 +247,7 @@
             Reason::QueueFull | Reason::Shed | Reason::Overloaded
         )
     });
-    let late = partials.iter().any(Option::is_none)
+    let late = (is_late(plan) && partials.iter().any(Option::is_none))
         || failures().any(|failure| failure.reason() == Reason::Deadline);
     let kind = match (overloaded, late) {
         (true, _) => Kind::Overloaded,
--- a/crates/entry/src/scatter.rs
+++ b/crates/entry/src/scatter.rs
@@ -100,7 +100,9 @@
     }
 }
 
-/// Runs `batch` and hands each partial to `take`, until every part has one.
+/// Runs `batch` and hands each partial to `take`, until it has taken one for every part.
+///
+/// `take` returns false for a partial that isn't one of the batch.
 ///
 /// # Errors
 ///
@@ -109,7 +111,7 @@
     router: &Router<S>,
     plan: &Plan,
     batch: &Batch,
-    take: impl Fn(Partial),
+    take: impl Fn(Partial) -> bool,
 ) -> Result<(), Error> {
     if router.fleet.is_me(&batch.member) {
         run_here(router, plan, batch, take).await;
@@ -126,8 +128,7 @@
     let mut left = batch.parts.len();
     while left > 0 {
         let partial = partials.message().await.map_err(|_| Error::Broken)?;
-        take(partial.ok_or(Error::Broken)?);
-        left -= 1;
+        left -= usize::from(take(partial.ok_or(Error::Broken)?));
     }
     Ok(())
 }
@@ -145,7 +146,7 @@
     router: &Router<S>,
     plan: &Plan,
     batch: &Batch,
-    take: impl Fn(Partial),
+    take: impl Fn(Partial) -> bool,
 ) {
     let jobs = batch
         .parts
