--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -35,7 +35,7 @@
 /// Time before the deadline that is kept for the way back.
 const REPLY: Duration = Duration::from_millis(3);
 /// Time after which a silent home is probed.
-const PATIENCE: Duration = Duration::from_millis(250);
+const PATIENCE: Duration = Duration::from_millis(100);
 
 /// Runs a call of `service` and returns the answer's body.
 ///
@@ -87,7 +87,7 @@
 /// Runs a keyed call at its home; a home that went silent is settled from the ledger.
 async fn keyed<S: Store>(entry: &Entry<S>, request: CallRequest, deadline: Instant) -> CallReply {
     let partition = Ledger::<S, Router<S>>::partition(&request.key);
-    for home in entry.router.fleet.homes(partition).iter().take(2) {
+    for home in entry.router.homes(partition).iter().take(2) {
         if entry.router.fleet.is_me(home) {
             return entry.ledger.call(request, deadline).await;
         }
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -68,12 +68,21 @@
     /// Returns the members that may run parts of `service`: owner and substitutes, those that were
     /// silent a moment ago last.
     pub fn targets(&self, service: &str) -> Vec<Rc<Member>> {
-        let owners = self.fleet.owners(service);
-        let (silent, mut targets): (Vec<_>, Vec<_>) = owners
+        self.silent_last(self.fleet.owners(service))
+    }
+
+    /// Returns the members that may be home to ledger partition `partition`, those that were silent a
+    /// moment ago last. Two homes may work on one partition.
+    pub fn homes(&self, partition: u32) -> Vec<Rc<Member>> {
+        self.silent_last(self.fleet.homes(partition))
+    }
+
+    fn silent_last(&self, members: Vec<Rc<Member>>) -> Vec<Rc<Member>> {
+        let (silent, mut ordered): (Vec<_>, Vec<_>) = members
             .into_iter()
             .partition(|member| self.reach.is_avoided(&member.name));
-        targets.extend(silent);
-        targets
+        ordered.extend(silent);
+        ordered
     }
 
     /// Returns the member of rank `rank`, from 0, among the targets of `service`.
