refactor(web): one place for bodies and closing; test: a second SIGTERM

The payload of a body and the reading of Connection stood in client and server. A second signal says in the log that it ends the wait for the balancer, and a test of the process looks for it.

--- a/crates/tanageryoke/src/drain.rs
+++ b/crates/tanageryoke/src/drain.rs
@@ -9,8 +9,11 @@
 };
 
 use futures_util::{
-    future::select,
-    pin_mut, //
+    future::{
+        select,
+        Either, //
+    },
+    pin_mut,
 };
 use monoio::time::sleep;
 use web::Stop;
@@ -84,7 +87,9 @@
             let wait = sleep(lag);
             let signal = self.signals.next();
             pin_mut!(wait, signal);
-            select(wait, signal).await;
+            if let Either::Right(_) = select(wait, signal).await {
+                tracing::info!("serve: told again, the wait for the balancer ends.");
+            }
         }
         tracing::info!("serve: draining.");
         self.listener.set();
--- a/crates/tanageryoke/tests/process.rs
+++ b/crates/tanageryoke/tests/process.rs
@@ -2,6 +2,8 @@
 
 use std::{
     io::{
+        BufRead,
+        BufReader,
         Read,
         Write, //
     },
@@ -34,11 +36,16 @@
         .args(["--listen", &listen.to_string()])
         .args(["--peer-listen", &free().to_string()])
         .args(["--platform", &free().to_string()])
-        .stderr(Stdio::null())
+        .stderr(Stdio::piped())
         .spawn()
         .expect("a process")
 }
 
+fn terminate(child: &Child) {
+    let kill = Command::new("kill").arg(child.id().to_string()).status();
+    assert!(kill.expect("a signal").success());
+}
+
 fn ask(address: SocketAddr, request: &str) -> Option<String> {
     let mut stream = TcpStream::connect(address).ok()?;
     stream.write_all(request.as_bytes()).ok()?;
@@ -76,7 +83,7 @@
         "POST /v1/g/query HTTP/1.1\r\nconnection: close\r\ncontent-length: 11\r\n\r\n{\"query\":1}";
     let refused = ask(listen, query).expect("an answer");
     let links = links(&child);
-    let term = Command::new("kill").arg(child.id().to_string()).status();
+    terminate(&child);
     let code = child.wait().expect("an exit code");
     assert!(ready.expect("an answer").starts_with("HTTP/1.1 503"));
     assert!(refused.contains("\"run\":\"not_run\""), "{refused}");
@@ -89,7 +96,29 @@
         !links.iter().any(|link| link.contains("io_uring")),
         "{links:?}"
     );
-    assert!(term.expect("a signal").success());
+    assert_eq!(code.code(), Some(0));
+}
+
+#[test]
+fn a_second_signal_ends_the_wait_for_the_balancer() {
+    let listen = free();
+    let mut child = start(listen);
+    wait_for(listen);
+    let log = child.stderr.take().expect("a log");
+    let mut lines = BufReader::new(log).lines().map_while(Result::ok);
+    terminate(&child);
+    assert!(lines.any(|line| line.contains("serve: leaving.")));
+    terminate(&child);
+    let rest: Vec<String> = lines.collect();
+    let code = child.wait().expect("an exit code");
+    assert!(
+        rest.iter().any(|line| line.contains("told again")),
+        "{rest:?}"
+    );
+    assert!(
+        rest.iter().any(|line| line.contains("serve: stopped.")),
+        "{rest:?}"
+    );
     assert_eq!(code.code(), Some(0));
 }
 
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -12,7 +12,6 @@
 
 use bytes::Bytes;
 use http::{
-    header::CONNECTION,
     Request,
     Response, //
 };
@@ -34,15 +33,15 @@
             decoder::ClientResponseDecoder,
             encoder::GenericEncoder, //
         },
-        payload::{
-            FixedPayload,
-            Payload, //
-        },
         BorrowFramedRead,
     },
 };
 
 use crate::{
+    body::{
+        closes,
+        payload, //
+    },
     bounded::{
         Budget,
         Reader, //
@@ -224,17 +223,6 @@
     pub fn close(self) {}
 }
 
-fn payload(body: Bytes) -> Payload {
-    if body.is_empty() {
-        return Payload::None;
-    }
-    Payload::Fixed(FixedPayload::new(body))
-}
-
 fn keeps_open(response: &Response<Bytes>) -> bool {
-    let closes = response
-        .headers()
-        .get(CONNECTION)
-        .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
-    !closes && response.version() == http::Version::HTTP_11
+    !closes(response.headers()) && response.version() == http::Version::HTTP_11
 }
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -22,6 +22,7 @@
 //! # }
 //! ```
 
+mod body;
 pub mod bounded;
 pub mod client;
 pub mod framing;
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -48,14 +48,15 @@
             },
             encoder::GenericEncoder,
         },
-        payload::{
-            FixedPayload,
-            Payload, //
-        },
+        payload::Payload,
     },
 };
 
 use crate::{
+    body::{
+        closes,
+        payload, //
+    },
     bounded::{
         Budget,
         Reader, //
@@ -227,9 +228,9 @@
         request: Request<Bytes>,
         stop: &Stop,
     ) -> Step {
-        let closes = closes(&request);
+        let ends = ends_with(&request);
         let mut response = handler.handle(request).await;
-        let last = closes || stop.is_set();
+        let last = ends || stop.is_set();
         if last {
             response
                 .headers_mut()
@@ -263,19 +264,8 @@
     }
 }
 
-fn payload(body: Bytes) -> Payload {
-    if body.is_empty() {
-        return Payload::None;
-    }
-    Payload::Fixed(FixedPayload::new(body))
-}
-
-fn closes(request: &Request<Bytes>) -> bool {
-    let asked = request
-        .headers()
-        .get(CONNECTION)
-        .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
-    asked || request.version() != Version::HTTP_11
+fn ends_with(request: &Request<Bytes>) -> bool {
+    closes(request.headers()) || request.version() != Version::HTTP_11
 }
 
 fn is_broken(error: &monoio_http::common::error::HttpError) -> bool {
