--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -28,8 +28,8 @@
 
 use crate::{
     call,
-    gather::Patience,
     meter::Meter,
+    patience::Patience,
     pin,
     problem::{
         Kind,
--- a/crates/entry/src/gather.rs
+++ b/crates/entry/src/gather.rs
@@ -1,19 +1,10 @@
 //! Gathers the partials of a query, and moves parts away from instances that went silent.
 
 use std::{
-    cell::{
-        Cell,
-        RefCell, //
-    },
-    collections::HashMap,
     future::Future,
     pin::Pin,
     rc::Rc,
-    sync::Arc,
-    time::{
-        Duration,
-        Instant, //
-    },
+    time::Instant, //
 };
 
 use fleet::Member;
@@ -27,15 +18,18 @@
     StreamExt, //
 };
 use platform::Store;
-use web::Stop;
 use wire::{
     client::Error,
     CancelRequest,
-    Partial,
-    Reason, //
+    Partial, //
 };
 
 use crate::{
+    collector::{
+        is_of_instance,
+        Collector, //
+    },
+    patience::Patience,
     router::Router,
     scatter::{
         scatter,
@@ -46,56 +40,6 @@
 
 /// Instances that a part is sent to at most.
 const ATTEMPTS: u32 = 3;
-/// Shortest time after which a silent instance is probed.
-const PATIENCE_MIN: Duration = Duration::from_millis(40);
-/// Longest time after which a silent instance is probed.
-const PATIENCE_MAX: Duration = Duration::from_millis(500);
-
-/// How long the batches of a group take, smoothed as a retransmission timer is (RFC 6298).
-#[derive(Debug, Clone, Copy, Default)]
-struct Smoothed {
-    mean: f64,
-    deviation: f64,
-}
-
-/// How long to wait for a silent instance, by group.
-#[derive(Debug, Default)]
-pub struct Patience {
-    groups: RefCell<HashMap<Arc<str>, Smoothed>>,
-}
-
-impl Patience {
-    fn observe(&self, group: &Arc<str>, elapsed: Duration) {
-        let sample = elapsed.as_secs_f64();
-        let mut groups = self.groups.borrow_mut();
-        let smoothed = groups.entry(group.clone()).or_insert(Smoothed {
-            mean: sample,
-            deviation: sample / 2.0,
-        });
-        let error = (sample - smoothed.mean).abs();
-        smoothed.deviation += (error - smoothed.deviation) / 4.0;
-        smoothed.mean += (sample - smoothed.mean) / 8.0;
-    }
-
-    fn wait(&self, group: &str) -> Duration {
-        self.groups
-            .borrow()
-            .get(group)
-            .map_or(PATIENCE_MAX, |smoothed| {
-                Duration::from_secs_f64(smoothed.mean + 4.0 * smoothed.deviation)
-            })
-            .clamp(PATIENCE_MIN, PATIENCE_MAX)
-    }
-}
-
-/// What has arrived of a query so far.
-struct Collector<'a> {
-    plan: &'a Plan,
-    partials: RefCell<Vec<Option<Partial>>>,
-    missing: Cell<usize>,
-    may_have_run: Cell<bool>,
-    done: RefCell<Stop>,
-}
 
 /// What a query's parts came to.
 #[derive(Debug)]
@@ -106,70 +50,6 @@
     pub may_have_run: bool,
 }
 
-impl<'a> Collector<'a> {
-    fn new(plan: &'a Plan) -> Self {
-        let shards = plan.snapshot.shards.len();
-        Self {
-            plan,
-            partials: RefCell::new(vec![None; shards]),
-            missing: Cell::new(shards),
-            may_have_run: Cell::new(false),
-            done: RefCell::new(Stop::new()),
-        }
-    }
-
-    /// Takes in one partial; the first payload of a part wins, a failure gives way to a payload.
-    ///
-    /// Returns false for a partial that isn't one of the batch.
-    fn take(&self, batch: &Batch, partial: Partial) -> bool {
-        if !self.plan.matches(batch, &partial) {
-            tracing::warn!(
-                "entry: partial dropped, it belongs to another request or snapshot, from {}.",
-                batch.member.name
-            );
-            return false;
-        }
-        let failed = partial.failure.is_some();
-        let mut partials = self.partials.borrow_mut();
-        let Some(slot) = partials.get_mut(partial.index as usize) else {
-            return false;
-        };
-        match slot {
-            None => {
-                *slot = Some(partial);
-                self.missing.set(self.missing.get() - 1);
-            }
-            Some(known) if known.failure.is_some() && partial.failure.is_none() => {
-                *slot = Some(partial);
-            }
-            Some(_) => {}
-        }
-        if self.missing.get() == 0 || (failed && is_hopeless(self.plan, &partials)) {
-            self.done.borrow().set();
-        }
-        true
-    }
-
-    fn is_hopeless(&self) -> bool {
-        is_hopeless(self.plan, &self.partials.borrow())
-    }
-
-    /// Forgets the failure of a part that is tried elsewhere.
-    fn reopen(&self, index: u32) {
-        let mut partials = self.partials.borrow_mut();
-        if partials[index as usize].take().is_some() {
-            self.missing.set(self.missing.get() + 1);
-            self.done.replace(Stop::new());
-        }
-    }
-
-    fn open(&self, batch: &Batch) -> Vec<u32> {
-        let partials = self.partials.borrow();
-        let is_open = |index: &&u32| partials[**index as usize].is_none();
-        batch.parts.iter().filter(is_open).copied().collect()
-    }
-}
-
 struct Running {
     batch: Batch,
     started: Instant,
@@ -428,26 +308,6 @@
     Timer,
 }
 
-/// Returns whether so many shards are lost that no answer can come of the query.
-///
-/// Work for a query that will be refused only takes slots from others. A part that another instance
-/// or another snapshot may still serve isn't lost.
-fn is_hopeless(plan: &Plan, partials: &[Option<Partial>]) -> bool {
-    let is_lost = |failure: &wire::Failure| {
-        !is_of_instance(failure) && failure.reason() != Reason::SnapshotGone
-    };
-    let failures = partials.iter().flatten().filter_map(|p| p.failure.as_ref());
-    let lost = failures.filter(|failure| is_lost(failure)).count();
-    lost > plan.snapshot.shards.len() - plan.least.min(plan.snapshot.shards.len())
-}
-
 fn is_refused_by_instance(partial: &Partial) -> bool {
     partial.failure.as_ref().is_some_and(is_of_instance)
 }
-
-/// Returns whether another instance may take on what this one refused: it stops, or it has just
-/// started and lacks the catalog.
-fn is_of_instance(failure: &wire::Failure) -> bool {
-    let reason = failure.reason();
-    failure.not_run && matches!(reason, Reason::Stopping | Reason::UnknownService)
-}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,9 +15,11 @@
 
 pub mod answer;
 pub mod call;
+mod collector;
 pub mod entry;
 pub mod gather;
 pub mod meter;
+pub mod patience;
 pub mod peer;
 pub mod pin;
 pub mod problem;
