--- a/crates/entry/src/meter.rs
+++ b/crates/entry/src/meter.rs
@@ -1,5 +1,7 @@
 //! Metrics of the answer path.
 
+use std::time::Duration;
+
 use opentelemetry::{
     metrics::{
         Counter,
@@ -19,6 +21,8 @@
 const LATENCY: [f64; 14] = [
     0.002, 0.005, 0.01, 0.015, 0.02, 0.03, 0.05, 0.075, 0.1, 0.2, 0.34, 0.5, 1.0, 5.0,
 ];
+/// Upper bounds of the overhead buckets, in seconds.
+const OVERHEAD: [f64; 8] = [0.0005, 0.001, 0.002, 0.003, 0.005, 0.01, 0.05, 0.1];
 /// Upper bounds of the coverage buckets, as shares.
 const COVERAGE: [f64; 6] = [0.5, 0.8, 0.9, 0.95, 0.99, 1.0];
 
@@ -27,6 +31,7 @@
 pub struct Meter {
     latency: Histogram<f64>,
     coverage: Histogram<f64>,
+    overhead: Histogram<f64>,
     sub_requests: Counter<u64>,
     refusals: Counter<u64>,
     reruns: Counter<u64>,
@@ -46,6 +51,11 @@
                 .with_description("Share of the shards that an answer covers, by group.")
                 .with_boundaries(COVERAGE.to_vec())
                 .build(),
+            overhead: source
+                .f64_histogram("tanageryoke_overhead_seconds")
+                .with_description("Time to answer a query beyond its slowest partial.")
+                .with_boundaries(OVERHEAD.to_vec())
+                .build(),
             sub_requests: source
                 .u64_counter("tanageryoke_sub_requests")
                 .with_description("Sub-requests sent to backend servers, by reason.")
@@ -86,6 +96,14 @@
         self.coverage.record(share, &[group]);
     }
 
+    /// Counts the time that a whole answer takes beyond the slowest of its partials.
+    pub fn overhead(&self, elapsed: Duration, partials: &[Option<Partial>]) {
+        let slowest = partials.iter().flatten().map(|partial| partial.elapsed_us);
+        let slowest = Duration::from_micros(slowest.max().unwrap_or_default());
+        let overhead = elapsed.saturating_sub(slowest);
+        self.overhead.record(overhead.as_secs_f64(), &[]);
+    }
+
     /// Counts the sub-requests of a query.
     pub fn sub_requests(&self, partials: &[Option<Partial>]) {
         let sum = |count: fn(&Partial) -> u32| -> u64 {
--- a/crates/entry/src/query.rs
+++ b/crates/entry/src/query.rs
@@ -165,6 +165,9 @@
     let merged = merged(plan, partials);
     let coverage = coverage(plan, partials, merged.len());
     entry.meter.coverage(&plan.group, &coverage);
+    if coverage.missing.is_empty() {
+        entry.meter.overhead(head.arrived.elapsed(), partials);
+    }
     if merged.len() < plan.least {
         return Err(too_little(plan, gathered, &coverage));
     }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -70,6 +70,8 @@
 pub struct Head {
     /// The request's id.
     pub id: Uuid,
+    /// When the request arrived.
+    pub arrived: Instant,
     /// When the answer is of no more use.
     pub deadline: Instant,
     /// The documents that the request was admitted under.
@@ -84,9 +86,11 @@
     /// Fails with [`Kind::Header`] if the timeout isn't a positive number.
     pub fn read(headers: &HeaderMap, view: Arc<View>) -> Result<Self, Problem> {
         let timeout = timeout(headers, &view)?;
+        let arrived = Instant::now();
         Ok(Self {
             id: Uuid::now_v7(),
-            deadline: Instant::now() + timeout,
+            arrived,
+            deadline: arrived + timeout,
             view,
         })
     }
