--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -313,6 +313,13 @@
     vec![refused(request, part, Reason::QueueFull, &[])]
 }
 
+fn refuses_the_last(request: &ScatterRequest, part: &Part) -> Vec<Partial> {
+    match &*part.shard {
+        "s2" => refuses(request, part),
+        _ => answers(request, part),
+    }
+}
+
 fn holds_the_older(request: &ScatterRequest, part: &Part) -> Vec<Partial> {
     match request.head.as_ref().map(|head| head.snapshot) {
         Some(7) => answers(request, part),
@@ -360,6 +367,12 @@
     assert!(answer.contains("\"run\": \"not_run\""), "{answer}");
 }
 
+#[test]
+fn a_shard_that_is_refused_is_named() {
+    let answer = run(async { ask(&*entry(&[start("a", refuses_the_last)]).await).await });
+    insta::assert_snapshot!(answer);
+}
+
 #[test]
 fn a_snapshot_that_is_not_held_yet_gives_way_to_the_older_one() {
     let answer = run(async { ask(&*entry(&[start("a", holds_the_older)]).await).await });
