--- a/crates/entry/src/query.rs
+++ b/crates/entry/src/query.rs
@@ -86,13 +86,14 @@
             snapshot,
             ..plan.clone()
         };
-        let mut other = gather(&entry.router, &entry.patience, &again).await;
+        let other = gather(&entry.router, &entry.patience, &again).await;
         entry.meter.sub_requests(&other.partials);
-        other.may_have_run |= may_have_run(&gathered);
+        let ran = may_have_run(&gathered) || may_have_run(&other);
         // Each run is of one snapshot; the one that covers more is answered with.
         if lost(&other.partials) < lost(&gathered.partials) {
             (plan, gathered) = (again, other);
         }
+        gathered.may_have_run = ran;
     }
     finish(entry, head, query, &plan, &gathered)
 }
--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -327,6 +327,31 @@
     }
 }
 
+fn breaks_in_the_second_run(request: &ScatterRequest, part: &Part) -> Vec<Partial> {
+    let second = request.head.as_ref().is_some_and(|head| head.snapshot == 7);
+    match &*part.shard {
+        "s0" if second => {
+            let mut partial = refused(request, part, Reason::Broken, &[]);
+            partial
+                .failure
+                .iter_mut()
+                .for_each(|failure| failure.not_run = false);
+            vec![partial]
+        }
+        "s0" => vec![refused(request, part, Reason::SnapshotGone, &[7])],
+        _ => refuses(request, part),
+    }
+}
+
+#[test]
+fn a_second_run_that_is_not_answered_with_may_have_run() {
+    let answer = run(async {
+        let peers = [start("a", breaks_in_the_second_run)];
+        ask(&*entry(&peers).await).await
+    });
+    assert!(answer.contains("\"run\": \"may_have_run\""), "{answer}");
+}
+
 #[test]
 fn only_partials_of_the_query_and_its_snapshot_are_merged() {
     let answer = run(async { ask(&*entry(&[start("a", spoils)]).await).await });
