--- a/crates/pool/src/part.rs
+++ b/crates/pool/src/part.rs
@@ -156,6 +156,10 @@
             // It was written once; whatever came of it, it isn't written again.
             reason if self.ticket.is_keyed() => fail(reason),
             reason if !self.service.has_other(&self.ticket) => fail(reason),
+            // Another snapshot may be read at once; a server that is out of order may take long.
+            Reason::SnapshotGone if !self.service.has_other_in_order(&self.ticket) => {
+                fail(Reason::SnapshotGone)
+            }
             _ if !free && !self.service.retries.borrow_mut().take() => fail(Reason::Budget),
             _ => {
                 state.hedge_at = None;
--- a/crates/pool/src/service.rs
+++ b/crates/pool/src/service.rs
@@ -359,6 +359,15 @@
             .any(|server| server.is_serving() && ticket.may_use(server.name()))
     }
 
+    /// Returns whether such a server is in order too, so that it is worth waiting for.
+    pub(crate) fn has_other_in_order(&self, ticket: &Ticket) -> bool {
+        let servers = self.servers.borrow();
+        let mut others = servers
+            .iter()
+            .filter(|server| ticket.may_use(server.name()));
+        others.any(|server| !server.is_out())
+    }
+
     pub(crate) fn usable(&self, now: Instant) -> usize {
         self.servers
             .borrow()
--- a/crates/pool/tests/replicas.rs
+++ b/crates/pool/tests/replicas.rs
@@ -88,6 +88,28 @@
     });
 }
 
+#[test]
+fn snapshot_is_told_gone_while_the_other_replica_is_out_of_order() {
+    run(async {
+        let a = Fake::start(|_| NOW);
+        let b = Fake::start(|_| NOW);
+        let pool = warm_pool(&[&a, &b]).await;
+        a.behave(|_| Act::Close);
+        for number in 100..140 {
+            pool.part(job(number, 0, LONG)).await;
+        }
+        b.behave(|_| GONE);
+        let mut gone = 0;
+        for number in 200..240 {
+            let partial = pool.part(job(number, 0, LONG)).await;
+            let failure = partial.failure.expect("a failure");
+            gone += usize::from(failure.reason() == Reason::SnapshotGone);
+        }
+        // The others were sent to the first one as its probe, and broke there.
+        assert!(gone > 20, "{gone} of 40");
+    });
+}
+
 /// Slots of two servers.
 const SLOTS: usize = 4;
 
