fix(entry): don't fill a spent budget of moves on a change of documents

Router::update took a budget without a token for one that hadn't been set up, so that a change of documents or members filled all 64 at once, when an outage had just spent them. The budget now starts with the default preset's share and a change sets the share only. The new test was seen failing first, passes after.

--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -56,12 +56,13 @@
 impl<S: Store> Router<S> {
     /// Makes a router over an instance's parts.
     pub fn new(fleet: Rc<Fleet<S>>, pool: Rc<Pool>, peers: Peers) -> Rc<Self> {
+        let share = Preset::default().retry_budget;
         Rc::new(Self {
             fleet,
             pool,
             peers,
             reach: Rc::default(),
-            moves: RefCell::new(retry::Budget::with_burst(0.0, MOVES)),
+            moves: RefCell::new(retry::Budget::with_burst(share, MOVES)),
         })
     }
 
@@ -95,11 +96,7 @@
 
     /// Takes in the preset that bounds how many parts may move to another instance.
     pub fn update(&self, preset: &Preset) {
-        let mut moves = self.moves.borrow_mut();
-        match moves.tokens() {
-            0.0 => *moves = retry::Budget::with_burst(preset.retry_budget, MOVES),
-            _ => moves.set_share(preset.retry_budget),
-        }
+        self.moves.borrow_mut().set_share(preset.retry_budget);
     }
 
     /// Counts `parts` that are sent for the first time.
--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -401,6 +401,17 @@
     assert!(answer.contains("\"run\": \"not_run\""), "{answer}");
 }
 
+#[test]
+fn a_spent_budget_of_moves_is_not_filled_by_a_change_of_documents() {
+    let moves = run(async {
+        let entry = entry(&[start("a", answers)]).await;
+        while entry.router.may_move() {}
+        entry.update(&entry.router.fleet.view().preset);
+        entry.router.may_move()
+    });
+    assert!(!moves);
+}
+
 #[test]
 fn two_runs_share_no_attempt() {
     let answer = run(async { ask(&*entry(&[start("a", tells_runs_apart)]).await).await });
