--- a/crates/entry/src/collector.rs
+++ b/crates/entry/src/collector.rs
@@ -92,7 +92,8 @@
     }
 }
 
-fn ran(partial: &Partial) -> bool {
+/// Returns whether the part may have run, as far as its outcome tells.
+pub(crate) fn ran(partial: &Partial) -> bool {
     let failure = partial.failure.as_ref();
     failure.is_none_or(|failure| !failure.not_run)
 }
--- a/crates/entry/src/query.rs
+++ b/crates/entry/src/query.rs
@@ -27,6 +27,7 @@
         Missing,
         Preset, //
     },
+    collector::ran,
     entry::Entry,
     gather::{
         gather,
@@ -233,14 +234,8 @@
 
 /// Returns whether a byte of the query may have reached a backend server that ran it.
 fn may_have_run(gathered: &Gathered) -> bool {
-    let ran = |partial: &Option<Partial>| match partial {
-        None => true,
-        Some(partial) => partial
-            .failure
-            .as_ref()
-            .is_none_or(|failure| !failure.not_run),
-    };
-    gathered.may_have_run || gathered.partials.iter().any(ran)
+    let outcomes = &gathered.partials;
+    gathered.may_have_run || outcomes.iter().any(|part| part.as_ref().is_none_or(ran))
 }
 
 /// Makes the refusal of a query that too few shards answered.
