feat(relay): serve the users' platform through an adapter

The present program speaks none of the platform's calls, so that every request there is answered 503. The new packages add what the product lacks (routes by host and longest prefix, forwarding, weighted splits, queries merged by the bytes of records, readiness, drain, reload), and platform/ translates settings, headers and the store's objects.

--- a/crates/platform/src/counters.rs
+++ b/crates/platform/src/counters.rs
@@ -46,14 +46,16 @@
 
 /// Counts calls.
 #[derive(Debug, Default)]
-pub(crate) struct Meter(Cell<Counters>);
+pub struct Meter(Cell<Counters>);
 
 impl Meter {
-    pub(crate) fn read(&self) -> Counters {
+    /// Returns the numbers so far.
+    pub fn read(&self) -> Counters {
         self.0.get()
     }
 
-    pub(crate) fn call(&self, call: Call) {
+    /// Counts a call.
+    pub fn call(&self, call: Call) {
         let mut counters = self.0.get();
         match call {
             Call::Read => counters.reads += 1,
@@ -65,7 +67,8 @@
         self.0.set(counters);
     }
 
-    pub(crate) fn failure(&self, failure: Failure) {
+    /// Counts how a call failed.
+    pub fn failure(&self, failure: Failure) {
         let mut counters = self.0.get();
         match failure {
             Failure::Conflict { .. } => counters.conflicts += 1,
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -1,24 +1,18 @@
 //! A client for the store's HTTP interface, see `docs/PROTOCOLS.md`.
 
 use std::{
-    cell::RefCell,
     net::SocketAddr,
-    time::{
-        Duration,
-        Instant, //
-    },
+    time::Duration, //
 };
 
 use bytes::Bytes;
 use http::{
     header::{
         CONTENT_TYPE,
-        HOST,
         IF_MATCH,
         IF_NONE_MATCH, //
     },
     Method,
-    Request,
     Response,
     StatusCode, //
 };
@@ -27,7 +21,6 @@
     Deserialize, //
 };
 use serde_json::value::RawValue;
-use web::client::Connection;
 
 use crate::{
     counters::{
@@ -43,17 +36,12 @@
         Object,
         Store, //
     },
+    transport::Transport,
     VALUE_MAX,
 };
 
-/// Longest answer, in bytes: a listing holds several objects.
-const ANSWER_MAX: usize = 16 * VALUE_MAX;
 /// Longest answer to the read of one object, in bytes: the value, its name and its version.
 const OBJECT_MAX: usize = VALUE_MAX + 1024;
-/// Idle connections kept.
-const IDLE_MAX: usize = 4;
-/// Time after which an idle connection isn't used any more.
-const IDLE_FOR: Duration = Duration::from_secs(20);
 /// Time that a watch's answer may take over its wait.
 const WATCH_MARGIN: Duration = Duration::from_secs(2);
 
@@ -80,9 +68,7 @@
 /// ```
 #[derive(Debug)]
 pub struct Client {
-    address: SocketAddr,
-    timeout: Duration,
-    idle: RefCell<Vec<(Instant, Connection)>>,
+    transport: Transport,
     meter: Meter,
 }
 
@@ -100,9 +86,7 @@
     /// Makes a client that waits for at most `timeout` for each answer.
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
         Self {
-            address,
-            timeout,
-            idle: RefCell::default(),
+            transport: Transport::new(address, timeout),
             meter: Meter::default(),
         }
     }
@@ -115,68 +99,10 @@
     /// Closes the connections that are kept.
     pub fn close(self) {}
 
-    fn kept(&self) -> Option<Connection> {
-        let mut idle = self.idle.borrow_mut();
-        while let Some((since, connection)) = idle.pop() {
-            if since.elapsed() < IDLE_FOR && !connection.is_stale() {
-                return Some(connection);
-            }
-        }
-        None
-    }
-
-    fn keep(&self, connection: Option<Connection>) {
-        let mut idle = self.idle.borrow_mut();
-        if idle.len() < IDLE_MAX {
-            idle.extend(connection.map(|connection| (Instant::now(), connection)));
-        }
-    }
-
-    async fn open(&self) -> Result<Connection, Failure> {
-        let limits = web::Limits {
-            body: ANSWER_MAX,
-            connect: self.timeout,
-            ..web::Limits::default()
-        };
-        Connection::open(self.address, limits)
-            .await
-            .map_err(|_| Failure::Unavailable)
-    }
-
-    async fn exchange(
-        &self,
-        connection: Connection,
-        request: Request<Bytes>,
-        wait: Duration,
-    ) -> Result<Response<Bytes>, web::client::Failure> {
-        let exchange = connection.exchange(request, wait).await?;
-        self.keep(exchange.connection);
-        Ok(exchange.response)
-    }
-
-    async fn ask(
-        &self,
-        request: Request<Bytes>,
-        wait: Duration,
-    ) -> Result<Response<Bytes>, Failure> {
-        let deadline = Instant::now() + wait;
-        if let Some(connection) = self.kept() {
-            let is_read = request.method() == Method::GET;
-            match self.exchange(connection, request.clone(), wait).await {
-                Err(failure) if is_read && is_closed(failure.kind) => {}
-                result => return result.map_err(failed),
-            }
-        }
-        let connection = self.open().await?;
-        let left = deadline.saturating_duration_since(Instant::now());
-        let result = self.exchange(connection, request, left).await;
-        result.map_err(failed)
-    }
-
     async fn get(&self, path: &str, wait: Duration) -> Result<Response<Bytes>, Failure> {
-        let request = self.request(Method::GET, path);
+        let request = self.transport.request(Method::GET, path);
         let request = request.body(Bytes::new()).map_err(|_| Failure::Invalid)?;
-        self.ask(request, wait).await
+        self.transport.ask(request, wait).await
     }
 
     async fn get_all<T: DeserializeOwned>(&self, path: &str, wait: Duration) -> Result<T, Failure> {
@@ -190,7 +116,7 @@
 
     async fn get_one(&self, kind: &str, name: &str) -> Result<Option<Object>, Failure> {
         let path = path::object(kind, name)?;
-        let response = self.get(&path, self.timeout).await?;
+        let response = self.get(&path, self.transport.timeout()).await?;
         match response.status() {
             StatusCode::OK if response.body().len() > OBJECT_MAX => Err(Failure::Malformed),
             StatusCode::OK => object(response.body(), name).map(Some),
@@ -209,7 +135,9 @@
         if value.get().len() > VALUE_MAX {
             return Err(Failure::Oversized);
         }
-        let request = self.request(Method::PUT, &path::object(kind, name)?);
+        let request = self
+            .transport
+            .request(Method::PUT, &path::object(kind, name)?);
         let request = match expected {
             0 => request.header(IF_NONE_MATCH, "*"),
             version => request.header(IF_MATCH, format!("\"{version}\"")),
@@ -218,17 +146,13 @@
             .header(CONTENT_TYPE, "application/json")
             .body(Bytes::copy_from_slice(value.get().as_bytes()))
             .map_err(|_| Failure::Invalid)?;
-        let response = self.ask(request, self.timeout).await?;
+        let response = self
+            .transport
+            .ask(request, self.transport.timeout())
+            .await?;
         written(&response, expected)
     }
 
-    fn request(&self, method: Method, path: &str) -> http::request::Builder {
-        Request::builder()
-            .method(method)
-            .uri(path)
-            .header(HOST, self.address.to_string())
-    }
-
     fn counted<T>(&self, call: Call, result: Result<T, Failure>) -> Result<T, Failure> {
         self.meter.call(call);
         if let Err(failure) = &result {
@@ -246,7 +170,7 @@
 
     async fn list(&self, kind: &str) -> Result<Listing, Failure> {
         let path = path::objects(kind)?;
-        let result = self.get_all(&path, self.timeout).await;
+        let result = self.get_all(&path, self.transport.timeout()).await;
         self.counted(Call::List, result)
     }
 
@@ -269,25 +193,13 @@
 
     async fn instances(&self) -> Result<Vec<Instance>, Failure> {
         let result = self
-            .get_all::<Instances>("/v1/instances", self.timeout)
+            .get_all::<Instances>("/v1/instances", self.transport.timeout())
             .await
             .map(|answer| answer.instances);
         self.counted(Call::Instances, result)
     }
 }
 
-fn is_closed(kind: web::client::Kind) -> bool {
-    use web::client::Kind;
-    matches!(kind, Kind::Write | Kind::Closed)
-}
-
-fn failed(failure: web::client::Failure) -> Failure {
-    match failure.sent {
-        true => Failure::Lost,
-        false => Failure::Unavailable,
-    }
-}
-
 fn written(response: &Response<Bytes>, expected: u64) -> Result<u64, Failure> {
     match response.status() {
         StatusCode::OK => match parse::<Written>(response.body())?.version {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod http;
 mod path;
 pub mod store;
+pub mod transport;
 
 pub use store::{
     Failure,
@@ -25,6 +26,7 @@
     Object,
     Store, //
 };
+pub use transport::Transport;
 
 /// Longest value of an object, in bytes.
 pub const VALUE_MAX: usize = 1024 * 1024;
--- /dev/null
+++ b/crates/policy/src/extra.rs
@@ -0,0 +1,142 @@
+//! How many sub-requests beyond the first may be sent to a service.
+//!
+//! Load pattern: half of a service's servers stall at the same moment, and every instance wants to
+//! send everything twice. The bound is on the sum over all instances, so each takes the share that
+//! its own first sub-requests earn and an equal part of the allowance.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+/// Bound that all instances keep together, for one service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Bound {
+    /// Further sub-requests allowed for each first one.
+    pub ratio: f64,
+    /// Further sub-requests allowed in a span whatever the load.
+    pub allowance: f64,
+    /// Span over which the bound holds.
+    pub span: Duration,
+}
+
+impl Default for Bound {
+    /// Returns the bound of a fleet that was given none: a tenth, over ten seconds.
+    fn default() -> Self {
+        Self {
+            ratio: 0.1,
+            allowance: 10.0,
+            span: Duration::from_secs(10),
+        }
+    }
+}
+
+/// What a further sub-request is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Purpose {
+    /// The one before it is slow.
+    Hedge,
+    /// The one before it failed.
+    Retry,
+}
+
+/// Pieces that the span is counted in.
+const PIECES: usize = 10;
+/// Share of the bound that is used; the rest covers arrivals counted on the other side of a span's
+/// edge and instances that this one hasn't heard of yet.
+const USED: f64 = 0.85;
+/// Share of what may be used that is open to hedges; failures need the rest.
+const HEDGES: f64 = 0.75;
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Piece {
+    number: u64,
+    firsts: u32,
+    extras: u32,
+}
+
+/// One instance's part of a [`Bound`] for one service.
+#[derive(Debug, Clone)]
+pub struct Budget {
+    bound: Bound,
+    instances: usize,
+    started: Option<Instant>,
+    // One piece more than the span, so that a piece counts until all of it is too old.
+    pieces: [Piece; PIECES + 1],
+}
+
+impl Budget {
+    /// Makes a budget for one of `instances`.
+    pub fn new(bound: Bound, instances: usize) -> Self {
+        Self {
+            bound,
+            instances: instances.max(1),
+            started: None,
+            pieces: [Piece::default(); PIECES + 1],
+        }
+    }
+
+    /// Sets the bound and the number of instances that share it.
+    pub fn share(&mut self, bound: Bound, instances: usize) {
+        self.bound = bound;
+        self.instances = instances.max(1);
+    }
+
+    fn number(&mut self, now: Instant) -> u64 {
+        let started = *self.started.get_or_insert(now);
+        let age = now.saturating_duration_since(started);
+        let piece = self.bound.span.as_secs_f64() / PIECES as f64;
+        // Numbers start above 0, which marks a piece that was never used.
+        (age.as_secs_f64() / piece.max(1e-3)) as u64 + 1
+    }
+
+    fn piece(&mut self, now: Instant) -> &mut Piece {
+        let number = self.number(now);
+        let slot = (number % (PIECES as u64 + 1)) as usize;
+        let piece = &mut self.pieces[slot];
+        if piece.number != number {
+            *piece = Piece {
+                number,
+                ..Piece::default()
+            };
+        }
+        piece
+    }
+
+    /// Counts a first sub-request.
+    pub fn first(&mut self, now: Instant) {
+        self.piece(now).firsts += 1;
+    }
+
+    /// Counts one further sub-request if the budget allows it.
+    pub fn take(&mut self, now: Instant, purpose: Purpose) -> bool {
+        let share = match purpose {
+            Purpose::Hedge => USED * HEDGES,
+            Purpose::Retry => USED,
+        };
+        let (firsts, extras) = self.counts(now);
+        let allowance = self.bound.allowance / self.instances as f64;
+        let allowed = (self.bound.ratio * f64::from(firsts) + allowance) * share;
+        if f64::from(extras + 1) > allowed {
+            return false;
+        }
+        self.piece(now).extras += 1;
+        true
+    }
+
+    /// Gives back one that wasn't sent.
+    pub fn refund(&mut self, now: Instant) {
+        let piece = self.piece(now);
+        piece.extras = piece.extras.saturating_sub(1);
+    }
+
+    /// Returns the first and the further sub-requests of the last span.
+    pub fn counts(&mut self, now: Instant) -> (u32, u32) {
+        let number = self.number(now);
+        let recent = |piece: &&Piece| piece.number + PIECES as u64 >= number && piece.number > 0;
+        let recent = self.pieces.iter().filter(recent);
+        recent.fold((0, 0), |(firsts, extras), piece| {
+            (firsts + piece.firsts, extras + piece.extras)
+        })
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -37,8 +37,15 @@
 pub mod admission;
 mod bucket;
 pub mod choice;
+pub mod extra;
+pub mod health;
 pub mod hedge;
+pub mod lapse;
 pub mod latency;
+pub mod patience;
 pub mod queue;
 pub mod ramp;
+pub mod refusal;
 pub mod retry;
+pub mod slowness;
+pub mod subset;
--- /dev/null
+++ b/crates/policy/src/subset.rs
@@ -0,0 +1,47 @@
+//! How the connections that a server accepts are shared by all instances.
+//!
+//! Load pattern: all instances start at the same moment and dial every server. A server resets the
+//! connections beyond its bound, and each new one holds a slot for a moment.
+
+/// Share of the accepted connections that is used while the fleet is steady.
+///
+/// The rest is for instances that start before others have gone.
+const USED: f64 = 0.85;
+
+/// What one instance may open to the servers of one service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Share {
+    /// Connections to each server that the instance uses.
+    pub connections: usize,
+    /// Servers that the instance uses.
+    pub servers: usize,
+}
+
+/// Shares `accepted` connections a server among `instances`, for a service of `servers`.
+pub fn share(accepted: usize, instances: usize, servers: usize) -> Share {
+    let instances = instances.max(1);
+    let open = ((accepted as f64 * USED) as usize).max(1);
+    if open >= instances {
+        return Share {
+            connections: open / instances,
+            servers,
+        };
+    }
+    let used = servers * open / instances;
+    Share {
+        connections: 1,
+        servers: used.clamp(servers.min(1), servers),
+    }
+}
+
+/// Returns whether the instance at `position` of the sorted fleet uses the server at `index`.
+///
+/// Neighbours in the fleet begin at neighbouring servers, so that each server is used by as many
+/// instances as any other.
+pub fn uses(position: usize, index: usize, servers: usize, share: Share) -> bool {
+    if servers == 0 {
+        return false;
+    }
+    let distance = (index + servers - position % servers) % servers;
+    distance < share.servers
+}
--- /dev/null
+++ b/crates/relay/src/follow.rs
@@ -0,0 +1,296 @@
+//! Keeps routes, servers and instances in step with the store.
+//!
+//! Each kind of object has a task of its own. It lists the kind, then waits for changes from the
+//! revision that the list reflects, and lists again when the store no longer has that history.
+
+use std::{
+    collections::HashMap,
+    rc::Rc,
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use platform::{
+    backoff::Backoff,
+    Failure,
+    Listing,
+    Object,
+    Store, //
+};
+use route::Table;
+use tracing::{
+    info,
+    warn, //
+};
+
+use crate::{
+    relay::Relay,
+    server::Description, //
+};
+
+/// Longest wait of one watch. A lost answer shows only after it, and changes must be known within
+/// seconds.
+const WAIT: Duration = Duration::from_millis(2_500);
+/// Waits after a failed call to the store: the first, and the longest.
+const RETRY_FIRST: Duration = Duration::from_millis(100);
+const RETRY_LONGEST: Duration = Duration::from_millis(1_000);
+
+/// An object that can't be understood.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unreadable {
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+impl std::fmt::Display for Unreadable {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.reason)
+    }
+}
+
+impl std::error::Error for Unreadable {}
+
+/// Where the store keeps what a relay follows, and how it is written.
+pub trait Directory: 'static {
+    /// The store.
+    type Store: Store;
+
+    /// Kind and name of the object that holds the routes.
+    const ROUTES: (&'static str, &'static str);
+    /// Kind of the servers' entries.
+    const SERVERS: &'static str;
+    /// Kind of the instances' entries.
+    const INSTANCES: &'static str;
+
+    /// Reads the routes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the object doesn't hold routes.
+    fn table(object: &Object) -> Result<Table, Unreadable>;
+
+    /// Reads the entry of a server.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the object doesn't describe a server.
+    fn server(object: &Object) -> Result<Description, Unreadable>;
+
+    /// Writes the entry of this instance.
+    fn instance(leaving: bool) -> Box<serde_json::value::RawValue>;
+
+    /// Returns whether the entry is one of an instance that takes part.
+    fn is_taking_part(object: &Object) -> bool;
+}
+
+/// What a task does with the objects of its kind.
+trait Follower {
+    const NAME: &'static str;
+
+    fn listed(&mut self, listing: Listing, now: Instant);
+    fn changed(&mut self, listing: Listing, now: Instant);
+    fn lost(&mut self, _now: Instant) {}
+    fn reached(&mut self, _now: Instant) {}
+}
+
+async fn follow<S: Store, F: Follower>(store: Rc<S>, kind: &'static str, mut follower: F) {
+    let mut backoff = Backoff::new(RETRY_FIRST, RETRY_LONGEST);
+    let mut revision = None;
+    let mut is_lost = false;
+    loop {
+        let result = match revision {
+            None => store.list(kind).await,
+            Some(revision) => store.watch(kind, revision, WAIT).await,
+        };
+        let now = Instant::now();
+        match result {
+            Ok(listing) => {
+                if std::mem::take(&mut is_lost) {
+                    info!(
+                        kind,
+                        revision = listing.revision,
+                        "follow: {} can be read again.",
+                        F::NAME
+                    );
+                }
+                follower.reached(now);
+                backoff.reset();
+                let was = revision.replace(listing.revision);
+                match was {
+                    None => follower.listed(listing, now),
+                    Some(_) => follower.changed(listing, now),
+                }
+            }
+            Err(Failure::Compacted) => {
+                info!(
+                    kind,
+                    revision,
+                    "follow: {} are listed again, the history is gone.",
+                    F::NAME
+                );
+                revision = None;
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut is_lost, true) {
+                    warn!(kind, revision, %error, "follow: {} can't be read.", F::NAME);
+                }
+                follower.lost(now);
+                monoio::time::sleep(backoff.next_wait()).await;
+            }
+        }
+    }
+}
+
+/// Follows the routes.
+pub async fn routes<D: Directory>(relay: Rc<Relay>, store: Rc<D::Store>) {
+    let follower = Routes::<D> {
+        relay,
+        directory: std::marker::PhantomData,
+    };
+    follow(store, D::ROUTES.0, follower).await;
+}
+
+struct Routes<D> {
+    relay: Rc<Relay>,
+    directory: std::marker::PhantomData<D>,
+}
+
+impl<D: Directory> Follower for Routes<D> {
+    const NAME: &'static str = "routes";
+
+    fn listed(&mut self, listing: Listing, now: Instant) {
+        self.changed(listing, now);
+    }
+
+    fn changed(&mut self, listing: Listing, _now: Instant) {
+        let named = |object: &&Object| &*object.name == D::ROUTES.1;
+        for object in listing.objects.iter().filter(named) {
+            match D::table(object) {
+                Ok(table) => self.relay.set_table(Arc::new(table)),
+                Err(error) => {
+                    self.relay.meter().unreadable.add(1);
+                    warn!(revision = object.version, %error, "follow: configuration can't be used, the one in force stays.");
+                }
+            }
+        }
+    }
+}
+
+/// Follows the servers.
+pub async fn servers<D: Directory>(relay: Rc<Relay>, store: Rc<D::Store>) {
+    let follower = Servers::<D> {
+        relay,
+        directory: std::marker::PhantomData,
+    };
+    follow(store, D::SERVERS, follower).await;
+}
+
+struct Servers<D> {
+    relay: Rc<Relay>,
+    directory: std::marker::PhantomData<D>,
+}
+
+impl<D: Directory> Servers<D> {
+    fn read(&self, object: &Object) -> Option<Description> {
+        match D::server(object) {
+            Ok(description) => Some(description),
+            Err(error) => {
+                self.relay.meter().unreadable.add(1);
+                info!(entry = %object.name, revision = object.version, %error, "follow: entry names no server.");
+                None
+            }
+        }
+    }
+}
+
+impl<D: Directory> Follower for Servers<D> {
+    const NAME: &'static str = "servers";
+
+    fn listed(&mut self, listing: Listing, now: Instant) {
+        let objects = listing.objects.iter();
+        let descriptions = objects.filter_map(|object| self.read(object)).collect();
+        self.relay.registry().replace(descriptions, now);
+    }
+
+    fn changed(&mut self, listing: Listing, now: Instant) {
+        let registry = self.relay.registry();
+        for name in &listing.deleted {
+            registry.remove(name, now);
+        }
+        for object in &listing.objects {
+            match self.read(object) {
+                Some(description) => registry.update(description, now),
+                None => registry.remove(&object.name, now),
+            }
+        }
+    }
+
+    fn lost(&mut self, now: Instant) {
+        self.relay.registry().store_lost(now);
+    }
+
+    fn reached(&mut self, now: Instant) {
+        self.relay.registry().store_reached(now);
+    }
+}
+
+/// Follows the instances that share the servers.
+pub async fn instances<D: Directory>(relay: Rc<Relay>, store: Rc<D::Store>) {
+    let follower = Instances::<D> {
+        relay,
+        known: HashMap::new(),
+        directory: std::marker::PhantomData,
+    };
+    follow(store, D::INSTANCES, follower).await;
+}
+
+struct Instances<D> {
+    relay: Rc<Relay>,
+    known: HashMap<Arc<str>, bool>,
+    directory: std::marker::PhantomData<D>,
+}
+
+impl<D: Directory> Follower for Instances<D> {
+    const NAME: &'static str = "instances";
+
+    fn listed(&mut self, listing: Listing, now: Instant) {
+        self.known.clear();
+        self.changed(listing, now);
+    }
+
+    fn changed(&mut self, listing: Listing, _now: Instant) {
+        for name in &listing.deleted {
+            self.known.remove(name);
+        }
+        for object in &listing.objects {
+            let takes_part = D::is_taking_part(object);
+            self.known.insert(object.name.clone(), takes_part);
+        }
+        let taking_part = self.known.iter().filter(|(_, takes_part)| **takes_part);
+        let names = taking_part.map(|(name, _)| name.clone()).collect();
+        self.relay.registry().set_instances(names);
+    }
+}
+
+/// Writes the entry of this instance, until the store has it.
+pub async fn announce<D: Directory>(store: Rc<D::Store>, me: Arc<str>, leaving: bool) {
+    let value = D::instance(leaving);
+    let mut backoff = Backoff::new(RETRY_FIRST, RETRY_LONGEST);
+    let mut expected = 0;
+    loop {
+        match store.write(D::INSTANCES, &me, expected, &value).await {
+            Ok(revision) => {
+                info!(leaving, revision, "follow: instance is announced.");
+                return;
+            }
+            Err(Failure::Conflict { current }) => expected = current,
+            Err(error) => {
+                warn!(leaving, %error, "follow: instance can't be announced yet.");
+                monoio::time::sleep(backoff.next_wait()).await;
+            }
+        }
+    }
+}
--- a/crates/tanageryoke/src/cli.rs
+++ b/crates/tanageryoke/src/cli.rs
@@ -31,6 +31,8 @@
 enum Command {
     /// Runs one instance until it is told to stop.
     Serve(configs::serve::Flags),
+    /// Runs one instance between the platform's callers and backend servers.
+    Relay(configs::relay::Flags),
     /// Checks the settings of `serve` without starting anything.
     Check(configs::serve::Flags),
     /// Prints the state of a running instance.
@@ -48,6 +50,7 @@
     pub fn run(self) -> ExitCode {
         let result = match self.command {
             Command::Serve(flags) => commands::serve::run(flags),
+            Command::Relay(flags) => commands::relay::run(flags),
             Command::Check(flags) => commands::check::run(flags),
             Command::Dump(flags) => commands::dump::run(&flags),
             Command::Preset(flags) => commands::preset::run(flags),
--- a/crates/tanageryoke/src/commands/mod.rs
+++ b/crates/tanageryoke/src/commands/mod.rs
@@ -11,6 +11,7 @@
 pub mod preset;
 mod race;
 mod reach;
+pub mod relay;
 pub mod serve;
 mod target;
 
--- a/crates/tanageryoke/src/commands/serve.rs
+++ b/crates/tanageryoke/src/commands/serve.rs
@@ -49,13 +49,14 @@
             return Ok(ExitCode::from(USAGE));
         }
     };
-    logs::start(&settings)?;
+    let log = logs::start(settings.log_format, &settings.log_level)?;
     // The driver is named, so that a feature pulled in elsewhere can't switch io_uring on.
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
         .enable_timer()
         .build()
         .change_context(Error::Runtime)?;
     let served = runtime.block_on(serve(settings));
+    log.close();
     // Tasks that still hold a stream can lock its connection twice while they are dropped.
     std::mem::forget(runtime);
     match served? {
@@ -67,7 +68,7 @@
 async fn serve(settings: Settings) -> Result<bool, Report<Error>> {
     let callers = listen(settings.listen)?;
     let peers = listen(settings.peer_listen)?;
-    let signals = Signals::register()?;
+    let signals = Signals::stops()?;
     let limits = web::Limits {
         body: settings.body_max,
         ..web::Limits::default()
@@ -119,7 +120,7 @@
     }
 }
 
-fn listen(address: std::net::SocketAddr) -> Result<TcpListener, Report<Error>> {
+pub(crate) fn listen(address: std::net::SocketAddr) -> Result<TcpListener, Report<Error>> {
     let options = ListenerOpts::new().reuse_port(false);
     TcpListener::bind_with_config(address, &options)
         .change_context(Error::Listen)
--- a/crates/tanageryoke/src/configs/mod.rs
+++ b/crates/tanageryoke/src/configs/mod.rs
@@ -1,3 +1,4 @@
 //! Settings, one file for each command that has any.
 
+pub mod relay;
 pub mod serve;
--- a/crates/tanageryoke/src/lib.rs
+++ b/crates/tanageryoke/src/lib.rs
@@ -3,6 +3,7 @@
 //! The parts that coordinate are packages of their own; this one composes them into a process, reads
 //! its settings, and shows what it does.
 
+pub mod admin;
 pub mod cli;
 pub mod commands;
 pub mod configs;
--- a/crates/tanageryoke/src/metrics.rs
+++ b/crates/tanageryoke/src/metrics.rs
@@ -103,6 +103,11 @@
     /// Returns all metrics as Prometheus text.
     pub fn text(&self, context: &Context) -> Bytes {
         self.sample(context);
+        self.encode()
+    }
+
+    /// Returns what was recorded so far as Prometheus text.
+    pub fn encode(&self) -> Bytes {
         let mut out = Vec::new();
         let families = self.registry.gather();
         if let Err(error) = TextEncoder::new().encode(&families, &mut out) {
@@ -143,7 +148,7 @@
     }
 
     /// Adds what the counters of `part` have grown by since the last time.
-    fn count(&self, part: &'static str, counters: impl Serialize) {
+    pub(crate) fn count(&self, part: &'static str, counters: impl Serialize) {
         let counters = serde_json::to_value(counters).unwrap_or_default();
         let mut found = Vec::new();
         leaves("", &counters, &mut found);
--- a/crates/tanageryoke/src/routes.rs
+++ b/crates/tanageryoke/src/routes.rs
@@ -82,11 +82,11 @@
     Problem::new(kind, Run::NotRun, detail).respond(None)
 }
 
-fn text(status: StatusCode, body: Bytes) -> Response<Bytes> {
+pub(crate) fn text(status: StatusCode, body: Bytes) -> Response<Bytes> {
     typed(status, "text/plain; charset=utf-8", body)
 }
 
-fn json(body: Bytes) -> Response<Bytes> {
+pub(crate) fn json(body: Bytes) -> Response<Bytes> {
     typed(StatusCode::OK, "application/json", body)
 }
 
--- a/crates/tanageryoke/src/signals.rs
+++ b/crates/tanageryoke/src/signals.rs
@@ -12,6 +12,7 @@
 };
 use signal_hook::{
     consts::{
+        SIGHUP,
         SIGINT,
         SIGTERM, //
     },
@@ -20,23 +21,42 @@
 
 use crate::commands::Error;
 
-/// The signals that stop an instance.
+/// Signals of one purpose.
 #[derive(Debug)]
 pub struct Signals {
     socket: UnixStream,
 }
 
 impl Signals {
-    /// Starts to receive SIGTERM and SIGINT.
+    /// Starts to receive SIGTERM and SIGINT, which stop an instance.
     ///
     /// # Errors
     ///
     /// Fails if the socket can't be made or the signals can't be registered.
-    pub fn register() -> Result<Self, Report<Error>> {
+    pub fn stops() -> Result<Self, Report<Error>> {
+        Self::register(&[SIGTERM, SIGINT])
+    }
+
+    /// Starts to receive SIGHUP, which tells that settings have changed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket can't be made or the signal can't be registered.
+    pub fn reloads() -> Result<Self, Report<Error>> {
+        Self::register(&[SIGHUP])
+    }
+
+    /// Starts to receive `signals`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket can't be made or the signals can't be registered.
+    fn register(signals: &[i32]) -> Result<Self, Report<Error>> {
         let (read, write) = Socket::pair().change_context(Error::Signals)?;
-        let other = write.try_clone().change_context(Error::Signals)?;
-        pipe::register(SIGTERM, write).change_context(Error::Signals)?;
-        pipe::register(SIGINT, other).change_context(Error::Signals)?;
+        for signal in signals {
+            let write = write.try_clone().change_context(Error::Signals)?;
+            pipe::register(*signal, write).change_context(Error::Signals)?;
+        }
         read.set_nonblocking(true).change_context(Error::Signals)?;
         let socket = UnixStream::from_std(read).change_context(Error::Signals)?;
         Ok(Self { socket })
--- a/crates/tanageryoke/tests/process.rs
+++ b/crates/tanageryoke/tests/process.rs
@@ -36,7 +36,7 @@
         .args(["--listen", &listen.to_string()])
         .args(["--peer-listen", &free().to_string()])
         .args(["--platform", &free().to_string()])
-        .stderr(Stdio::piped())
+        .stdout(Stdio::piped())
         .spawn()
         .expect("a process")
 }
@@ -104,7 +104,7 @@
     let listen = free();
     let mut child = start(listen);
     wait_for(listen);
-    let log = child.stderr.take().expect("a log");
+    let log = child.stdout.take().expect("a log");
     let mut lines = BufReader::new(log).lines().map_while(Result::ok);
     terminate(&child);
     assert!(lines.any(|line| line.contains("serve: leaving.")));
