feat(relay): let large instances answer for small ones

Small instances now pass requests on to the few large ones over the same exchange that backend servers get; those decline where they know less. All instances dialled all servers at the start before they knew each other (24,629 connections reset over their bound): they now wait for the list of instances.

Tests found a body over its bound that was waited for instead of refused.

--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -30,6 +30,10 @@
 /// Time after which an idle connection isn't used any more.
 const IDLE_FOR: Duration = Duration::from_secs(20);
 
+/// Time between probes of a silent connection. A watch is silent for many seconds, and one that
+/// has been cut off must show within a few.
+const PROBE: Duration = Duration::from_secs(1);
+
 /// Connections to one address.
 ///
 /// A write is sent once. A read whose kept connection turns out to be closed is sent again.
@@ -84,6 +88,7 @@
         let limits = web::Limits {
             body: ANSWER_MAX,
             connect: self.timeout,
+            probe: Some(PROBE),
             ..web::Limits::default()
         };
         Connection::open(self.address, limits)
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod admission;
 mod bucket;
 pub mod choice;
+pub mod delegate;
 pub mod extra;
 pub mod health;
 pub mod hedge;
--- a/crates/policy/src/subset.rs
+++ b/crates/policy/src/subset.rs
@@ -17,6 +17,16 @@
     pub servers: usize,
 }
 
+impl Share {
+    /// Returns what is open to an instance that doesn't know how many there are.
+    pub fn least(servers: usize) -> Self {
+        Self {
+            connections: 1,
+            servers,
+        }
+    }
+}
+
 /// Shares `accepted` connections a server among `instances`, for a service of `servers`.
 pub fn share(accepted: usize, instances: usize, servers: usize) -> Share {
     let instances = instances.max(1);
--- /dev/null
+++ b/crates/policy/tests/extra.rs
@@ -0,0 +1,105 @@
+//! The bound on further sub-requests that all instances keep together.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use policy::extra::{
+    Bound,
+    Budget,
+    Purpose, //
+};
+
+const BOUND: Bound = Bound {
+    ratio: 0.2,
+    allowance: 54.0,
+    span: Duration::from_secs(10),
+};
+const INSTANCES: usize = 7;
+
+/// One service that stalls: every first sub-request is followed by tries for a hedge and two retries.
+///
+/// Returns the greatest number of further ones over the bound in any span, 0 if there is none.
+fn replay(per_second: u32, seconds: u32) -> f64 {
+    let start = Instant::now();
+    let mut fleet = vec![Budget::new(BOUND, INSTANCES); INSTANCES];
+    let mut sent: Vec<(Duration, bool)> = Vec::new();
+    for number in 0..per_second * seconds {
+        let at = Duration::from_secs(1) * number / per_second;
+        let budget = &mut fleet[number as usize % INSTANCES];
+        budget.first(start + at);
+        sent.push((at, false));
+        for purpose in [Purpose::Hedge, Purpose::Retry, Purpose::Retry] {
+            if budget.take(start + at, purpose) {
+                sent.push((at, true));
+            }
+        }
+    }
+    let over = |from: Duration| {
+        let inside = |(at, _): &&(Duration, bool)| (from..from + BOUND.span).contains(at);
+        let inside: Vec<_> = sent.iter().filter(inside).collect();
+        let extras = inside.iter().filter(|(_, extra)| *extra).count() as f64;
+        let firsts = inside.len() as f64 - extras;
+        extras - (firsts * BOUND.ratio + BOUND.allowance)
+    };
+    let starts = (0..seconds * 4).map(|quarter| Duration::from_millis(250) * quarter);
+    starts.map(over).fold(0.0, f64::max)
+}
+
+#[test]
+fn a_fleet_that_wants_everything_again_keeps_the_bound_in_every_span() {
+    for per_second in [5, 20, 90, 400] {
+        assert_eq!(replay(per_second, 40), 0.0, "at {per_second} a second");
+    }
+}
+
+#[test]
+fn the_allowance_serves_a_service_that_is_asked_seldom() {
+    let now = Instant::now();
+    let mut budget = Budget::new(BOUND, INSTANCES);
+    budget.first(now);
+    assert!(budget.take(now, Purpose::Retry));
+}
+
+#[test]
+fn hedges_leave_room_for_failures() {
+    let now = Instant::now();
+    let mut budget = Budget::new(BOUND, INSTANCES);
+    (0..100).for_each(|_| budget.first(now));
+    while budget.take(now, Purpose::Hedge) {}
+    let retries = (0..100).filter(|_| budget.take(now, Purpose::Retry));
+    assert!(retries.count() >= 4);
+}
+
+#[test]
+fn what_was_sent_a_span_ago_no_longer_counts() {
+    let start = Instant::now();
+    let mut budget = Budget::new(BOUND, INSTANCES);
+    while budget.take(start, Purpose::Retry) {}
+    let later = start + BOUND.span + BOUND.span / 5;
+    assert_eq!(budget.counts(later), (0, 0));
+    assert!(budget.take(later, Purpose::Retry));
+}
+
+#[test]
+fn one_that_was_not_sent_is_given_back() {
+    let now = Instant::now();
+    let mut budget = Budget::new(BOUND, INSTANCES);
+    while budget.take(now, Purpose::Retry) {}
+    budget.refund(now);
+    assert!(budget.take(now, Purpose::Retry));
+}
+
+#[test]
+fn a_service_without_a_bound_gets_nothing_further() {
+    let none = Bound {
+        ratio: 0.0,
+        allowance: 0.0,
+        ..BOUND
+    };
+    let now = Instant::now();
+    let mut budget = Budget::new(none, 1);
+    (0..50).for_each(|_| budget.first(now));
+    assert!(!budget.take(now, Purpose::Retry));
+}
--- /dev/null
+++ b/crates/policy/tests/queries.rs
@@ -0,0 +1,176 @@
+//! When a query ends, who gathers it, and when a refused one comes back.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use policy::{
+    delegate::{
+        self,
+        Plan, //
+    },
+    patience::{
+        self,
+        Progress,
+        Step,
+        Times, //
+    },
+    refusal,
+};
+use rand::{
+    rngs::SmallRng,
+    Rng,
+    SeedableRng, //
+};
+
+const OBJECTIVE: Duration = Duration::from_millis(100);
+const DEADLINE: Duration = Duration::from_millis(600);
+const MARGIN: Duration = Duration::from_millis(12);
+const SHARDS: usize = 20;
+const LEAST: usize = 18;
+
+fn times(arrived: Instant) -> Times {
+    Times {
+        objective: patience::leave_by(arrived, OBJECTIVE, MARGIN),
+        deadline: arrived + DEADLINE,
+    }
+}
+
+fn progress(answered: usize, failed: usize) -> Progress {
+    Progress {
+        answered,
+        failed,
+        total: SHARDS,
+        least: LEAST,
+    }
+}
+
+/// Ends a query whose shards answer at the given times; returns when, and with how many shards.
+fn play(arrived: Instant, mut answers: Vec<Duration>) -> (Duration, usize) {
+    answers.sort();
+    let mut now = arrived;
+    loop {
+        let answered = answers.iter().filter(|at| arrived + **at <= now).count();
+        match patience::step(now, times(arrived), progress(answered, 0)) {
+            Step::Answer => return (now - arrived, answered),
+            Step::GiveUp => return (now - arrived, 0),
+            Step::Wait(until) => {
+                let next = answers.get(answered).map(|at| arrived + *at);
+                now = next.map_or(until, |next| next.min(until)).max(now);
+            }
+        }
+    }
+}
+
+/// Servers that pause for 120 ms in each 3 s, one of them for each shard.
+fn paused_shards(random: &mut SmallRng) -> Vec<Duration> {
+    let answer = |_| {
+        let work = Duration::from_millis(random.random_range(6..20));
+        match random.random_bool(0.04) {
+            true => work + Duration::from_millis(random.random_range(0..120)),
+            false => work,
+        }
+    };
+    (0..SHARDS).map(answer).collect()
+}
+
+#[test]
+fn pauses_cost_a_shard_and_not_the_objective() {
+    let arrived = Instant::now();
+    let mut random = SmallRng::seed_from_u64(7);
+    let (mut in_time, mut shards) = (0, 0);
+    const QUERIES: usize = 1_000;
+    for _ in 0..QUERIES {
+        let (took, answered) = play(arrived, paused_shards(&mut random));
+        in_time += usize::from(took <= OBJECTIVE - MARGIN);
+        shards += answered;
+    }
+    // Waiting for every shard misses the objective in a sixth of the queries.
+    assert!(in_time >= QUERIES * 99 / 100, "{in_time}");
+    assert!(shards >= QUERIES * SHARDS * 98 / 100, "{shards}");
+}
+
+#[test]
+fn a_query_ends_as_soon_as_its_end_is_known() {
+    let arrived = Instant::now();
+    let early = arrived + Duration::from_millis(5);
+    let step = |answered, failed| patience::step(early, times(arrived), progress(answered, failed));
+    assert_eq!(step(20, 0), Step::Answer);
+    assert_eq!(step(19, 1), Step::Answer);
+    assert_eq!(step(2, 3), Step::GiveUp);
+    assert!(matches!(step(17, 2), Step::Wait(_)));
+}
+
+#[test]
+fn a_late_answer_leaves_as_soon_as_it_may_and_one_that_may_not_is_given_up_at_the_deadline() {
+    let arrived = Instant::now();
+    let late = arrived + OBJECTIVE * 2;
+    let step = |now, answered| patience::step(now, times(arrived), progress(answered, 0));
+    assert_eq!(step(late, LEAST), Step::Answer);
+    assert_eq!(
+        step(late, LEAST - 1),
+        Step::Wait(arrived + DEADLINE),
+        "late answers are of some use"
+    );
+    assert_eq!(step(arrived + DEADLINE, LEAST - 1), Step::GiveUp);
+}
+
+#[test]
+fn the_margin_leaves_half_of_a_short_objective() {
+    let arrived = Instant::now();
+    let short = Duration::from_millis(10);
+    assert_eq!(
+        patience::leave_by(arrived, short, MARGIN),
+        arrived + short / 2
+    );
+}
+
+fn fleet(large: usize, small: usize) -> Vec<f64> {
+    let mut powers = vec![0.5; large];
+    powers.extend(vec![0.12; small]);
+    powers
+}
+
+#[test]
+fn a_few_large_instances_gather_for_many_small_ones() {
+    let plan = delegate::plan(&fleet(8, 59));
+    assert!(plan.gathers(0.5) && !plan.gathers(0.12));
+    insta::assert_debug_snapshot!([plan.part(0.5, 67), plan.part(0.12, 67)], @"
+    [
+        Part {
+            share: 0.8,
+            among: 8,
+        },
+        Part {
+            share: 0.2,
+            among: 59,
+        },
+    ]
+    ");
+}
+
+#[test]
+fn equal_instances_and_too_few_large_ones_gather_for_themselves() {
+    assert_eq!(delegate::plan(&fleet(7, 0)), Plan::Everyone);
+    assert_eq!(delegate::plan(&fleet(2, 40)), Plan::Everyone);
+    assert_eq!(delegate::plan(&fleet(3, 300)), Plan::Everyone);
+    assert_eq!(delegate::plan(&[]), Plan::Everyone);
+}
+
+#[test]
+fn callers_refused_together_come_back_apart_and_never_at_once() {
+    let room = Duration::from_secs(1);
+    let left = Duration::from_secs(10);
+    let wait = |spread| refusal::retry_after(room, left, spread);
+    assert_eq!(wait(0.0), room);
+    assert!(wait(0.5) > wait(0.0) && wait(1.0) > wait(0.5));
+    assert!(refusal::retry_after(Duration::ZERO, left, 0.0) > Duration::ZERO);
+}
+
+#[test]
+fn a_caller_is_told_a_wait_that_leaves_it_time_to_be_served() {
+    let left = Duration::from_millis(300);
+    let wait = refusal::retry_after(Duration::from_secs(5), left, 1.0);
+    assert!(wait <= left / 3, "{wait:?}");
+}
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -28,7 +28,6 @@
     FutureExt,
     StreamExt, //
 };
-use http::HeaderValue;
 use monoio::time::sleep_until;
 use policy::{
     extra::Purpose,
@@ -250,10 +249,8 @@
     fn send(&mut self, server: Rc<Server>) {
         let now = Instant::now();
         let left = self.call.place.deadline.saturating_duration_since(now);
-        // Ids come from header values or the store's names, which are checked when they are read.
-        let target = HeaderValue::from_str(server.id());
-        let target = target.unwrap_or_else(|_| HeaderValue::from_static(""));
-        let request = self.call.asked.outgoing(self.call.names, &target, left);
+        let asked = self.call.asked;
+        let request = asked.outgoing(self.call.names, server.target(), left);
         let number = self.call.service.next_exchange();
         let usual = self.call.place.usual;
         let receiver = server.send(request, number, self.call.place.deadline, usual);
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -22,6 +22,7 @@
 };
 use http::{
     header::HOST,
+    uri::Authority,
     Request,
     Response,
     StatusCode, //
@@ -33,7 +34,10 @@
     Limited, //
 };
 use hyper::{
-    body::Incoming,
+    body::{
+        Body,
+        Incoming, //
+    },
     server::conn::http1,
     service::service_fn, //
 };
@@ -60,10 +64,23 @@
 
 use crate::{
     answer,
+    peer::{
+        self,
+        Passed, //
+    },
     relay::Relay,
     request::Asked, //
 };
 
+/// Who is at the other end of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// A caller.
+    Caller,
+    /// Another instance.
+    Peer,
+}
+
 /// Longest time that the body of a request may take.
 const BODY_TIME: Duration = Duration::from_secs(5);
 /// Wait after a failed accept: a full descriptor table must not turn into a busy loop.
@@ -72,7 +89,7 @@
 const BUFFER_MIN: usize = 8 * 1024;
 
 /// Accepts connections until `stop` is set, then waits for the requests in flight.
-pub async fn serve(listener: TcpListener, relay: Rc<Relay>, stop: Stop) {
+pub async fn serve(listener: TcpListener, origin: Origin, relay: Rc<Relay>, stop: Stop) {
     let (alive, mut ended) = mpsc::channel::<()>(0);
     loop {
         let accept = pin!(listener.accept());
@@ -80,7 +97,7 @@
             Either::Left((Ok((stream, _)), _)) => {
                 let (relay, stop, alive) = (relay.clone(), stop.clone(), alive.clone());
                 monoio::spawn(async move {
-                    connection(stream, relay, stop).await;
+                    connection(stream, origin, relay, stop).await;
                     drop(alive);
                 });
             }
@@ -96,7 +113,7 @@
     let _ = ended.next().await;
 }
 
-async fn connection(stream: TcpStream, relay: Rc<Relay>, stop: Stop) {
+async fn connection(stream: TcpStream, origin: Origin, relay: Rc<Relay>, stop: Stop) {
     if let Err(error) = stream.set_nodelay(true) {
         debug!(%error, "caller: connection ended before its first request.");
         return;
@@ -115,7 +132,7 @@
     let activity = Rc::new(Activity::default());
     let service = service_fn(|request| {
         let (relay, activity) = (relay.clone(), activity.clone());
-        async move { Ok::<_, Infallible>(handle(&relay, &activity, request).await) }
+        async move { Ok::<_, Infallible>(handle(&relay, origin, &activity, request).await) }
     });
     let connection = http1::Builder::new()
         .timer(MonoioTimer)
@@ -179,13 +196,17 @@
 
 async fn handle(
     relay: &Rc<Relay>,
+    origin: Origin,
     activity: &Activity,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let arrived = Instant::now();
     activity.busy.set(true);
     let begun = relay.begin();
-    let mut answer = respond(relay, request, arrived).await;
+    let mut answer = match origin {
+        Origin::Caller => respond(relay, request, arrived, origin).await,
+        Origin::Peer => respond_to_peer(relay, request, arrived).await,
+    };
     begun.end();
     activity.busy.set(false);
     activity.last.set(Instant::now());
@@ -196,10 +217,27 @@
     answer.map(Full::new)
 }
 
+async fn respond_to_peer(
+    relay: &Rc<Relay>,
+    mut request: Request<Incoming>,
+    arrived: Instant,
+) -> Response<Bytes> {
+    let Some(hop) = peer::take(request.headers_mut()) else {
+        return answer::own(StatusCode::BAD_REQUEST, "expected a query of a peer");
+    };
+    if let Err(decline) = peer::admit(relay, relay.registry(), hop) {
+        return peer::declined(decline);
+    }
+    let mut answer = respond(relay, request, arrived, Origin::Peer).await;
+    peer::mark(&mut answer);
+    answer
+}
+
 async fn respond(
     relay: &Rc<Relay>,
     request: Request<Incoming>,
     arrived: Instant,
+    origin: Origin,
 ) -> Response<Bytes> {
     let id = request.headers().get(&relay.names().request);
     let id = id
@@ -210,24 +248,37 @@
         relay.note_unrouted(&id, text, status);
         answer::own(status, text)
     };
-    let Some(table) = relay.table() else {
-        relay.note_unrouted(&id, "no configuration yet", StatusCode::SERVICE_UNAVAILABLE);
-        return relay.unconfigured();
-    };
+    let table = relay.table();
     let host = request
         .headers()
         .get(HOST)
         .and_then(|host| host.to_str().ok());
-    let authority = request
-        .uri()
-        .authority()
-        .map(|authority| authority.as_str());
+    let authority = request.uri().authority().map(Authority::as_str);
     let host = host.or(authority).unwrap_or_default();
-    let Some(route) = table.find(host, request.uri().path()).cloned() else {
-        return refuse(StatusCode::NOT_FOUND, "no route");
-    };
+    let route = table
+        .as_ref()
+        .and_then(|table| table.find(host, request.uri().path()))
+        .cloned();
+    let passes_on = origin == Origin::Caller && !relay.registry().gathers();
+    if route.is_none() && !passes_on {
+        return match table {
+            Some(_) => refuse(StatusCode::NOT_FOUND, "no route"),
+            None => {
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                relay.note_unrouted(&id, "no configuration yet", status);
+                relay.unconfigured()
+            }
+        };
+    }
+    let limits = table
+        .as_ref()
+        .map(|table| table.limits())
+        .unwrap_or_default();
     let (head, body) = request.into_parts();
-    let body = Limited::new(body, table.limits().body).collect();
+    if body.size_hint().lower() > limits.body as u64 {
+        return refuse(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
+    }
+    let body = Limited::new(body, limits.body).collect();
     let body = match timeout(BODY_TIME, body).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
@@ -236,13 +287,21 @@
         Ok(Err(_)) => return refuse(StatusCode::BAD_REQUEST, "the body can't be read"),
         Err(_) => return refuse(StatusCode::REQUEST_TIMEOUT, "the body took too long"),
     };
-    match Asked::new(head, body, arrived, relay.names()) {
-        Ok(asked) => relay.answer(&table, &route, &asked).await,
-        Err(crate::request::Fault::Id) => {
-            refuse(StatusCode::BAD_REQUEST, "expected one request id")
-        }
-        Err(crate::request::Fault::Deadline) => {
-            refuse(StatusCode::BAD_REQUEST, "the deadline isn't a number")
+    let asked = match Asked::new(head, body, arrived, relay.names()) {
+        Ok(asked) => asked,
+        Err(fault) => return refuse(StatusCode::BAD_REQUEST, fault.text()),
+    };
+    if passes_on {
+        match peer::ask(relay, &asked, route.as_deref()).await {
+            Passed::Answered(answer) => return answer,
+            Passed::NotTaken => {}
+            // The peer may have asked as many servers as the route allows.
+            Passed::MayHaveRun => return refuse(StatusCode::BAD_GATEWAY, "no answer of a peer"),
         }
     }
+    match (table, route) {
+        (Some(table), Some(route)) => relay.answer(&table, &route, &asked).await,
+        (Some(_), None) => refuse(StatusCode::NOT_FOUND, "no route"),
+        (None, _) => relay.unconfigured(),
+    }
 }
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -27,13 +27,23 @@
 };
 
 use crate::{
+    peer::Member,
     relay::Relay,
     server::Description, //
 };
 
-/// Longest wait of one watch. A lost answer shows only after it, and changes must be known within
-/// seconds.
-const WAIT: Duration = Duration::from_millis(2_500);
+/// Longest wait of one watch where requests are answered: a watch that the store has lost shows only
+/// after it, and a change must be in force within seconds.
+const WAIT: Duration = Duration::from_millis(3_000);
+/// Longest wait where peers that know better answer what they can.
+const WAIT_OF_SMALL: Duration = Duration::from_millis(12_000);
+/// Longest wait for changes of instances, which nothing waits for.
+const WAIT_INSTANCES: Duration = Duration::from_millis(25_000);
+/// Pause after a change of servers, so that many changes cost one call; a server that leaves goes on
+/// serving for several times as long.
+const SERVERS_PAUSE: Duration = Duration::from_millis(400);
+/// Pause after a change of instances: all of them write their entries in the same seconds.
+const INSTANCES_PAUSE: Duration = Duration::from_millis(3_000);
 /// Waits after a failed call to the store: the first, and the longest.
 const RETRY_FIRST: Duration = Duration::from_millis(100);
 const RETRY_LONGEST: Duration = Duration::from_millis(1_000);
@@ -80,16 +90,31 @@
     fn server(object: &Object) -> Result<Description, Unreadable>;
 
     /// Writes the entry of this instance.
-    fn instance(leaving: bool) -> Box<serde_json::value::RawValue>;
+    fn instance(member: &Member, leaving: bool) -> Box<serde_json::value::RawValue>;
 
-    /// Returns whether the entry is one of an instance that takes part.
-    fn is_taking_part(object: &Object) -> bool;
+    /// Reads the entry of an instance; none if it leaves.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the object isn't the entry of an instance.
+    fn member(object: &Object) -> Result<Option<Member>, Unreadable>;
+}
+
+fn wait(relay: &Relay) -> Duration {
+    match relay.registry().gathers() {
+        true => WAIT,
+        false => WAIT_OF_SMALL,
+    }
 }
 
 /// What a task does with the objects of its kind.
 trait Follower {
     const NAME: &'static str;
+    /// Pause after a change before the next one is waited for.
+    const PAUSE: Duration = Duration::ZERO;
 
+    /// Returns the longest wait of the next watch.
+    fn wait(&self) -> Duration;
     fn listed(&mut self, listing: Listing, now: Instant);
     fn changed(&mut self, listing: Listing, now: Instant);
     fn lost(&mut self, _now: Instant) {}
@@ -103,7 +128,7 @@
     loop {
         let result = match revision {
             None => store.list(kind).await,
-            Some(revision) => store.watch(kind, revision, WAIT).await,
+            Some(revision) => store.watch(kind, revision, follower.wait()).await,
         };
         let now = Instant::now();
         match result {
@@ -118,11 +143,15 @@
                 }
                 follower.reached(now);
                 backoff.reset();
+                let is_quiet = listing.objects.is_empty() && listing.deleted.is_empty();
                 let was = revision.replace(listing.revision);
                 match was {
                     None => follower.listed(listing, now),
                     Some(_) => follower.changed(listing, now),
                 }
+                if !is_quiet && !F::PAUSE.is_zero() {
+                    monoio::time::sleep(F::PAUSE).await;
+                }
             }
             Err(Failure::Compacted) => {
                 info!(
@@ -138,6 +167,8 @@
                     warn!(kind, revision, %error, "follow: {} can't be read.", F::NAME);
                 }
                 follower.lost(now);
+                // A store that drops its history keeps a watch from before waiting in vain.
+                revision = None;
                 monoio::time::sleep(backoff.next_wait()).await;
             }
         }
@@ -161,6 +192,10 @@
 impl<D: Directory> Follower for Routes<D> {
     const NAME: &'static str = "routes";
 
+    fn wait(&self) -> Duration {
+        wait(&self.relay)
+    }
+
     fn listed(&mut self, listing: Listing, now: Instant) {
         self.changed(listing, now);
     }
@@ -208,6 +243,11 @@
 
 impl<D: Directory> Follower for Servers<D> {
     const NAME: &'static str = "servers";
+    const PAUSE: Duration = SERVERS_PAUSE;
+
+    fn wait(&self) -> Duration {
+        wait(&self.relay)
+    }
 
     fn listed(&mut self, listing: Listing, now: Instant) {
         let objects = listing.objects.iter();
@@ -249,12 +289,17 @@
 
 struct Instances<D> {
     relay: Rc<Relay>,
-    known: HashMap<Arc<str>, bool>,
+    known: HashMap<Arc<str>, Member>,
     directory: std::marker::PhantomData<D>,
 }
 
 impl<D: Directory> Follower for Instances<D> {
     const NAME: &'static str = "instances";
+    const PAUSE: Duration = INSTANCES_PAUSE;
+
+    fn wait(&self) -> Duration {
+        WAIT_INSTANCES
+    }
 
     fn listed(&mut self, listing: Listing, now: Instant) {
         self.known.clear();
@@ -266,22 +311,27 @@
             self.known.remove(name);
         }
         for object in &listing.objects {
-            let takes_part = D::is_taking_part(object);
-            self.known.insert(object.name.clone(), takes_part);
+            match D::member(object) {
+                Ok(Some(member)) => drop(self.known.insert(object.name.clone(), member)),
+                Ok(None) => drop(self.known.remove(&object.name)),
+                Err(error) => {
+                    self.relay.meter().unreadable.add(1);
+                    warn!(entry = %object.name, revision = object.version, %error, "follow: entry names no instance.");
+                }
+            }
         }
-        let taking_part = self.known.iter().filter(|(_, takes_part)| **takes_part);
-        let names = taking_part.map(|(name, _)| name.clone()).collect();
-        self.relay.registry().set_instances(names);
+        let members = self.known.values().cloned().collect();
+        self.relay.registry().set_members(members);
     }
 }
 
 /// Writes the entry of this instance, until the store has it.
-pub async fn announce<D: Directory>(store: Rc<D::Store>, me: Arc<str>, leaving: bool) {
-    let value = D::instance(leaving);
+pub async fn announce<D: Directory>(store: Rc<D::Store>, me: Member, leaving: bool) {
+    let value = D::instance(&me, leaving);
     let mut backoff = Backoff::new(RETRY_FIRST, RETRY_LONGEST);
     let mut expected = 0;
     loop {
-        match store.write(D::INSTANCES, &me, expected, &value).await {
+        match store.write(D::INSTANCES, &me.name, expected, &value).await {
             Ok(revision) => {
                 info!(leaving, revision, "follow: instance is announced.");
                 return;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod merge;
 pub mod meter;
 pub mod pace;
+pub mod peer;
 pub mod registry;
 pub mod relay;
 pub mod reply;
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -68,9 +68,6 @@
 pub const BODY_MAX: usize = 8 * 1024 * 1024;
 /// Longest time to connect; a server in reach accepts within a few round trips.
 const CONNECT: Duration = Duration::from_millis(600);
-/// Longest time for which an exchange that nobody waits for goes on, so that its connection lives:
-/// longer than a server's usual pause, shorter than callers accept work to go on after they left.
-const LINGER: Duration = Duration::from_millis(300);
 /// Longest time for which a connection stays idle.
 const IDLE: Duration = Duration::from_secs(30);
 /// Share of the server's own idle timeout that is used.
@@ -225,6 +222,7 @@
         first: Option<Job>,
     ) {
         let mut next = first;
+        let mut was_of_use = false;
         let mut expires = Instant::now() + IDLE;
         loop {
             let job = match next.take() {
@@ -232,14 +230,18 @@
                 None => {
                     server.link_idle(handle);
                     let Some(assignment) = self.idle(jobs, expires).await else {
+                        if !was_of_use {
+                            server.link_refused();
+                        }
                         return;
                     };
                     handle = assignment.handle;
                     assignment.job
                 }
             };
-            let end = self.exchange(job).await;
+            let end = self.exchange(job, server).await;
             server.exchange_ended();
+            was_of_use = true;
             match end {
                 End::Reusable(until) if !server.is_closed() => expires = until,
                 _ => return,
@@ -274,7 +276,7 @@
         self.is_over
     }
 
-    async fn exchange(&mut self, job: Job) -> End {
+    async fn exchange(&mut self, job: Job, server: &Server) -> End {
         let ready = poll_fn(|cx| {
             self.poll_driver(cx);
             self.sender.poll_ready(cx)
@@ -291,10 +293,14 @@
         } = job;
         let mut watch = Watch {
             timer: Box::pin(sleep_until(deadline.into())),
+            linger: server.linger(),
             is_abandoned: false,
         };
         let response = self.sender.try_send_request(request);
         let result = self.answer(response, &mut watch, &mut reply).await;
+        if matches!(&result, Err(failure) if failure.kind == Kind::Timeout) {
+            server.fell_silent();
+        }
         let end = match &result {
             Ok(answer) if self.is_reusable(answer.headers()) => {
                 End::Reusable(Instant::now() + idle_time(answer.headers()))
@@ -392,6 +398,7 @@
 /// Watches the deadline of an exchange and whether anyone waits for it.
 struct Watch {
     timer: Pin<Box<Sleep>>,
+    linger: Duration,
     is_abandoned: bool,
 }
 
@@ -403,7 +410,7 @@
     ) -> Poll<Option<T>> {
         if !self.is_abandoned && reply.poll_canceled(cx).is_ready() {
             self.is_abandoned = true;
-            let until = monoio::time::Instant::now() + LINGER;
+            let until = monoio::time::Instant::now() + self.linger;
             let deadline = self.timer.deadline();
             self.timer.as_mut().reset(deadline.min(until));
         }
--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -74,6 +74,12 @@
     pub unreadable: Count,
     /// Health checks.
     pub checks: Count,
+    /// Queries that a peer gathered.
+    pub delegated: Count,
+    /// Queries that a peer declined.
+    pub declined: Count,
+    /// Queries that a peer didn't answer.
+    pub peer_failures: Count,
     #[serde(skip)]
     latency: Histogram<f64>,
 }
@@ -105,6 +111,9 @@
             wrong: Count::default(),
             unreadable: Count::default(),
             checks: Count::default(),
+            delegated: Count::default(),
+            declined: Count::default(),
+            peer_failures: Count::default(),
             latency,
         }
     }
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -18,6 +18,11 @@
 };
 
 use policy::{
+    delegate::{
+        self,
+        Part,
+        Plan, //
+    },
     extra::Bound,
     lapse::{
         Fate,
@@ -25,10 +30,17 @@
     },
     subset, //
 };
-use route::Table;
+use route::{
+    Table,
+    Target, //
+};
 use tracing::info;
 
 use crate::{
+    peer::{
+        Member,
+        Peers, //
+    },
     server::{
         Description,
         Server,
@@ -43,10 +55,8 @@
 /// What a registry has to know of its surroundings.
 #[derive(Debug, Clone)]
 pub struct Settings {
-    /// Name of the instance.
-    pub me: Arc<str>,
-    /// Availability zone of the instance.
-    pub zone: Arc<str>,
+    /// The instance itself.
+    pub me: Member,
     /// Bound on further sub-requests.
     pub extra: Bound,
     /// Time for which a server that leaves goes on serving.
@@ -60,7 +70,11 @@
     services: RefCell<HashMap<Arc<str>, Rc<Service>>>,
     servers: RefCell<HashMap<Arc<str>, Rc<Server>>>,
     accepted: RefCell<HashMap<Arc<str>, usize>>,
-    instances: RefCell<Vec<Arc<str>>>,
+    members: RefCell<Vec<Member>>,
+    plan: RefCell<Plan>,
+    peers: Peers,
+    gathered: RefCell<HashSet<Arc<str>>>,
+    knows_instances: Cell<bool>,
     outage: RefCell<Outage>,
     is_listed: Cell<bool>,
 }
@@ -69,12 +83,17 @@
     /// Makes an empty registry.
     pub fn new(settings: Settings) -> Rc<Self> {
         let me = settings.me.clone();
+        let peers = Service::new(Arc::from("peers"), me.zone.clone(), settings.extra, 1);
         Rc::new(Self {
             settings: RefCell::new(settings),
             services: RefCell::default(),
             servers: RefCell::default(),
             accepted: RefCell::default(),
-            instances: RefCell::new(vec![me]),
+            members: RefCell::new(vec![me]),
+            plan: RefCell::new(Plan::Everyone),
+            peers: Peers::new(peers),
+            gathered: RefCell::default(),
+            knows_instances: Cell::new(false),
             outage: RefCell::default(),
             is_listed: Cell::new(false),
         })
@@ -92,10 +111,10 @@
             return service.clone();
         }
         let settings = self.settings.borrow();
-        let instances = self.instances.borrow().len();
+        let instances = self.members.borrow().len();
         let service = Service::new(
             name.clone(),
-            settings.zone.clone(),
+            settings.me.zone.clone(),
             settings.extra,
             instances,
         );
@@ -121,7 +140,7 @@
 
     /// Returns the number of instances that share the servers.
     pub fn instances(&self) -> usize {
-        self.instances.borrow().len()
+        self.members.borrow().len()
     }
 
     /// Notes that the store's list can't be read.
@@ -210,25 +229,71 @@
     }
 
     /// Takes in the instances that share the servers.
-    pub fn set_instances(&self, mut instances: Vec<Arc<str>>) {
+    pub fn set_members(&self, mut members: Vec<Member>) {
         let me = self.settings.borrow().me.clone();
-        if !instances.contains(&me) {
-            instances.push(me);
-        }
-        instances.sort();
-        let was = self.instances.replace(instances).len();
+        members.retain(|member| member.name != me.name);
+        members.push(me.clone());
+        members.sort_by(|one, other| one.name.cmp(&other.name));
+        self.knows_instances.set(true);
+        let powers: Vec<f64> = members.iter().map(|member| member.power).collect();
+        let plan = delegate::plan(&powers);
+        let large = members.iter().filter(|member| plan.gathers(member.power));
+        let peers = match plan.gathers(me.power) {
+            true => Vec::new(),
+            false => large.cloned().collect(),
+        };
+        let was = self.members.replace(members).len();
         let now = self.instances();
         if was != now {
-            info!(was, now, "registry: number of instances changed.");
+            info!(
+                was,
+                now,
+                ?plan,
+                peers = peers.len(),
+                "registry: instances changed."
+            );
         }
+        self.peers.set(peers);
+        *self.plan.borrow_mut() = plan;
         self.share();
     }
 
+    /// Returns the instances that gather queries for this one.
+    pub fn peers(&self) -> &Peers {
+        &self.peers
+    }
+
+    /// Returns whether this instance gathers its queries itself.
+    pub fn gathers(&self) -> bool {
+        let own = self.settings.borrow().me.power;
+        self.plan.borrow().gathers(own)
+    }
+
+    /// Returns whether the store's list can't be read at the moment.
+    pub fn is_store_lost(&self) -> bool {
+        self.outage.borrow().since.is_some()
+    }
+
+    /// Returns whether the service is a shard of some route.
+    pub fn is_gathered(&self, service: &str) -> bool {
+        self.gathered.borrow().contains(service)
+    }
+
+    /// Returns whether the instances that share the servers are known.
+    pub fn knows_instances(&self) -> bool {
+        self.knows_instances.get()
+    }
+
     /// Takes in what the operator says of services.
     pub fn set_table(&self, table: &Table) {
         let described = table.services();
         let accepted = described.map(|service| (service.name.clone(), service.connections));
         *self.accepted.borrow_mut() = accepted.collect();
+        let gathers = table.routes().filter_map(|route| match &route.target {
+            Target::Gather(gather) => Some(&gather.services),
+            _ => None,
+        });
+        *self.gathered.borrow_mut() = gathers.flatten().cloned().collect();
         self.share();
     }
 
@@ -247,22 +312,48 @@
 
     /// Shares connections and budgets among the instances that are known.
     fn share(&self) {
-        let instances = self.instances.borrow();
         let settings = self.settings.borrow();
-        let position = instances.iter().position(|one| *one == settings.me);
-        let position = position.unwrap_or_default();
-        let accepted = self.accepted.borrow();
+        let all = Part {
+            share: 1.0,
+            among: self.instances(),
+        };
+        let of_shards = self.plan.borrow().part(settings.me.power, all.among);
         for (name, service) in self.services.borrow().iter() {
-            service.share_budget(settings.extra, instances.len());
-            let accepted = accepted.get(name).copied().unwrap_or(UNDESCRIBED);
-            let servers = service.servers();
-            let ready = |server: &&Rc<Server>| server.standing() == Standing::Ready;
-            let ready: Vec<&Rc<Server>> = servers.iter().filter(ready).collect();
-            let share = subset::share(accepted, instances.len(), ready.len());
-            for (index, server) in ready.iter().enumerate() {
-                let used = subset::uses(position, index, ready.len(), share);
-                server.set_connections(if used { share.connections } else { 0 });
-            }
+            let part = match self.is_gathered(name) {
+                true => of_shards,
+                false => all,
+            };
+            let extra = Bound {
+                allowance: settings.extra.allowance * part.share,
+                ..settings.extra
+            };
+            service.share_budget(extra, part.among);
+            self.share_connections(service, part);
+        }
+    }
+
+    fn share_connections(&self, service: &Service, part: Part) {
+        let accepted = self.accepted.borrow().get(service.name()).copied();
+        let accepted = accepted.unwrap_or(UNDESCRIBED) as f64 * part.share;
+        let servers = service.servers();
+        let ready = |server: &&Rc<Server>| server.standing() == Standing::Ready;
+        let ready: Vec<&Rc<Server>> = servers.iter().filter(ready).collect();
+        let share = match self.knows_instances.get() {
+            true => subset::share(accepted as usize, part.among, ready.len()),
+            false => subset::Share::least(ready.len()),
+        };
+        let position = self.position();
+        for (index, server) in ready.iter().enumerate() {
+            let used = subset::uses(position, index, ready.len(), share);
+            server.set_connections(if used { share.connections } else { 0 });
         }
     }
+
+    /// Returns the place of this instance in the sorted fleet.
+    fn position(&self) -> usize {
+        let settings = self.settings.borrow();
+        let members = self.members.borrow();
+        let me = |member: &Member| member.name == settings.me.name;
+        members.iter().position(me).unwrap_or_default()
+    }
 }
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -43,12 +43,19 @@
     Deadline,
 }
 
-impl std::fmt::Display for Fault {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(match self {
+impl Fault {
+    /// Returns what is wrong, as callers are told.
+    pub fn text(self) -> &'static str {
+        match self {
             Self::Id => "expected one request id",
             Self::Deadline => "the deadline isn't a number of milliseconds",
-        })
+        }
+    }
+}
+
+impl std::fmt::Display for Fault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(self.text())
     }
 }
 
@@ -108,6 +115,12 @@
         })
     }
 
+    /// Returns the time for which the caller goes on waiting at `now`, if it said so.
+    pub fn left(&self, now: Instant) -> Option<Duration> {
+        self.deadline
+            .map(|deadline| deadline.saturating_duration_since(now))
+    }
+
     /// Makes the request to the server `target` that is to be answered within `left`.
     pub fn outgoing(
         &self,
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -19,7 +19,10 @@
 
 use bytes::Bytes;
 use futures_channel::oneshot;
-use http::Request;
+use http::{
+    HeaderValue,
+    Request, //
+};
 use http_body_util::Full;
 use policy::{
     choice::Candidate,
@@ -44,6 +47,12 @@
 
 /// Share of its usual work that a server gets while it warms up.
 const COLD: f64 = 0.5;
+/// Time after a refused connection in which none is opened ahead of work: a server that is at its
+/// bound, or down, is the same a moment later.
+const REFUSED_PAUSE: Duration = Duration::from_millis(3_000);
+/// Longest time for which an exchange that nobody waits for goes on, so that its connection lives:
+/// longer than a server's usual pause, shorter than callers accept work to go on after they left.
+const LINGER: Duration = Duration::from_millis(300);
 /// Microseconds that stand for the usual latency where servers are compared.
 const USUAL_US: f64 = 1_000.0;
 /// Share of recent failures that counts like one failure in a row where servers are compared.
@@ -92,6 +101,8 @@
 #[derive(Debug)]
 pub struct Server {
     description: Description,
+    target: HeaderValue,
+    linger: Duration,
     service: Weak<Service>,
     standing: Cell<Standing>,
     warm: Cell<Instant>,
@@ -101,6 +112,8 @@
     last: Cell<u64>,
     closed: Cell<bool>,
     misplaced: Cell<bool>,
+    refused: Cell<Option<Instant>>,
+    answered: Cell<Option<Instant>>,
     idle: RefCell<Vec<Handle>>,
     waiting: RefCell<Vec<(u64, Instant, Duration)>>,
     health: RefCell<Health>,
@@ -129,10 +142,30 @@
 }
 
 impl Server {
+    /// Makes a backend server.
     pub(crate) fn new(description: Description, service: &Rc<Service>, now: Instant) -> Rc<Self> {
+        Self::with_linger(description, service, now, LINGER)
+    }
+
+    /// Makes another instance, whose work ends at once when nobody waits for it.
+    pub(crate) fn peer(description: Description, service: &Rc<Service>, now: Instant) -> Rc<Self> {
+        Self::with_linger(description, service, now, Duration::ZERO)
+    }
+
+    fn with_linger(
+        description: Description,
+        service: &Rc<Service>,
+        now: Instant,
+        linger: Duration,
+    ) -> Rc<Self> {
+        // A server whose id can't stand in a header refuses what is meant for another one.
+        let target = HeaderValue::from_str(&description.id);
+        let target = target.unwrap_or_else(|_| HeaderValue::from_static("unprintable"));
         let warm = now + description.warmup;
         Rc::new(Self {
             description,
+            target,
+            linger,
             service: Rc::downgrade(service),
             standing: Cell::new(Standing::Ready),
             warm: Cell::new(warm),
@@ -142,6 +175,8 @@
             last: Cell::new(0),
             closed: Cell::new(false),
             misplaced: Cell::new(false),
+            refused: Cell::new(None),
+            answered: Cell::new(None),
             idle: RefCell::default(),
             waiting: RefCell::default(),
             health: RefCell::default(),
@@ -159,6 +194,16 @@
         &self.description.id
     }
 
+    /// Returns the id as requests name it.
+    pub(crate) fn target(&self) -> &HeaderValue {
+        &self.target
+    }
+
+    /// Returns how long an exchange goes on that nobody waits for.
+    pub(crate) fn linger(&self) -> Duration {
+        self.linger
+    }
+
     pub(crate) fn address(&self) -> SocketAddr {
         self.description.address
     }
@@ -292,7 +337,9 @@
 
     /// Opens a connection ahead of the work, if there is none.
     pub(crate) fn warm_up(self: &Rc<Self>) {
-        if self.open.get() == 0 && !self.closed.get() {
+        let refused = self.refused.get();
+        let is_pausing = refused.is_some_and(|at| at.elapsed() < REFUSED_PAUSE);
+        if self.open.get() == 0 && !self.closed.get() && !is_pausing {
             link::spawn(self.clone(), None);
         }
     }
@@ -311,14 +358,31 @@
 
     /// Notes that the server answered.
     pub(crate) fn served(&self) {
+        self.answered.set(Some(Instant::now()));
         self.health.borrow_mut().served();
     }
 
+    /// Returns whether it has answered anything since then.
+    pub(crate) fn has_served_since(&self, then: Instant) -> bool {
+        self.answered.get().is_some_and(|at| at > then)
+    }
+
     /// Notes that the server failed.
     pub(crate) fn failed(&self, now: Instant) -> Change {
         self.health.borrow_mut().failed(now)
     }
 
+    /// Notes that an exchange ended without a byte, after its deadline or after nobody waited.
+    pub(crate) fn fell_silent(&self) {
+        if self.linger.is_zero() {
+            return;
+        }
+        if let Change::Out(until) = self.failed(Instant::now()) {
+            let ms = until.saturating_duration_since(Instant::now()).as_millis() as u64;
+            tracing::info!(server = %self.id(), service = %self.description.service, out_ms = ms, "server: silent, taken out.");
+        }
+    }
+
     /// Notes that a health check passed.
     pub(crate) fn checked(&self, now: Instant) {
         self.health.borrow_mut().checked(now);
@@ -338,9 +402,9 @@
         self.idle.borrow_mut().retain(|handle| !handle.is_closed());
     }
 
-    /// Notes that a connection wasn't accepted ahead of the work.
+    /// Notes that a connection wasn't accepted, or ended before it was of use.
     pub(crate) fn link_refused(&self) {
-        tracing::debug!(server = %self.id(), "link: connection refused.");
+        self.refused.set(Some(Instant::now()));
     }
 
     pub(crate) fn link_idle(&self, handle: Handle) {
--- a/crates/relay/src/upkeep.rs
+++ b/crates/relay/src/upkeep.rs
@@ -38,7 +38,9 @@
         let now = Instant::now();
         relay.registry().sweep(now);
         if let Some(table) = relay.table() {
-            warm_up(&relay, &table);
+            if relay.registry().knows_instances() {
+                warm_up(&relay, &table);
+            }
             for server in relay.registry().servers() {
                 let is_due = server.is_out(now) && !server.is_misplaced();
                 if is_due && checking.borrow_mut().insert(server.id().clone()) {
@@ -60,8 +62,11 @@
     let routes = table.routes();
     let named: HashSet<&Arc<str>> = routes.flat_map(|route| route.services()).collect();
     let now = Instant::now();
+    let gathers = relay.registry().gathers();
     for server in relay.registry().servers() {
-        let is_named = named.contains(&server.description().service);
+        let service = &server.description().service;
+        let is_own = gathers || !relay.registry().is_gathered(service);
+        let is_named = is_own && named.contains(service);
         let is_ready = server.standing() == Standing::Ready && server.is_usual(now);
         if is_named && is_ready && server.open() == 0 {
             server.warm_up();
--- /dev/null
+++ b/crates/relay/tests/peers.rs
@@ -0,0 +1,177 @@
+//! Requests that another instance answers.
+
+mod common;
+
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use common::{
+    instance,
+    post,
+    routes,
+    run,
+    serve,
+    table,
+    Act,
+    Fake,
+    Instance, //
+};
+
+const LARGE: f64 = 0.5;
+const SMALL: f64 = 0.1;
+
+/// A small instance and three large ones, all of which know one server.
+fn fleet(fake: &Rc<Fake>) -> (Instance, Vec<Instance>) {
+    let names = ["l1", "l2", "l3"];
+    let large: Vec<Instance> = names.map(|name| instance(name, LARGE)).into();
+    let small = instance("small", SMALL);
+    let mut members: Vec<_> = names
+        .iter()
+        .zip(&large)
+        .map(|(name, one)| one.member(name, LARGE))
+        .collect();
+    members.push(small.member("small", SMALL));
+    for one in large.iter().chain([&small]) {
+        let registry = one.relay.registry();
+        registry.replace(vec![fake.entry("one")], Instant::now());
+        registry.set_members(members.clone());
+        one.relay.set_table(Arc::new(table(1, routes())));
+    }
+    (small, large)
+}
+
+fn delegated(instance: &Instance) -> u64 {
+    instance.relay.meter().delegated.get()
+}
+
+#[test]
+fn a_small_instance_passes_requests_on_and_a_large_one_does_not() {
+    run(async {
+        let fake = Fake::start("s1", |_| serve("ok"));
+        let (small, large) = fleet(&fake);
+        let answer = small.get("/read/a").await;
+        assert_eq!((answer.status(), answer.text().as_str()), (200, "ok"));
+        assert_eq!(answer.header("tanageryoke-hop"), None);
+        assert_eq!(delegated(&small), 1);
+        assert_eq!(small.relay.meter().exchanges.get(), 0);
+        assert_eq!(large[0].get("/read/a").await.status(), 200);
+        assert_eq!(delegated(&large[0]), 0);
+        assert_eq!(fake.arrivals(), 2);
+    });
+}
+
+#[test]
+fn peers_that_leave_or_know_less_decline_and_nothing_runs_twice() {
+    run(async {
+        let fake = Fake::start("s1", |_| serve("ok"));
+        let (small, large) = fleet(&fake);
+        large[0].relay.leave();
+        large[1].relay.leave();
+        small.relay.set_table(Arc::new(table(2, routes())));
+        for _ in 0..6 {
+            assert_eq!(small.ask(&post("/write/a", "x")).await.status(), 200);
+        }
+        assert_eq!(delegated(&small), 0);
+        assert_eq!(fake.arrivals(), 6);
+    });
+}
+
+#[test]
+fn a_peer_that_lost_the_store_declines_one_that_has_not() {
+    run(async {
+        let fake = Fake::start("s1", |_| serve("ok"));
+        let (small, large) = fleet(&fake);
+        let now = Instant::now();
+        large
+            .iter()
+            .for_each(|one| one.relay.registry().store_lost(now));
+        assert_eq!(small.get("/read/a").await.status(), 200);
+        assert_eq!(delegated(&small), 0);
+        small.relay.registry().store_lost(now);
+        assert_eq!(small.get("/read/a").await.status(), 200);
+        assert_eq!(delegated(&small), 1);
+    });
+}
+
+#[test]
+fn the_newer_configuration_of_a_peer_decides() {
+    run(async {
+        let fake = Fake::start("s1", |_| serve("ok"));
+        let (small, large) = fleet(&fake);
+        let to = || route::Target::Service("one".into());
+        let added = common::route("added", route::Kind::Idempotent, to());
+        for one in &large {
+            one.relay.set_table(Arc::new(table(2, vec![added.clone()])));
+        }
+        assert_eq!(small.get("/added/a").await.status(), 200);
+        assert_eq!(small.get("/read/a").await.status(), 404);
+    });
+}
+
+#[test]
+fn a_request_that_a_lost_peer_may_have_run_is_not_run_again() {
+    run(async {
+        let fake = Fake::start("s1", |_| serve("ok"));
+        let (small, _large) = fleet(&fake);
+        let dead = Fake::start("l1", |_| Act::Close);
+        let mut member = small.member("l1", LARGE);
+        member.address = dead.address;
+        let others = ["l2", "l3"].map(|name| {
+            let mut other = member.clone();
+            other.name = name.into();
+            other
+        });
+        small
+            .relay
+            .registry()
+            .set_members([[member].as_slice(), &others].concat());
+        let answer = small.ask(&post("/write/a", "x")).await;
+        assert_eq!(answer.status(), 502);
+        assert_eq!((dead.arrivals(), fake.arrivals()), (1, 0));
+    });
+}
+
+#[test]
+fn peers_that_are_gone_leave_the_work_here() {
+    run(async {
+        let fake = Fake::start("s1", |_| serve("ok"));
+        let (small, _large) = fleet(&fake);
+        let closed = std::net::TcpListener::bind("127.0.0.1:0").expect("a listener");
+        let address = closed.local_addr().expect("an address");
+        drop(closed);
+        let members = ["l1", "l2", "l3"].map(|name| {
+            let mut member = small.member(name, LARGE);
+            member.address = address;
+            member
+        });
+        small.relay.registry().set_members(members.to_vec());
+        for _ in 0..12 {
+            assert_eq!(small.get("/read/a").await.status(), 200);
+        }
+        assert_eq!(fake.arrivals(), 12);
+    });
+}
+
+#[test]
+fn a_callers_departure_reaches_the_server_through_a_peer() {
+    run(async {
+        let fake = Fake::start("s1", |_| Act::Silent);
+        let (small, _large) = fleet(&fake);
+        let mut caller = common::Plain::open(small.address).await;
+        caller.write(post("/write/a", "x")).await;
+        while fake.arrivals() == 0 {
+            monoio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let left = Instant::now();
+        drop(caller);
+        monoio::time::sleep(Duration::from_millis(500)).await;
+        let abandoned = fake.abandoned.get().expect("a closed connection");
+        assert!(abandoned - left < Duration::from_millis(450));
+    });
+}
--- a/crates/tanageryoke/src/commands/relay.rs
+++ b/crates/tanageryoke/src/commands/relay.rs
@@ -28,8 +28,10 @@
     RuntimeBuilder, //
 };
 use relay::{
+    caller::Origin,
     follow,
     meter::Meter,
+    peer::Member,
     registry::{
         self,
         Registry, //
@@ -116,10 +118,18 @@
     served.map(|()| ExitCode::SUCCESS)
 }
 
+fn member(site: &adapter::Settings) -> Member {
+    Member {
+        name: site.name.clone(),
+        address: site.peers,
+        zone: site.zone.clone(),
+        power: site.power,
+    }
+}
+
 fn registry_settings(site: &adapter::Settings) -> registry::Settings {
     registry::Settings {
-        me: site.name.clone(),
-        zone: site.zone.clone(),
+        me: member(site),
         extra: site.extra,
         drain: site.server_drain,
     }
@@ -144,6 +154,7 @@
     let callers = listen(site.callers)?;
     let readiness = listen(site.readiness)?;
     let admin = listen(site.admin)?;
+    let peers = listen(site.peers)?;
     let mut stops = Signals::stops()?;
     let reloads = Signals::reloads()?;
     info!(instance = %site.name, zone = %site.zone, callers = %site.callers, store = %site.store, version = env!("CARGO_PKG_VERSION"), "relay: started.");
@@ -153,11 +164,12 @@
     monoio::spawn(reload(context.clone(), reloads));
     let stop = Stop::new();
     serve_admin(&context, readiness, admin);
-    let served = relay::caller::serve(callers, context.relay.clone(), stop.clone());
-    let served = monoio::spawn(served);
+    for (listener, origin) in [(callers, Origin::Caller), (peers, Origin::Peer)] {
+        let relay = context.relay.clone();
+        monoio::spawn(relay::caller::serve(listener, origin, relay, stop.clone()));
+    }
     stops.next().await;
     leave(&context, &stop).await;
-    drop(served);
     info!(in_flight = context.relay.in_flight(), "relay: stopped.");
     Ok(())
 }
@@ -167,7 +179,7 @@
     monoio::spawn(follow::routes::<Directory>(relay.clone(), store.clone()));
     monoio::spawn(follow::servers::<Directory>(relay.clone(), store.clone()));
     monoio::spawn(follow::instances::<Directory>(relay.clone(), store.clone()));
-    let me = context.site.borrow().name.clone();
+    let me = member(&context.site.borrow());
     monoio::spawn(follow::announce::<Directory>(store.clone(), me, false));
 }
 
@@ -185,7 +197,7 @@
     let relay = &context.relay;
     info!(in_flight = relay.in_flight(), "relay: leaving.");
     relay.leave();
-    let me = context.site.borrow().name.clone();
+    let me = member(&context.site.borrow());
     let farewell = follow::announce::<Directory>(context.store.clone(), me, true);
     if timeout(FAREWELL, farewell).await.is_err() {
         warn!("relay: the store didn't take in that this instance leaves.");
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -50,6 +50,9 @@
     limits::Limits, //
 };
 
+/// Unanswered probes after which a silent connection ends.
+const PROBES: u32 = 2;
+
 /// Why an exchange has no response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -140,6 +143,11 @@
         stream
             .set_nodelay(true)
             .map_err(|_| Failure::unsent(Kind::Connect))?;
+        if let Some(probe) = limits.probe {
+            stream
+                .set_tcp_keepalive(Some(probe), Some(probe), Some(PROBES))
+                .map_err(|_| Failure::unsent(Kind::Connect))?;
+        }
         let fd = stream.as_raw_fd();
         let budget = Budget::new(0);
         let (read, write) = stream.into_split();
--- a/crates/web/src/limits.rs
+++ b/crates/web/src/limits.rs
@@ -17,6 +17,8 @@
     pub idle: Duration,
     /// Longest time to connect.
     pub connect: Duration,
+    /// Time between probes of a silent connection, if it's probed; two unanswered ones end it.
+    pub probe: Option<Duration>,
 }
 
 impl Default for Limits {
@@ -28,6 +30,7 @@
             write: Duration::from_secs(5),
             idle: Duration::from_secs(60),
             connect: Duration::from_secs(1),
+            probe: None,
         }
     }
 }
