--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -21,7 +21,7 @@
 //!     direct: false,
 //! };
 //! let address = "127.0.0.1:9000".parse().expect("an address");
-//! let store = platform::http::Client::new(address, Duration::from_secs(2));
+//! let store = adapter::Client::new(address, Duration::from_secs(2));
 //! let fleet = Fleet::new(settings, Rc::new(store), wire::client::Peers::new());
 //! // `fleet.run()` is spawned on the runtime; until it has learned more, the instance is alone.
 //! assert!(!fleet.view().is_ready());
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,4 +1,4 @@
-//! The platform's object store: a trait, and a client for its HTTP interface.
+//! The platform's object store: a trait, and what every client of it needs.
 //!
 //! The store holds versioned objects with conditional updates and watches. It may be slow or down,
 //! and it may lose the reply to a write that took effect; [`Failure`] keeps these apart.
@@ -14,8 +14,7 @@
 
 pub mod backoff;
 pub mod counters;
-pub mod http;
-mod path;
+pub mod path;
 pub mod store;
 pub mod transport;
 
--- a/crates/tanageryoke/src/commands/target.rs
+++ b/crates/tanageryoke/src/commands/target.rs
@@ -7,6 +7,7 @@
     time::Duration, //
 };
 
+use adapter::Client;
 use clap::Args;
 use error_stack::{
     Report,
@@ -16,7 +17,6 @@
     LegacyDriver,
     RuntimeBuilder, //
 };
-use platform::http::Client;
 
 use crate::{
     cli::USAGE,
--- a/crates/tanageryoke/src/context.rs
+++ b/crates/tanageryoke/src/context.rs
@@ -9,6 +9,7 @@
     },
 };
 
+use adapter::Client;
 use entry::{
     Entry,
     Router, //
@@ -19,7 +20,6 @@
     Member, //
 };
 use ledger::Ledger;
-use platform::http::Client;
 use pool::Pool;
 use wire::client::Peers;
 
