fix(relay): leave room for the connections of a fleet that lost power

Servers hold the connections of the dead instances until they have been idle for long, and those used 21 of 26. Ruled out: slow start of the instances (all ready within 0.6 s), the store (stable).

Instances now use 0.55 of what a server accepts, a new connection that ends before its first answer says nothing of the server's health, pauses new ones for 250 ms, and isn't given a request that may not be repeated before it has stood for 4 ms.

--- a/crates/policy/src/subset.rs
+++ b/crates/policy/src/subset.rs
@@ -1,12 +1,13 @@
 //! How the connections that a server accepts are shared by all instances.
 //!
-//! Load pattern: all instances start at the same moment and dial every server. A server resets the
-//! connections beyond its bound, and each new one holds a slot for a moment.
+//! Load pattern: all instances lose power and start again at the same moment. A server resets the
+//! connections beyond its bound, and it still holds those of the instances from before: it learns of
+//! their end only when they have been idle for long. Each new connection holds a slot for a moment.
 
 /// Share of the accepted connections that is used while the fleet is steady.
 ///
-/// The rest is for instances that start before others have gone.
-const USED: f64 = 0.85;
+/// The rest takes one connection of every instance after all of them have started again.
+const USED: f64 = 0.55;
 
 /// What one instance may open to the servers of one service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -253,7 +253,13 @@
         let request = asked.outgoing(self.call.names, server.target(), left);
         let number = self.call.service.next_exchange();
         let usual = self.call.place.usual;
-        let receiver = server.send(request, number, self.call.place.deadline, usual);
+        let receiver = server.send(
+            request,
+            number,
+            self.call.place.deadline,
+            usual,
+            self.call.kind == Kind::Once,
+        );
         self.call.meter.exchanges.add(1);
         self.tried.push(server.clone());
         self.running.push(Attempt {
@@ -315,9 +321,12 @@
     fn broke(&mut self, server: &Rc<Server>, failure: Failure, now: Instant) {
         self.call.meter.broken.add(1);
         self.may_have_run |= failure.sent;
-        // The link has counted a silent server already.
-        if failure.kind != link::Kind::Timeout {
-            self.fail(server, now);
+        match failure.kind {
+            // The link has counted a silent server already.
+            link::Kind::Timeout => {}
+            // A server that accepts no more connections does serve those that it has.
+            link::Kind::Refused => {}
+            _ => self.fail(server, now),
         }
         self.note(Worst::Cause(Cause::Broken(failure.kind)));
     }
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -68,6 +68,8 @@
 pub const BODY_MAX: usize = 8 * 1024 * 1024;
 /// Longest time to connect; a server in reach accepts within a few round trips.
 const CONNECT: Duration = Duration::from_millis(600);
+/// Time in which a new connection that a server doesn't accept ends: a few round trips.
+const SETTLE: Duration = Duration::from_millis(4);
 /// Longest time for which a connection stays idle.
 const IDLE: Duration = Duration::from_secs(30);
 /// Share of the server's own idle timeout that is used.
@@ -78,6 +80,8 @@
 pub enum Kind {
     /// The server can't be connected to.
     Connect,
+    /// A new connection ended before the first answer on it: the server has as many as it accepts.
+    Refused,
     /// The connection ended before the answer was whole.
     Closed,
     /// The answer didn't arrive in time.
@@ -112,6 +116,8 @@
 pub(crate) struct Job {
     /// The request.
     pub(crate) request: Request<Full<Bytes>>,
+    /// Whether the request must not run again after it may have run.
+    pub(crate) is_once: bool,
     /// When the answer is of no use any more.
     pub(crate) deadline: Instant,
     /// Where the answer goes; dropping the other end abandons the exchange.
@@ -223,6 +229,7 @@
     ) {
         let mut next = first;
         let mut was_of_use = false;
+        let opened = Instant::now();
         let mut expires = Instant::now() + IDLE;
         loop {
             let job = match next.take() {
@@ -239,7 +246,16 @@
                     assignment.job
                 }
             };
-            let end = self.exchange(job, server).await;
+            if !was_of_use && job.is_once && !self.settles(opened).await {
+                server.link_refused();
+                job.fail(Kind::Refused);
+                server.exchange_ended();
+                return;
+            }
+            let (end, was_refused) = self.exchange(job, server, !was_of_use).await;
+            if was_refused {
+                server.link_refused();
+            }
             server.exchange_ended();
             was_of_use = true;
             match end {
@@ -276,20 +292,35 @@
         self.is_over
     }
 
-    async fn exchange(&mut self, job: Job, server: &Server) -> End {
+    /// Waits until a server that doesn't accept the new connection would have ended it; returns
+    /// whether the connection stands.
+    ///
+    /// A request that must not be repeated would otherwise be lost on it.
+    async fn settles(&mut self, opened: Instant) -> bool {
+        let mut timer = pin!(sleep_until((opened + SETTLE).into()));
+        poll_fn(|cx| match self.poll_driver(cx) {
+            true => Poll::Ready(false),
+            false => timer.poll_unpin(cx).map(|()| true),
+        })
+        .await
+    }
+
+    /// Runs one exchange; returns how the connection ended, and whether a new one was refused.
+    async fn exchange(&mut self, job: Job, server: &Server, is_new: bool) -> (End, bool) {
         let ready = poll_fn(|cx| {
             self.poll_driver(cx);
             self.sender.poll_ready(cx)
         });
         // A connection that is still busy with the exchange before isn't worth waiting for.
         if !matches!(ready.now_or_never(), Some(Ok(()))) {
-            job.fail(Kind::Closed);
-            return End::Over;
+            job.fail(if is_new { Kind::Refused } else { Kind::Closed });
+            return (End::Over, is_new);
         }
         let Job {
             request,
             deadline,
             mut reply,
+            ..
         } = job;
         let mut watch = Watch {
             timer: Box::pin(sleep_until(deadline.into())),
@@ -297,7 +328,15 @@
             is_abandoned: false,
         };
         let response = self.sender.try_send_request(request);
-        let result = self.answer(response, &mut watch, &mut reply).await;
+        let mut result = self.answer(response, &mut watch, &mut reply).await;
+        result = result.map_err(|failure| match failure.kind {
+            Kind::Closed if is_new => Failure {
+                kind: Kind::Refused,
+                ..failure
+            },
+            _ => failure,
+        });
+        let was_refused = matches!(&result, Err(failure) if failure.kind == Kind::Refused);
         if matches!(&result, Err(failure) if failure.kind == Kind::Timeout) {
             server.fell_silent();
         }
@@ -309,7 +348,7 @@
         };
         // A receiver that has gone doesn't want the answer.
         let _ = reply.send(result);
-        end
+        (end, was_refused)
     }
 
     async fn answer<F>(
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -164,7 +164,7 @@
     );
     request.headers_mut().insert(HOP, hop(relay));
     let number = service.next_exchange();
-    let receiver = peer.send(request, number, now + left, usual);
+    let receiver = peer.send(request, number, now + left, usual, false);
     let doubt = left.min((objective * PATIENCE).max(WAIT_LEAST));
     let mut receiver = receiver;
     let mut result = timeout(doubt, &mut receiver).await;
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -50,6 +50,9 @@
 /// Time after a refused connection in which none is opened ahead of work: a server that is at its
 /// bound, or down, is the same a moment later.
 const REFUSED_PAUSE: Duration = Duration::from_millis(3_000);
+/// Time after a refused connection in which work uses those that are open: other instances close
+/// theirs, or are told the same, within about as long.
+const REFUSED_WORK_PAUSE: Duration = Duration::from_millis(250);
 /// Longest time for which an exchange that nobody waits for goes on, so that its connection lives:
 /// longer than a server's usual pause, shorter than callers accept work to go on after they left.
 const LINGER: Duration = Duration::from_millis(300);
@@ -253,7 +256,18 @@
             Standing::Kept(until) => now < until,
             Standing::LastResort(_) => false,
         };
-        stands && self.connections.get() > 0 && self.may_work(now)
+        stands && self.usable(now) > 0 && self.may_work(now)
+    }
+
+    /// Returns the exchanges that may run at the same time.
+    fn usable(&self, now: Instant) -> usize {
+        let refused = self.refused.get();
+        let is_pausing =
+            refused.is_some_and(|at| now.saturating_duration_since(at) < REFUSED_WORK_PAUSE);
+        match is_pausing {
+            true => self.connections.get().min(self.open.get()),
+            false => self.connections.get(),
+        }
     }
 
     /// Returns whether it may get work where no usual server can be had.
@@ -282,7 +296,7 @@
         let warmth = if now < self.warm.get() { COLD } else { 1.0 };
         Candidate {
             in_flight: self.busy.get(),
-            usable: self.connections.get().max(1),
+            usable: self.usable(now).max(1),
             latency_us: slowness * USUAL_US,
             warmth,
             failures: failures as u32,
@@ -310,6 +324,7 @@
         number: u64,
         deadline: Instant,
         usual: Duration,
+        is_once: bool,
     ) -> oneshot::Receiver<Result<Reply, Failure>> {
         let (reply, receiver) = oneshot::channel();
         let now = Instant::now();
@@ -318,6 +333,7 @@
         self.waiting.borrow_mut().push((number, now, usual));
         let mut job = Job {
             request,
+            is_once,
             deadline,
             reply,
         };
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -230,6 +230,10 @@
     pub seen: RefCell<Vec<Message>>,
     /// Connections that were accepted.
     pub accepted: Cell<usize>,
+    /// Connections that it holds at the same time; those beyond are closed at once.
+    pub room: Cell<usize>,
+    /// Connections that it holds.
+    pub held: Cell<usize>,
     /// When the other end closed a connection on which nothing was answered.
     pub abandoned: Cell<Option<Instant>>,
     acts: Box<dyn Fn(usize) -> Act>,
@@ -245,14 +249,23 @@
             seen: RefCell::default(),
             accepted: Cell::new(0),
             abandoned: Cell::new(None),
+            room: Cell::new(usize::MAX),
+            held: Cell::new(0),
             acts: Box::new(acts),
         });
         let server = fake.clone();
         monoio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                if server.held.get() >= server.room.get() {
+                    continue;
+                }
                 server.accepted.set(server.accepted.get() + 1);
+                server.held.set(server.held.get() + 1);
                 let server = server.clone();
-                monoio::spawn(async move { server.connection(stream).await });
+                monoio::spawn(async move {
+                    server.connection(stream).await;
+                    server.held.set(server.held.get() - 1);
+                });
             }
         });
         fake
--- a/crates/relay/tests/forward.rs
+++ b/crates/relay/tests/forward.rs
@@ -268,6 +268,38 @@
     });
 }
 
+/// Load pattern: every server still holds the connections of a fleet that has lost power.
+#[test]
+fn a_server_that_accepts_no_more_connections_serves_on_those_that_it_has() {
+    run(async {
+        let fake = Fake::start("s1", |_| {
+            Act::Serve(Duration::from_millis(60), b"ok".to_vec())
+        });
+        fake.room.set(1);
+        let instance = started(routes(), &[("one", &fake)]);
+        let mut callers = Vec::new();
+        for number in 0..6 {
+            let mut caller = Plain::open(instance.address).await;
+            let request = match number % 2 {
+                0 => get("/read/a"),
+                _ => post("/write/a", "x"),
+            };
+            caller.write(request).await;
+            callers.push(caller);
+            sleep(Duration::from_millis(15)).await;
+        }
+        let mut statuses = Vec::new();
+        for mut caller in callers {
+            statuses.push(caller.read().await.map(|answer| answer.status()));
+        }
+        // What may not be repeated is never lost on a connection that isn't accepted.
+        assert!(!statuses.contains(&Some(502)), "{statuses:?}");
+        sleep(Duration::from_millis(300)).await;
+        assert_eq!(instance.get("/read/a").await.status(), 200);
+        assert!(!instance.relay.registry().servers()[0].is_out(Instant::now()));
+    });
+}
+
 #[test]
 fn a_leaving_instance_answers_and_closes() {
     run(async {
