feat(relay): try hedges again while they are of use, ask a lost store once

And where one watch notices that the store is back, the others now list at once instead of after their own pause. Logs name the shards that an answer lacks and the request that a caller left.

--- a/crates/policy/src/hedge.rs
+++ b/crates/policy/src/hedge.rs
@@ -1,6 +1,9 @@
 //! How many hedges may be sent, and when.
 
-use std::time::Duration;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 use crate::bucket::Bucket;
 
@@ -74,3 +77,22 @@
 pub fn wait(observed: Option<Duration>, least: Duration) -> Option<Duration> {
     observed.map(|observed| observed.max(least))
 }
+
+/// Usual latencies that a second sub-request needs to be of use: its own, and as much again for the
+/// queue that it meets.
+const ROOM: u32 = 2;
+
+/// Returns when a sub-request that was sent at `sent` is hedged.
+///
+/// Load pattern: short queries share servers with long ones and wait behind them. What is slow for
+/// them is nearly all of their objective; a hedge at that time comes too late.
+///
+/// `slow` is the latency that few exceed, `usual` the one in the middle, `answer_by` the time at
+/// which the answer is needed.
+pub fn at(sent: Instant, slow: Duration, usual: Duration, answer_by: Instant) -> Instant {
+    let useful = answer_by
+        .saturating_duration_since(sent)
+        .saturating_sub(usual * ROOM);
+    let least = usual.mul_f64(1.5);
+    sent + slow.min(useful.max(least))
+}
--- a/crates/policy/tests/queries.rs
+++ b/crates/policy/tests/queries.rs
@@ -10,6 +10,7 @@
         self,
         Plan, //
     },
+    hedge,
     patience::{
         self,
         Progress,
@@ -174,3 +175,20 @@
     let wait = refusal::retry_after(Duration::from_secs(5), left, 1.0);
     assert!(wait <= left / 3, "{wait:?}");
 }
+
+#[test]
+fn a_short_query_behind_long_ones_is_hedged_while_that_is_of_use() {
+    let sent = Instant::now();
+    let ms = Duration::from_millis;
+    let wait = |slow, usual, answer_by| {
+        let at = hedge::at(sent, ms(slow), ms(usual), sent + ms(answer_by));
+        (at - sent).as_millis()
+    };
+    // Alone, the slow latency decides.
+    assert_eq!(wait(15, 7, 48), 15);
+    // Behind long ones, the time left does.
+    assert_eq!(wait(45, 10, 48), 28);
+    // A server that is slow for everything isn't hedged before it is slow.
+    assert_eq!(wait(90, 30, 48), 45);
+    assert_eq!(wait(90, 30, 0), 45);
+}
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -31,7 +31,8 @@
 use monoio::time::sleep_until;
 use policy::{
     extra::Purpose,
-    health::Change, //
+    health::Change,
+    hedge, //
 };
 use route::Kind;
 use tracing::info;
@@ -59,6 +60,9 @@
     },
 };
 
+/// Pause before a hedge that wasn't possible is tried again: about what a free slot takes to come.
+const HEDGE_AGAIN: Duration = Duration::from_millis(6);
+
 /// Why a call has no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Cause {
@@ -130,6 +134,7 @@
             worst: None,
             may_have_run: false,
             hedged: false,
+            hedge_from: None,
             call: self,
         };
         let outcome = run.attempts().await;
@@ -155,6 +160,8 @@
     worst: Option<Worst>,
     may_have_run: bool,
     hedged: bool,
+    /// When a hedge that found no free server is tried again.
+    hedge_from: Option<Instant>,
 }
 
 enum Event {
@@ -199,7 +206,10 @@
     fn hedge_at(&self) -> Option<Instant> {
         let may = self.call.kind == Kind::Idempotent && !self.hedged && self.has_attempts();
         let first = self.running.iter().next().filter(|_| may)?;
-        let at = first.sent + self.call.pace.hedge();
+        let place = &self.call.place;
+        let slow = self.call.pace.hedge();
+        let at = hedge::at(first.sent, slow, place.usual, place.answer_by);
+        let at = self.hedge_from.map_or(at, |from| from.max(at));
         (at < self.call.place.deadline).then_some(at)
     }
 
@@ -235,14 +245,19 @@
     }
 
     fn hedge(&mut self) {
-        self.hedged = true;
+        let now = Instant::now();
+        self.hedge_from = Some(now + HEDGE_AGAIN);
         let service = &self.call.service;
         let Some(server) = service.choose_now(self.call.place.usual, &self.tried) else {
             return;
         };
-        if service.take_extra(Instant::now(), Purpose::Hedge) {
-            self.call.meter.hedges.add(1);
-            self.send(server);
+        match service.take_extra(now, Purpose::Hedge) {
+            true => {
+                self.hedged = true;
+                self.call.meter.hedges.add(1);
+                self.send(server);
+            }
+            false => self.call.meter.unhedged.add(1),
         }
     }
 
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -202,7 +202,9 @@
 ) -> Response<Full<Bytes>> {
     let arrived = Instant::now();
     activity.busy.set(true);
-    let begun = relay.begin();
+    let id = request.headers().get(&relay.names().request);
+    let id = id.and_then(|id| id.to_str().ok()).unwrap_or("none");
+    let begun = relay.begin(id.to_owned());
     let mut answer = match origin {
         Origin::Caller => respond(relay, request, arrived, origin).await,
         Origin::Peer => respond_to_peer(relay, request, arrived).await,
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -4,6 +4,7 @@
 //! revision that the list reflects, and lists again when the store no longer has that history.
 
 use std::{
+    cell::RefCell,
     collections::HashMap,
     rc::Rc,
     sync::Arc,
@@ -13,6 +14,10 @@
     },
 };
 
+use monoio::time::{
+    sleep,
+    timeout, //
+};
 use platform::{
     backoff::Backoff,
     Failure,
@@ -25,6 +30,7 @@
     info,
     warn, //
 };
+use web::Stop;
 
 use crate::{
     peer::Member,
@@ -46,7 +52,9 @@
 const INSTANCES_PAUSE: Duration = Duration::from_millis(3_000);
 /// Waits after a failed call to the store: the first, and the longest.
 const RETRY_FIRST: Duration = Duration::from_millis(100);
-const RETRY_LONGEST: Duration = Duration::from_millis(1_000);
+const RETRY_LONGEST: Duration = Duration::from_millis(500);
+/// Longest wait of a task that leaves it to another one to find out that the store is back.
+const RETRY_OF_OTHERS: Duration = Duration::from_millis(3_000);
 
 /// An object that can't be understood.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -107,9 +115,27 @@
     }
 }
 
+/// Tells the tasks of one process that the store is back, so that only one of them has to ask.
+#[derive(Debug, Clone, Default)]
+pub struct Reach(Rc<RefCell<Stop>>);
+
+impl Reach {
+    fn regained(&self) {
+        self.0.replace(Stop::new()).set();
+    }
+
+    async fn wait(&self, longest: Duration) {
+        let regained = self.0.borrow().wait();
+        // A wait that is too long ends like one that was of use.
+        let _ = timeout(longest, regained).await;
+    }
+}
+
 /// What a task does with the objects of its kind.
 trait Follower {
     const NAME: &'static str;
+    /// Whether this task finds out that the store is back.
+    const ASKS: bool = false;
     /// Pause after a change before the next one is waited for.
     const PAUSE: Duration = Duration::ZERO;
 
@@ -121,7 +147,12 @@
     fn reached(&mut self, _now: Instant) {}
 }
 
-async fn follow<S: Store, F: Follower>(store: Rc<S>, kind: &'static str, mut follower: F) {
+async fn follow<S: Store, F: Follower>(
+    store: Rc<S>,
+    kind: &'static str,
+    reach: Reach,
+    mut follower: F,
+) {
     let mut backoff = Backoff::new(RETRY_FIRST, RETRY_LONGEST);
     let mut revision = None;
     let mut is_lost = false;
@@ -134,6 +165,7 @@
         match result {
             Ok(listing) => {
                 if std::mem::take(&mut is_lost) {
+                    reach.regained();
                     info!(
                         kind,
                         revision = listing.revision,
@@ -150,7 +182,7 @@
                     Some(_) => follower.changed(listing, now),
                 }
                 if !is_quiet && !F::PAUSE.is_zero() {
-                    monoio::time::sleep(F::PAUSE).await;
+                    sleep(F::PAUSE).await;
                 }
             }
             Err(Failure::Compacted) => {
@@ -169,19 +201,22 @@
                 follower.lost(now);
                 // A store that drops its history keeps a watch from before waiting in vain.
                 revision = None;
-                monoio::time::sleep(backoff.next_wait()).await;
+                match F::ASKS {
+                    true => sleep(backoff.next_wait()).await,
+                    false => reach.wait(RETRY_OF_OTHERS).await,
+                }
             }
         }
     }
 }
 
 /// Follows the routes.
-pub async fn routes<D: Directory>(relay: Rc<Relay>, store: Rc<D::Store>) {
+pub async fn routes<D: Directory>(relay: Rc<Relay>, store: Rc<D::Store>, reach: Reach) {
     let follower = Routes::<D> {
         relay,
         directory: std::marker::PhantomData,
     };
-    follow(store, D::ROUTES.0, follower).await;
+    follow(store, D::ROUTES.0, reach, follower).await;
 }
 
 struct Routes<D> {
@@ -191,6 +226,7 @@
 
 impl<D: Directory> Follower for Routes<D> {
     const NAME: &'static str = "routes";
+    const ASKS: bool = true;
 
     fn wait(&self) -> Duration {
         wait(&self.relay)
@@ -215,12 +251,12 @@
 }
 
 /// Follows the servers.
-pub async fn servers<D: Directory>(relay: Rc<Relay>, store: Rc<D::Store>) {
+pub async fn servers<D: Directory>(relay: Rc<Relay>, store: Rc<D::Store>, reach: Reach) {
     let follower = Servers::<D> {
         relay,
         directory: std::marker::PhantomData,
     };
-    follow(store, D::SERVERS, follower).await;
+    follow(store, D::SERVERS, reach, follower).await;
 }
 
 struct Servers<D> {
@@ -278,13 +314,13 @@
 }
 
 /// Follows the instances that share the servers.
-pub async fn instances<D: Directory>(relay: Rc<Relay>, store: Rc<D::Store>) {
+pub async fn instances<D: Directory>(relay: Rc<Relay>, store: Rc<D::Store>, reach: Reach) {
     let follower = Instances::<D> {
         relay,
         known: HashMap::new(),
         directory: std::marker::PhantomData,
     };
-    follow(store, D::INSTANCES, follower).await;
+    follow(store, D::INSTANCES, reach, follower).await;
 }
 
 struct Instances<D> {
@@ -339,7 +375,7 @@
             Err(Failure::Conflict { current }) => expected = current,
             Err(error) => {
                 warn!(leaving, %error, "follow: instance can't be announced yet.");
-                monoio::time::sleep(backoff.next_wait()).await;
+                sleep(backoff.next_wait()).await;
             }
         }
     }
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -12,7 +12,8 @@
         Either, //
     },
     stream::FuturesUnordered,
-    StreamExt,
+    FutureExt,
+    StreamExt, //
 };
 use http::{
     header::CONTENT_TYPE,
@@ -47,9 +48,13 @@
     service::Place,
 };
 
+/// Shards that a log line names at most.
+const NAMED_MAX: usize = 5;
+
 /// One shard's piece of an answer.
 #[derive(Debug)]
 struct Part {
+    shard: usize,
     signature: HeaderValue,
     records: Bytes,
 }
@@ -87,7 +92,16 @@
         }
     }
 
-    fn take(&mut self, report: Report, names: &Headers) {
+    /// Returns the names of shards that haven't answered, a few at most.
+    pub(crate) fn lacking(&self, gather: &Gather) -> Option<String> {
+        let answered = |shard: usize| self.parts.iter().any(|part| part.shard == shard);
+        let lacking = gather.services.iter().enumerate();
+        let lacking = lacking.filter(|(shard, _)| !answered(*shard));
+        let names: Vec<&str> = lacking.map(|(_, name)| &**name).take(NAMED_MAX).collect();
+        (!names.is_empty()).then(|| names.join(" "))
+    }
+
+    fn take(&mut self, shard: usize, report: Report, names: &Headers) {
         self.attempts += report.attempts;
         self.hedged += usize::from(report.hedged);
         self.may_have_run |= report.attempts > 0;
@@ -96,7 +110,11 @@
                 Some(signature) if !self.is_known(signature) => {
                     let signature = signature.clone();
                     let records = reply.into_body();
-                    self.parts.push(Part { signature, records });
+                    self.parts.push(Part {
+                        shard,
+                        signature,
+                        records,
+                    });
                     return;
                 }
                 // One server must not stand for two shards.
@@ -147,9 +165,9 @@
         total: gather.services.len(),
         ..Query::default()
     };
-    let call = |service| Call {
+    let call = |name| Call {
         asked,
-        service,
+        service: relay.registry().service(name),
         kind: Kind::Idempotent,
         attempts: route.attempts,
         place,
@@ -157,12 +175,12 @@
         names: relay.names(),
         meter: relay.meter(),
     };
-    let services = gather.services.iter();
+    let services = gather.services.iter().enumerate();
     let mut calls: FuturesUnordered<_> = services
-        .map(|name| call(relay.registry().service(name)).run())
+        .map(|(shard, name)| call(name).run().map(move |report| (shard, report)))
         .collect();
     let times = Times {
-        objective: patience::leave_by(asked.arrived, route.objective, relay.margin()),
+        objective: place.answer_by,
         deadline: place.deadline,
     };
     let least = gather.min_shards();
@@ -172,8 +190,9 @@
             Step::GiveUp => return (query, false),
             Step::Wait(until) => {
                 let timer = pin!(sleep_until(until.into()));
-                if let Either::Left((Some(report), _)) = select(calls.next(), timer).await {
-                    query.take(report, relay.names());
+                if let Either::Left((Some(ended), _)) = select(calls.next(), timer).await {
+                    let (shard, report) = ended;
+                    query.take(shard, report, relay.names());
                 }
             }
         }
--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -58,6 +58,8 @@
     pub exchanges: Count,
     /// Exchanges for a second server because the first was slow.
     pub hedges: Count,
+    /// Hedges that the bound on further sub-requests didn't allow.
+    pub unhedged: Count,
     /// Exchanges after a failure.
     pub retries: Count,
     /// Exchanges that a server stated not to have run.
@@ -103,6 +105,7 @@
             abandoned: Count::default(),
             exchanges: Count::default(),
             hedges: Count::default(),
+            unhedged: Count::default(),
             retries: Count::default(),
             shed: Count::default(),
             misplaced: Count::default(),
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -186,7 +186,7 @@
                 let was = server.standing();
                 let is_draining_on = description.draining && was != Standing::Ready;
                 if !is_draining_on && was != standing {
-                    info!(server = %server.id(), service = %description.service, ?standing, "registry: server changed.");
+                    info!(server = %server.id(), service = %description.service, standing = standing.name(), "registry: server changed.");
                     server.set_standing(standing);
                 }
                 return;
@@ -194,7 +194,7 @@
             Some(server) => self.forget(&server),
             None => {}
         }
-        info!(server = %description.id, service = %description.service, address = %description.address, ?standing, "registry: server found.");
+        info!(server = %description.id, service = %description.service, address = %description.address, standing = standing.name(), "registry: server found.");
         let service = self.service(&description.service);
         let id = description.id.clone();
         let server = Server::new(description, &service, now);
@@ -215,7 +215,8 @@
         };
         if server.standing() == Standing::Ready {
             let service = &server.description().service;
-            info!(server = %id, %service, ?standing, "registry: entry of the server has gone.");
+            let is_outage = matches!(standing, Standing::Kept(_));
+            info!(server = %id, %service, standing = standing.name(), is_outage, "registry: entry of the server has gone.");
             server.set_standing(standing);
         }
     }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -21,6 +21,7 @@
     StatusCode, //
 };
 use policy::{
+    patience,
     queue::Rank,
     refusal, //
 };
@@ -159,11 +160,13 @@
     }
 
     /// Counts a request from its arrival until the guard is dropped.
-    pub(crate) fn begin(self: &Rc<Self>) -> Begun {
+    pub(crate) fn begin(self: &Rc<Self>, request: String) -> Begun {
         self.meter.requests.add(1);
         self.in_flight.set(self.in_flight.get() + 1);
         Begun {
             relay: self.clone(),
+            request,
+            arrived: Instant::now(),
             answered: false,
         }
     }
@@ -175,6 +178,7 @@
         let deadline = asked.deadline.map_or(limit, |deadline| deadline.min(limit));
         let place = Place {
             class: class(route.rank),
+            answer_by: patience::leave_by(asked.arrived, route.objective, self.margin),
             deadline,
             rank: Rank::new(spread(asked.id.as_bytes())),
             usual: pace.usual(),
@@ -224,6 +228,7 @@
             attempts: report.attempts,
             hedged: usize::from(report.hedged),
             missing: 0,
+            lacking: None,
             cause: cause(&report),
             server: report.server.clone(),
         };
@@ -269,6 +274,7 @@
             attempts: query.attempts,
             hedged: query.hedged,
             missing: query.total - query.answered(),
+            lacking: query.lacking(gather),
             cause: query.cause,
             server: None,
         };
@@ -344,6 +350,7 @@
             attempts = detail.attempts,
             hedged = detail.hedged,
             missing = detail.missing,
+            lacking = detail.lacking.as_deref(),
             cause = detail.cause.map(tracing::field::debug),
             server = detail.server.as_deref(),
             instances = self.registry.instances(),
@@ -384,6 +391,8 @@
     attempts: usize,
     hedged: usize,
     missing: usize,
+    /// Names of shards that an answer lacks.
+    lacking: Option<String>,
     cause: Option<Cause>,
     server: Option<Arc<str>>,
 }
@@ -422,6 +431,8 @@
 #[derive(Debug)]
 pub(crate) struct Begun {
     relay: Rc<Relay>,
+    request: String,
+    arrived: Instant,
     answered: bool,
 }
 
@@ -437,7 +448,8 @@
         self.relay.in_flight.set(self.relay.in_flight.get() - 1);
         if !self.answered {
             self.relay.meter.abandoned.add(1);
-            info!("relay: caller left before its answer.");
+            let ms = self.arrived.elapsed().as_millis() as u64;
+            info!(request = %self.request, ms, "relay: caller left before its answer.");
         }
     }
 }
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -100,6 +100,17 @@
     LastResort(Instant),
 }
 
+impl Standing {
+    /// Returns the standing as logs and dumps show it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Ready => "ready",
+            Self::Kept(_) => "kept",
+            Self::LastResort(_) => "last-resort",
+        }
+    }
+}
+
 /// A backend server.
 #[derive(Debug)]
 pub struct Server {
@@ -131,7 +142,7 @@
     /// Address.
     pub address: SocketAddr,
     /// Standing, as text.
-    pub standing: String,
+    pub standing: &'static str,
     /// Open connections.
     pub open: usize,
     /// Exchanges that run.
@@ -451,7 +462,7 @@
         State {
             id: self.id().clone(),
             address: self.address(),
-            standing: format!("{:?}", self.standing.get()),
+            standing: self.standing.get().name(),
             open: self.open.get(),
             busy: self.busy.get(),
             connections: self.connections.get(),
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -52,6 +52,8 @@
 pub struct Place {
     /// Class that it is ordered by first.
     pub class: Class,
+    /// When its answer is needed to be of full use.
+    pub answer_by: Instant,
     /// When it is of no use any more.
     pub deadline: Instant,
     /// Order in which requests are kept when not all can be.
--- a/crates/tanageryoke/src/commands/relay.rs
+++ b/crates/tanageryoke/src/commands/relay.rs
@@ -175,12 +175,17 @@
 }
 
 fn follow_store(context: &Context) {
-    let (relay, store) = (&context.relay, &context.store);
-    monoio::spawn(follow::routes::<Directory>(relay.clone(), store.clone()));
-    monoio::spawn(follow::servers::<Directory>(relay.clone(), store.clone()));
-    monoio::spawn(follow::instances::<Directory>(relay.clone(), store.clone()));
+    let parts = || (context.relay.clone(), context.store.clone());
+    let reach = follow::Reach::default();
+    let (relay, store) = parts();
+    monoio::spawn(follow::routes::<Directory>(relay, store, reach.clone()));
+    let (relay, store) = parts();
+    monoio::spawn(follow::servers::<Directory>(relay, store, reach.clone()));
+    let (relay, store) = parts();
+    monoio::spawn(follow::instances::<Directory>(relay, store, reach));
     let me = member(&context.site.borrow());
-    monoio::spawn(follow::announce::<Directory>(store.clone(), me, false));
+    let store = context.store.clone();
+    monoio::spawn(follow::announce::<Directory>(store, me, false));
 }
 
 fn serve_admin(context: &Rc<Context>, readiness: TcpListener, admin: TcpListener) {
