feat(relay): refuse queries that can't be in time, before any server works

A query is now refused at once with a time to come back where too few shards have room, a part waits only while the answer can be in time, and servers are told to drop parts after three objectives. Replayed in policy/tests/queries: at twice the capacity at least 360 of 400 possible queries in time, under 100 without.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -110,3 +110,27 @@
     let rounds = 1.0 + ahead as f64 / slots.max(1) as f64;
     service.mul_f64(rounds)
 }
+
+/// Decides whether a query over many shards is taken on, from the wait for a server of each shard.
+///
+/// Load pattern: all instances start at the same moment, servers are cold and callers repeat. Every
+/// query finds room at some shards and waits at others; all of them become late together, and their
+/// parts fill the queues of those that come after. A query that can't be in time is better refused
+/// before any server has worked on it.
+///
+/// # Errors
+///
+/// Fails with the time until there is room if fewer than `least` shards can be asked within `left`.
+pub fn query(
+    waits: impl Iterator<Item = Duration>,
+    left: Duration,
+    least: usize,
+) -> Result<(), Duration> {
+    let mut waits: Vec<Duration> = waits.collect();
+    waits.sort_unstable();
+    match waits.get(least.saturating_sub(1)) {
+        Some(wait) if *wait <= left => Ok(()),
+        Some(wait) => Err(*wait - left),
+        None => Err(left),
+    }
+}
--- a/crates/policy/tests/queries.rs
+++ b/crates/policy/tests/queries.rs
@@ -6,6 +6,7 @@
 };
 
 use policy::{
+    admission,
     delegate::{
         self,
         Plan, //
@@ -192,3 +193,51 @@
     assert_eq!(wait(90, 30, 48), 45);
     assert_eq!(wait(90, 30, 0), 45);
 }
+
+/// Twice the load that the shards take, for two seconds: shards serve `SLOTS` at a time, and each
+/// query needs one answer of each of them within the objective.
+///
+/// Returns the queries answered in time, with and without the decision to refuse early.
+fn crowd(refuses: bool) -> usize {
+    const SLOTS: usize = 4;
+    const WORK: Duration = Duration::from_millis(20);
+    const LEFT: Duration = Duration::from_millis(90);
+    let every = WORK / (2 * SLOTS as u32);
+    let mut free = [[Duration::ZERO; SLOTS]; SHARDS];
+    let mut in_time = 0;
+    for number in 0..800_u32 {
+        let now = every * number;
+        let next = |slots: &[Duration; SLOTS]| slots.iter().min().copied().unwrap_or_default();
+        let waits = free
+            .iter()
+            .map(|slots| next(slots).saturating_sub(now) + WORK);
+        if refuses && admission::query(waits, LEFT, LEAST).is_err() {
+            continue;
+        }
+        let mut answered = 0;
+        for slots in &mut free {
+            let slot = slots.iter_mut().min().expect("a slot");
+            *slot = (*slot).max(now) + WORK;
+            answered += usize::from(*slot <= now + LEFT);
+        }
+        in_time += usize::from(answered >= LEAST);
+    }
+    in_time
+}
+
+#[test]
+fn at_twice_the_capacity_refusing_early_keeps_most_of_it() {
+    let (with, without) = (crowd(true), crowd(false));
+    // Half of 800 queries is what the shards can serve.
+    assert!(with >= 360, "{with} in time");
+    assert!(without < 100, "{without} in time");
+}
+
+#[test]
+fn a_query_is_refused_until_enough_shards_have_room() {
+    let ms = Duration::from_millis;
+    let waits = || [0, 0, 5, 200].into_iter().map(ms);
+    assert_eq!(admission::query(waits(), ms(90), 3), Ok(()));
+    assert_eq!(admission::query(waits(), ms(90), 4), Err(ms(110)));
+    assert_eq!(admission::query(waits(), ms(90), 5), Err(ms(90)));
+}
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -322,6 +322,7 @@
             mut reply,
             ..
         } = job;
+        let began = Instant::now();
         let mut watch = Watch {
             timer: Box::pin(sleep_until(deadline.into())),
             linger: server.linger(),
@@ -337,8 +338,10 @@
             _ => failure,
         });
         let was_refused = matches!(&result, Err(failure) if failure.kind == Kind::Refused);
-        if matches!(&result, Err(failure) if failure.kind == Kind::Timeout) {
-            server.fell_silent();
+        match &result {
+            Ok(_) => server.heard(),
+            Err(failure) if failure.kind == Kind::Timeout => server.fell_silent(began),
+            Err(_) => {}
         }
         let end = match &result {
             Ok(answer) if self.is_reusable(answer.headers()) => {
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -168,7 +168,7 @@
     let doubt = left.min((objective * PATIENCE).max(WAIT_LEAST));
     let mut receiver = receiver;
     let mut result = timeout(doubt, &mut receiver).await;
-    if result.is_err() && peer.has_served_since(now) {
+    if result.is_err() && peer.has_answered_since(now) {
         result = timeout(left.saturating_sub(now.elapsed()), receiver).await;
     }
     peer.forget(number);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -21,6 +21,7 @@
     StatusCode, //
 };
 use policy::{
+    admission,
     patience,
     queue::Rank,
     refusal, //
@@ -57,6 +58,11 @@
 const NO_SERVER: Duration = Duration::from_millis(1_000);
 /// Time in which a busy service is likely to have room: a few of its usual answers.
 const BUSY_ANSWERS: u32 = 4;
+/// Multiple of the objective after which a query that lacks shards is given up. Its parts tell servers
+/// so, which then drop what still waits in their queues.
+const LATE: u32 = 2;
+/// Share of the time left that a request to one server may wait for it.
+const WAIT_SHARE: f64 = 0.5;
 /// Time in which an instance without a configuration is likely to have one.
 const NO_TABLE: Duration = Duration::from_millis(500);
 
@@ -175,10 +181,17 @@
     pub async fn answer(&self, table: &Table, route: &Route, asked: &Asked) -> Response<Bytes> {
         let pace = self.pace(route);
         let limit = asked.arrived + route.timeout;
-        let deadline = asked.deadline.map_or(limit, |deadline| deadline.min(limit));
+        let limit = asked.deadline.map_or(limit, |deadline| deadline.min(limit));
+        let answer_by = patience::leave_by(asked.arrived, route.objective, self.margin);
+        let left = limit.saturating_duration_since(asked.arrived);
+        let (wait_until, deadline) = match &route.target {
+            Target::Gather(_) => (answer_by, limit.min(answer_by + route.objective * LATE)),
+            _ => (asked.arrived + left.mul_f64(WAIT_SHARE), limit),
+        };
         let place = Place {
             class: class(route.rank),
-            answer_by: patience::leave_by(asked.arrived, route.objective, self.margin),
+            wait_until,
+            answer_by,
             deadline,
             rank: Rank::new(spread(asked.id.as_bytes())),
             usual: pace.usual(),
@@ -255,12 +268,26 @@
 
     async fn query(&self, context: &Context<'_>, gather: &Gather, pace: &Pace) -> Response<Bytes> {
         let now = Instant::now();
-        let reachable = |name: &&Arc<str>| self.registry.service(name).is_reachable(now);
-        let reachable = gather.services.iter().filter(reachable).count();
+        let place = context.place;
+        let shards = gather.services.iter();
+        let waits = shards.filter_map(|name| self.registry.service(name).wait_for(now, place));
+        let waits: Vec<Duration> = waits.collect();
+        let reachable = waits.len();
         if reachable < gather.min_shards() {
             let missing = gather.services.len() - reachable;
             return self.refuse(context, "too few shards can be reached", missing);
         }
+        let left = place.wait_until.saturating_duration_since(now);
+        if let Err(room) = admission::query(waits.into_iter(), left, gather.min_shards()) {
+            let answer = self.refusal(context, "too few shards have room", room);
+            let detail = Detail {
+                missing: gather.services.len(),
+                cause: Some(Cause::Refused(Refusal::Busy)),
+                ..Detail::default()
+            };
+            self.note(context, &answer, &detail);
+            return answer;
+        }
         let (query, has_answer) = gather::run(
             self,
             context.route,
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -385,12 +385,11 @@
 
     /// Notes that the server answered.
     pub(crate) fn served(&self) {
-        self.answered.set(Some(Instant::now()));
         self.health.borrow_mut().served();
     }
 
     /// Returns whether it has answered anything since then.
-    pub(crate) fn has_served_since(&self, then: Instant) -> bool {
+    pub(crate) fn has_answered_since(&self, then: Instant) -> bool {
         self.answered.get().is_some_and(|at| at > then)
     }
 
@@ -399,9 +398,17 @@
         self.health.borrow_mut().failed(now)
     }
 
-    /// Notes that an exchange ended without a byte, after its deadline or after nobody waited.
-    pub(crate) fn fell_silent(&self) {
-        if self.linger.is_zero() {
+    /// Notes that a whole answer has come, whatever it says and whoever waits for it.
+    pub(crate) fn heard(&self) {
+        self.answered.set(Some(Instant::now()));
+    }
+
+    /// Notes that an exchange that began then had no answer when it was given up.
+    ///
+    /// One that answers others meanwhile has a queue, and taking it out would make that of the
+    /// remaining servers longer.
+    pub(crate) fn fell_silent(&self, began: Instant) {
+        if self.linger.is_zero() || self.has_answered_since(began) {
             return;
         }
         if let Change::Out(until) = self.failed(Instant::now()) {
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -52,6 +52,8 @@
 pub struct Place {
     /// Class that it is ordered by first.
     pub class: Class,
+    /// When it must have a server; one that gets it later isn't of use.
+    pub wait_until: Instant,
     /// When its answer is needed to be of full use.
     pub answer_by: Instant,
     /// When it is of no use any more.
@@ -173,17 +175,25 @@
         }
     }
 
-    async fn wait(&self, now: Instant, place: Place) -> Result<(), Refusal> {
+    /// Returns how long a request would wait for a free server, if there is a server at all.
+    pub(crate) fn wait_for(&self, now: Instant, place: Place) -> Option<Duration> {
+        match self.choose(now, place.usual, &[]) {
+            Choice::Server(_) => Some(Duration::ZERO),
+            Choice::Busy => Some(self.estimate(place)),
+            Choice::None => None,
+        }
+    }
+
+    fn estimate(&self, place: Place) -> Duration {
         let ahead = self.queue.borrow().ahead(place.class, place.deadline);
-        let slots = self
-            .servers
-            .borrow()
-            .iter()
-            .map(|server| server.connections())
-            .sum();
-        let wait = admission::estimate(ahead, slots, place.usual);
-        let left = place.deadline.saturating_duration_since(now);
-        if !admission::is_feasible(wait, left) {
+        let servers = self.servers.borrow();
+        let slots = servers.iter().map(|server| server.connections()).sum();
+        admission::estimate(ahead, slots, place.usual)
+    }
+
+    async fn wait(&self, now: Instant, place: Place) -> Result<(), Refusal> {
+        let left = place.wait_until.saturating_duration_since(now);
+        if self.estimate(place) > left {
             return Err(Refusal::Busy);
         }
         let (sender, receiver) = oneshot::channel();
--- a/crates/relay/tests/gather.rs
+++ b/crates/relay/tests/gather.rs
@@ -204,3 +204,35 @@
         assert_eq!(answer.header("parts"), Some("s0-1"));
     });
 }
+
+/// Load pattern: twice the load; every server has a queue, and queries end before their last answers.
+#[test]
+fn servers_that_answer_late_are_not_taken_for_silent_ones() {
+    run(async {
+        let late = |_| Act::Serve(Duration::from_millis(650), record('a').into_bytes());
+        let fakes = [Fake::start("a", late), Fake::start("b", late)];
+        let fast = Fake::start("c", |_| serve(&record('c')));
+        let servers = [
+            ("shard0", &fakes[0]),
+            ("shard0", &fakes[1]),
+            ("shard1", &fast),
+        ];
+        let instance = started(vec![query(&["shard0", "shard1"], 5, 0.5)], &servers);
+        for _ in 0..8 {
+            instance.get("/all/x").await;
+        }
+        monoio::time::sleep(Duration::from_millis(800)).await;
+        let silent = Fake::start("d", |_| Act::Silent);
+        let registry = instance.relay.registry();
+        registry.update(silent.entry("shard0"), Instant::now());
+        let out = |id: &str| {
+            let servers = registry.servers();
+            let server = servers.iter().find(|server| &**server.id() == id);
+            server.is_some_and(|server| server.is_out(Instant::now()))
+        };
+        assert!(
+            !out("a") || !out("b"),
+            "a slow shard has lost all its servers"
+        );
+    });
+}
