fix(relay): estimate waits from servers in use, doubt checks that said nothing

Logs: the same nine taken out 48 times a second by seven instances, each time brought back by a check; queries admitted by an estimate that counted the servers that were out. Ruled out: hedges, silent counts of servers with queues.

The estimate now sums what usable servers serve, by their slowness, and after two times out a passed check no longer shortens the next.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -111,6 +111,19 @@
     service.mul_f64(rounds)
 }
 
+/// Longest estimate, where nothing serves at all.
+const NEVER: Duration = Duration::from_secs(3_600);
+
+/// Returns the time until an item that is queued now has been served, where `rate` items are served
+/// in a second by servers that differ in speed.
+pub fn until_served(ahead: usize, rate: f64) -> Duration {
+    let seconds = (ahead + 1) as f64 / rate.max(0.0);
+    match seconds.is_finite() {
+        true => Duration::from_secs_f64(seconds.min(NEVER.as_secs_f64())),
+        false => NEVER,
+    }
+}
+
 /// Decides whether a query over many shards is taken on, from the wait for a server of each shard.
 ///
 /// Load pattern: all instances start at the same moment, servers are cold and callers repeat. Every
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -14,6 +14,8 @@
 const FIRST: Duration = Duration::from_secs(1);
 /// Longest time for which a server is out without being tried.
 const LONGEST: Duration = Duration::from_secs(8);
+/// Times out after which a passed health check no longer shortens the next one.
+const CHECKS_BELIEVED: u32 = 1;
 /// Weight of one outcome in the share of failures.
 const WEIGHT: f64 = 0.15;
 /// Time without a failure after which earlier times out no longer count.
@@ -67,8 +69,13 @@
     }
 
     /// Notes that a health check passed: the next request tries the server.
+    ///
+    /// One that fails again after that is a server whose health check says nothing of its work, and
+    /// waits its time.
     pub fn checked(&mut self, now: Instant) {
-        self.until = self.until.map(|_| now);
+        if self.times_out <= CHECKS_BELIEVED {
+            self.until = self.until.map(|_| now);
+        }
     }
 
     /// Returns whether the server gets no work.
--- a/crates/policy/tests/queries.rs
+++ b/crates/policy/tests/queries.rs
@@ -241,3 +241,12 @@
     assert_eq!(admission::query(waits(), ms(90), 4), Err(ms(110)));
     assert_eq!(admission::query(waits(), ms(90), 5), Err(ms(90)));
 }
+
+#[test]
+fn a_shard_that_has_lost_a_server_is_known_to_serve_half() {
+    let two = admission::until_served(3, 4.0 / 0.020);
+    let one = admission::until_served(3, 2.0 / 0.020);
+    assert_eq!((two.as_millis(), one.as_millis()), (20, 40));
+    assert!(admission::until_served(0, 0.0) > Duration::from_secs(60));
+    assert!(admission::until_served(0, f64::NAN) > Duration::from_secs(60));
+}
--- a/crates/policy/tests/servers.rs
+++ b/crates/policy/tests/servers.rs
@@ -93,6 +93,27 @@
     assert!(!health.is_on_trial(now));
 }
 
+/// Load pattern: servers hang on every request while their health check passes.
+#[test]
+fn a_health_check_that_said_nothing_is_not_believed_again() {
+    let mut now = Instant::now();
+    let mut health = Health::default();
+    let mut tried = 0;
+    let end = now + Duration::from_secs(20);
+    while now < end {
+        match health.is_out(now) {
+            true => health.checked(now),
+            false => {
+                tried += 1;
+                health.failed(now);
+            }
+        }
+        now += Duration::from_millis(300);
+    }
+    // Three that take it out, and one for each of the times after 1, 2, 4 and 8 seconds.
+    assert!(tried <= 9, "{tried}");
+}
+
 #[test]
 fn entries_that_lapsed_in_an_outage_keep_their_servers_until_they_can_be_back() {
     let now = Instant::now();
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -235,10 +235,6 @@
         self.connections.set(connections);
     }
 
-    pub(crate) fn connections(&self) -> usize {
-        self.connections.get()
-    }
-
     pub(crate) fn open(&self) -> usize {
         self.open.get()
     }
@@ -316,6 +312,12 @@
         }
     }
 
+    /// Returns the requests that it serves for this instance in a second.
+    pub(crate) fn rate(&self, now: Instant, usual: Duration) -> f64 {
+        let slowness = self.slowness.borrow().get(now).max(0.1);
+        self.usable(now) as f64 / (slowness * usual.as_secs_f64()).max(1e-6)
+    }
+
     /// Returns how long the oldest exchange waits, as a multiple of what is usual for it.
     ///
     /// An exchange that takes longer than usual shows a pause before any answer does.
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -179,21 +179,23 @@
     pub(crate) fn wait_for(&self, now: Instant, place: Place) -> Option<Duration> {
         match self.choose(now, place.usual, &[]) {
             Choice::Server(_) => Some(Duration::ZERO),
-            Choice::Busy => Some(self.estimate(place)),
+            Choice::Busy => Some(self.estimate(now, place)),
             Choice::None => None,
         }
     }
 
-    fn estimate(&self, place: Place) -> Duration {
+    /// Returns the time until a request that is queued now has been served.
+    fn estimate(&self, now: Instant, place: Place) -> Duration {
         let ahead = self.queue.borrow().ahead(place.class, place.deadline);
         let servers = self.servers.borrow();
-        let slots = servers.iter().map(|server| server.connections()).sum();
-        admission::estimate(ahead, slots, place.usual)
+        let usual = servers.iter().filter(|server| server.is_usual(now));
+        let rates = usual.map(|server| server.rate(now, place.usual));
+        admission::until_served(ahead, rates.sum())
     }
 
     async fn wait(&self, now: Instant, place: Place) -> Result<(), Refusal> {
         let left = place.wait_until.saturating_duration_since(now);
-        if self.estimate(place) > left {
+        if self.estimate(now, place) > left {
             return Err(Refusal::Busy);
         }
         let (sender, receiver) = oneshot::channel();
