feat(relay): prefer near replicas by a third, know a lost peer at once

Near replicas now win unless busy or a third slower; small instances read servers seldom while peers answer, and as often as large ones when none does; a peer that can't be connected to within 150 ms is out at once.

--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -22,7 +22,10 @@
 /// Failures above which no further difference is made.
 const FAILURES_MAX: u32 = 8;
 /// Cost of leaving the availability zone, as a share of the cost of the work.
-const FAR: f64 = 0.05;
+///
+/// Bytes between zones are paid for. A near replica that has work already, or is a third slower, still
+/// loses to a free one elsewhere.
+const FAR: f64 = 0.3;
 /// Costs that differ by less than this share count as equal.
 const EQUAL: f64 = 0.02;
 
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -68,6 +68,12 @@
         Change::Out(until)
     }
 
+    /// Notes a failure that leaves no doubt, such as a connection that can't be opened.
+    pub fn lost(&mut self, now: Instant) -> Change {
+        self.in_a_row = self.in_a_row.max(IN_A_ROW - 1);
+        self.failed(now)
+    }
+
     /// Notes that a health check passed: the next request tries the server.
     ///
     /// One that fails again after that is a server whose health check says nothing of its work, and
--- a/crates/policy/tests/servers.rs
+++ b/crates/policy/tests/servers.rs
@@ -93,6 +93,14 @@
     assert!(!health.is_on_trial(now));
 }
 
+#[test]
+fn what_can_not_be_reached_is_out_at_once() {
+    let now = Instant::now();
+    let mut health = Health::default();
+    assert!(matches!(health.lost(now), Change::Out(_)));
+    assert!(health.is_out(now));
+}
+
 /// Load pattern: servers hang on every request while their health check passes.
 #[test]
 fn a_health_check_that_said_nothing_is_not_believed_again() {
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -48,8 +48,9 @@
 /// Pause after a change of servers, so that many changes cost one call; a server that leaves goes on
 /// serving for several times as long.
 const SERVERS_PAUSE: Duration = Duration::from_millis(400);
-/// Pause after a change of instances: all of them write their entries in the same seconds.
-const INSTANCES_PAUSE: Duration = Duration::from_millis(3_000);
+/// Pause after a change that nothing waits for: of instances, which all write their entries in the same
+/// seconds, and of servers where peers answer.
+const IDLE_PAUSE: Duration = Duration::from_millis(3_000);
 /// Waits after a failed call to the store: the first, and the longest.
 const RETRY_FIRST: Duration = Duration::from_millis(100);
 const RETRY_LONGEST: Duration = Duration::from_millis(500);
@@ -109,7 +110,7 @@
 }
 
 fn wait(relay: &Relay) -> Duration {
-    match relay.registry().gathers() {
+    match relay.registry().answers(Instant::now()) {
         true => WAIT,
         false => WAIT_OF_SMALL,
     }
@@ -136,9 +137,14 @@
     const NAME: &'static str;
     /// Whether this task finds out that the store is back.
     const ASKS: bool = false;
-    /// Pause after a change before the next one is waited for.
-    const PAUSE: Duration = Duration::ZERO;
-
+    /// Returns the pause after a change before the next one is waited for.
+    fn pause(&self) -> Duration {
+        Duration::ZERO
+    }
+    /// Returns whether a watch that was lost is followed by a new listing.
+    ///
+    /// A store that drops its history keeps a watch from before waiting in vain.
+    fn lists_again(&self) -> bool;
     /// Returns the longest wait of the next watch.
     fn wait(&self) -> Duration;
     fn listed(&mut self, listing: Listing, now: Instant);
@@ -181,8 +187,9 @@
                     None => follower.listed(listing, now),
                     Some(_) => follower.changed(listing, now),
                 }
-                if !is_quiet && !F::PAUSE.is_zero() {
-                    sleep(F::PAUSE).await;
+                let pause = follower.pause();
+                if !is_quiet && !pause.is_zero() {
+                    sleep(pause).await;
                 }
             }
             Err(Failure::Compacted) => {
@@ -199,8 +206,7 @@
                     warn!(kind, revision, %error, "follow: {} can't be read.", F::NAME);
                 }
                 follower.lost(now);
-                // A store that drops its history keeps a watch from before waiting in vain.
-                revision = None;
+                revision = revision.filter(|_| !follower.lists_again());
                 match F::ASKS {
                     true => sleep(backoff.next_wait()).await,
                     false => reach.wait(RETRY_OF_OTHERS).await,
@@ -228,6 +234,10 @@
     const NAME: &'static str = "routes";
     const ASKS: bool = true;
 
+    fn lists_again(&self) -> bool {
+        true
+    }
+
     fn wait(&self) -> Duration {
         wait(&self.relay)
     }
@@ -279,7 +289,17 @@
 
 impl<D: Directory> Follower for Servers<D> {
     const NAME: &'static str = "servers";
-    const PAUSE: Duration = SERVERS_PAUSE;
+
+    fn pause(&self) -> Duration {
+        match self.relay.registry().answers(Instant::now()) {
+            true => SERVERS_PAUSE,
+            false => IDLE_PAUSE,
+        }
+    }
+
+    fn lists_again(&self) -> bool {
+        self.relay.registry().answers(Instant::now())
+    }
 
     fn wait(&self) -> Duration {
         wait(&self.relay)
@@ -331,7 +351,14 @@
 
 impl<D: Directory> Follower for Instances<D> {
     const NAME: &'static str = "instances";
-    const PAUSE: Duration = INSTANCES_PAUSE;
+
+    fn pause(&self) -> Duration {
+        IDLE_PAUSE
+    }
+
+    fn lists_again(&self) -> bool {
+        false
+    }
 
     fn wait(&self) -> Duration {
         WAIT_INSTANCES
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -8,7 +8,6 @@
         poll_fn,
         Future, //
     },
-    net::SocketAddr,
     pin::{
         pin,
         Pin, //
@@ -66,8 +65,6 @@
 /// Longest answer of a server, in bytes. It is held until it is whole, so that nothing partial is
 /// ever passed on.
 pub const BODY_MAX: usize = 8 * 1024 * 1024;
-/// Longest time to connect; a server in reach accepts within a few round trips.
-const CONNECT: Duration = Duration::from_millis(600);
 /// Time in which a new connection that a server doesn't accept ends: a few round trips.
 const SETTLE: Duration = Duration::from_millis(4);
 /// Longest time for which a connection stays idle.
@@ -167,7 +164,7 @@
 
 async fn run(server: Rc<Server>, first: Option<Job>) {
     let (sender, mut jobs) = mpsc::unbounded();
-    match connect(server.address()).await {
+    match connect(&server).await {
         Ok(mut wire) => wire.serve(&server, Handle(sender), &mut jobs, first).await,
         Err(kind) => {
             server.link_refused();
@@ -185,8 +182,8 @@
     server.link_closed();
 }
 
-async fn connect(address: SocketAddr) -> Result<Wire, Kind> {
-    let stream = timeout(CONNECT, TcpStream::connect(address))
+async fn connect(server: &Server) -> Result<Wire, Kind> {
+    let stream = timeout(server.connect_time(), TcpStream::connect(server.address()))
         .await
         .map_err(|_| Kind::Connect)?
         .map_err(|_| Kind::Connect)?;
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -93,6 +93,11 @@
         }
     }
 
+    /// Returns whether any of them can be asked now.
+    pub(crate) fn is_reachable(&self, now: Instant) -> bool {
+        self.service.is_reachable(now)
+    }
+
     /// Takes the instances that gather for this one; none if it gathers itself.
     pub(crate) fn set(&self, members: Vec<Member>) {
         let was = self.members.replace(members.clone());
@@ -192,9 +197,14 @@
         }
         failure => {
             relay.meter().peer_failures.add(1);
-            let is_out = peer.failed(Instant::now()) != Change::None;
             let failure = failure.ok();
             let was_sent = !matches!(&failure, Some(Ok(Err(failure))) if !failure.sent);
+            let now = Instant::now();
+            let change = match was_sent {
+                true => peer.failed(now),
+                false => peer.lost(now),
+            };
+            let is_out = change != Change::None;
             let failure = describe(failure);
             info!(request = id, peer = %peer.id(), failure, was_sent, ms, is_out, "peer: request isn't answered.");
             match was_sent {
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -270,6 +270,12 @@
         self.plan.borrow().gathers(own)
     }
 
+    /// Returns whether this instance has to know routes and servers at once: it answers requests
+    /// itself, by plan or because no peer can be asked.
+    pub fn answers(&self, now: Instant) -> bool {
+        self.gathers() || !self.peers.is_reachable(now)
+    }
+
     /// Returns whether the store's list can't be read at the moment.
     pub fn is_store_lost(&self) -> bool {
         self.outage.borrow().since.is_some()
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -56,6 +56,11 @@
 /// Longest time for which an exchange that nobody waits for goes on, so that its connection lives:
 /// longer than a server's usual pause, shorter than callers accept work to go on after they left.
 const LINGER: Duration = Duration::from_millis(300);
+/// Longest time to connect to a backend server; one in reach accepts within a few round trips, and
+/// one with a full queue of connections when the opening packet is sent again.
+const CONNECT: Duration = Duration::from_millis(600);
+/// Longest time to connect to another instance, whose work can be done here.
+const CONNECT_PEER: Duration = Duration::from_millis(150);
 /// Microseconds that stand for the usual latency where servers are compared.
 const USUAL_US: f64 = 1_000.0;
 /// Share of recent failures that counts like one failure in a row where servers are compared.
@@ -400,6 +405,19 @@
         self.health.borrow_mut().failed(now)
     }
 
+    /// Notes that it can't be reached at all.
+    pub(crate) fn lost(&self, now: Instant) -> Change {
+        self.health.borrow_mut().lost(now)
+    }
+
+    /// Returns the longest time that a new connection may take.
+    pub(crate) fn connect_time(&self) -> Duration {
+        match self.linger.is_zero() {
+            true => CONNECT_PEER,
+            false => CONNECT,
+        }
+    }
+
     /// Notes that a whole answer has come, whatever it says and whoever waits for it.
     pub(crate) fn heard(&self) {
         self.answered.set(Some(Instant::now()));
