fix(relay): count exchanges that nobody waits for any more as slow

Slow servers kept their work: a query's hedge or its end overtook each of their exchanges, and only answers that were waited for told how slow they are. A dropped exchange now tells at least how long it had taken. Test: a_server_that_is_always_overtaken_loses_its_work.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -165,7 +165,7 @@
 }
 
 enum Event {
-    Answer(Attempt, Result<Reply, Failure>),
+    Answer(Box<Ended>),
     Slow,
     Late,
 }
@@ -181,7 +181,7 @@
             match self.next().await {
                 Event::Late => return self.late(),
                 Event::Slow => self.hedge(),
-                Event::Answer(attempt, result) => match self.take(attempt, result) {
+                Event::Answer(ended) => match self.take(*ended) {
                     Some(reply) => return Outcome::Served(reply),
                     None if !self.running.is_empty() => {}
                     None if self.start(Some(Purpose::Retry)).await.is_ok() => {}
@@ -196,7 +196,7 @@
         let until = hedge.unwrap_or(self.call.place.deadline);
         let timer = std::pin::pin!(sleep_until(until.into()));
         match select(self.running.next(), timer).await {
-            Either::Left((Some((attempt, result)), _)) => Event::Answer(attempt, result),
+            Either::Left((Some(ended), _)) => Event::Answer(Box::new(ended)),
             Either::Right(_) if hedge.is_some() => Event::Slow,
             _ => Event::Late,
         }
@@ -282,16 +282,20 @@
             number,
             sent: now,
             usual,
+            is_done: false,
             receiver,
         });
     }
 
     /// Takes in one answer; returns it if it serves the call.
-    fn take(&mut self, attempt: Attempt, result: Result<Reply, Failure>) -> Option<Reply> {
+    fn take(&mut self, ended: Ended) -> Option<Reply> {
         let now = Instant::now();
-        let latency = now.saturating_duration_since(attempt.sent);
-        let server = attempt.server.clone();
-        drop(attempt);
+        let Ended {
+            server,
+            sent,
+            result,
+        } = ended;
+        let latency = now.saturating_duration_since(sent);
         let reply = match result {
             Ok(reply) => reply,
             Err(failure) => {
@@ -387,11 +391,20 @@
     number: u64,
     sent: Instant,
     usual: Duration,
+    is_done: bool,
     receiver: oneshot::Receiver<Result<Reply, Failure>>,
 }
 
+/// An exchange that ended.
+#[derive(Debug)]
+struct Ended {
+    server: Rc<Server>,
+    sent: Instant,
+    result: Result<Reply, Failure>,
+}
+
 impl Future for Attempt {
-    type Output = (Self, Result<Reply, Failure>);
+    type Output = Ended;
 
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
         let result = match self.receiver.poll_unpin(cx) {
@@ -403,20 +416,23 @@
                 sent: true,
             }),
         };
-        let (_, closed) = oneshot::channel();
-        let done = Self {
+        self.is_done = true;
+        Poll::Ready(Ended {
             server: self.server.clone(),
-            number: self.number,
             sent: self.sent,
-            usual: self.usual,
-            receiver: std::mem::replace(&mut self.receiver, closed),
-        };
-        Poll::Ready((done, result))
+            result,
+        })
     }
 }
 
 impl Drop for Attempt {
     fn drop(&mut self) {
         self.server.forget(self.number);
+        let now = Instant::now();
+        let waited = multiple(now.saturating_duration_since(self.sent), self.usual);
+        // Answers that nobody waits for any more would leave a slow server as fast as it was.
+        if !self.is_done && waited > 1.0 {
+            self.server.record(now, waited);
+        }
     }
 }
--- a/crates/relay/tests/gather.rs
+++ b/crates/relay/tests/gather.rs
@@ -227,3 +227,27 @@
         assert!(fakes.iter().all(|fake| fake.arrivals() > 3));
     });
 }
+
+/// Load pattern: a few servers are slow for seconds; every exchange with one is overtaken by a hedge.
+#[test]
+fn a_server_that_is_always_overtaken_loses_its_work() {
+    run(async {
+        let slow = Fake::start("a", |_| {
+            Act::Serve(Duration::from_millis(280), record('s').into_bytes())
+        });
+        let fast = Fake::start("b", |_| serve(&record('f')));
+        let servers = [("shard", &slow), ("shard", &fast)];
+        let instance = started(vec![query(&["shard"], 5, 1.0)], &servers);
+        for _ in 0..30 {
+            assert_eq!(instance.get("/all/x").await.status(), 200);
+        }
+        let registry = instance.relay.registry();
+        let state = |id: &str| {
+            let servers = registry.servers();
+            let server = servers.iter().find(|server| &**server.id() == id);
+            server.expect("a server").state(Instant::now()).slowness
+        };
+        assert!(state("a") > 1.5, "{}", state("a"));
+        assert!(slow.arrivals() < 6, "{}", slow.arrivals());
+    });
+}
