--- /dev/null
+++ b/crates/tanageryoke/tests/relay.rs
@@ -0,0 +1,287 @@
+//! `tanageryoke relay` as a process, between a store, a backend server and callers.
+
+use std::{
+    io::{
+        BufRead,
+        BufReader,
+        Read,
+        Write, //
+    },
+    net::{
+        SocketAddr,
+        TcpListener,
+        TcpStream, //
+    },
+    path::PathBuf,
+    process::{
+        Child,
+        Command,
+        Stdio, //
+    },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use adapter::{
+    names,
+    Client,
+    Directory, //
+};
+use monoio::{
+    LegacyDriver,
+    RuntimeBuilder, //
+};
+use platform::Store;
+use relay::follow::Directory as _;
+use serde_json::value::RawValue;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_tanageryoke");
+const CONFIG: &str = include_str!("../../../platform/tests/data/process-config.json");
+const SERVER: &str = include_str!("../../../platform/tests/data/process-server.json");
+const SETTINGS: &str = include_str!("../../../platform/tests/data/process-settings.yaml");
+/// Longest wait for a process that starts or stops.
+const LONGEST: Duration = Duration::from_secs(30);
+
+fn free() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    listener.local_addr().expect("an address")
+}
+
+/// Starts a store that serves until the test ends.
+fn store() -> SocketAddr {
+    let listen = free();
+    let options = bench::store::Options {
+        listen,
+        writes: 1_000,
+        reads: 1_000,
+        delay_ms: 0,
+        list_lag_ms: 0,
+    };
+    thread::spawn(move || bench::store::run(options));
+    listen
+}
+
+/// Starts a backend server that signs whatever it is asked.
+fn server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || answer(stream));
+        }
+    });
+    address
+}
+
+fn answer(stream: TcpStream) {
+    let mut reader = BufReader::new(stream.try_clone().expect("a stream"));
+    let mut writer = stream;
+    let mut id = String::new();
+    let mut line = String::new();
+    while reader.read_line(&mut line).unwrap_or(0) > 0 {
+        let names = names::headers();
+        if let Some((name, value)) = line.split_once(':') {
+            if name.eq_ignore_ascii_case(names.request.as_str()) {
+                value.trim().clone_into(&mut id);
+            }
+        }
+        if line == "\r\n" {
+            let (request, signature) = (names.request, names.signature);
+            let answer = format!("HTTP/1.1 200 OK\r\n{request}: {id}\r\n{signature}: s\r\ncontent-length: 2\r\n\r\nok");
+            if writer.write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+        }
+        line.clear();
+    }
+}
+
+fn publish(store: SocketAddr, server: SocketAddr) {
+    let entry = SERVER.replace("ADDRESS", &server.to_string());
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(async {
+        let client = Client::new(store, Duration::from_secs(1));
+        for (kind, name, value) in [
+            (Directory::ROUTES.0, Directory::ROUTES.1, CONFIG),
+            (Directory::SERVERS, "i-1", &entry),
+            (Directory::SERVERS, "spoilt", "\"what another writer left\""),
+        ] {
+            let value = RawValue::from_string(value.to_owned()).expect("JSON");
+            let began = Instant::now();
+            while client.write(kind, name, 0, &value).await.is_err() {
+                assert!(began.elapsed() < LONGEST, "the store doesn't come up");
+                monoio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    });
+}
+
+struct Instance {
+    child: Child,
+    callers: SocketAddr,
+    readiness: SocketAddr,
+    admin: SocketAddr,
+    settings: PathBuf,
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        // One that has ended already can't be killed, which is as well.
+        let _ = self.child.kill();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+fn settings(callers: SocketAddr, readiness: SocketAddr, port: u16, store: SocketAddr) -> String {
+    SETTINGS
+        .replace("CALLERS", &callers.to_string())
+        .replace("READINESS", &readiness.to_string())
+        .replace("FIRST", &port.to_string())
+        .replace("LAST", &(port + 1).to_string())
+        .replace("STORE", &store.to_string())
+}
+
+/// A free pair of neighbouring ports.
+fn pair() -> u16 {
+    loop {
+        let first = free().port();
+        if first < u16::MAX && TcpListener::bind(("127.0.0.1", first + 1)).is_ok() {
+            return first;
+        }
+    }
+}
+
+fn start(store: SocketAddr) -> Instance {
+    let (callers, readiness, port) = (free(), free(), pair());
+    let name = format!("tanageryoke-relay-{port}.yaml");
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, settings(callers, readiness, port, store)).expect("a file");
+    let child = Command::new(PROGRAM)
+        .arg("relay")
+        .env(names::SETTINGS, &path)
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("a process");
+    Instance {
+        child,
+        callers,
+        readiness,
+        admin: SocketAddr::from(([127, 0, 0, 1], port)),
+        settings: path,
+    }
+}
+
+fn ask(address: SocketAddr, request: &str) -> Option<String> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.write_all(request.as_bytes()).ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).ok()?;
+    Some(answer)
+}
+
+fn get(address: SocketAddr, path: &str) -> String {
+    let names = names::headers();
+    let (id, deadline) = (names.request, names.deadline);
+    let request = format!("GET {path} HTTP/1.1\r\nhost: h\r\n{id}: q1\r\n{deadline}: 2000\r\nconnection: close\r\n\r\n");
+    ask(address, &request).unwrap_or_default()
+}
+
+fn wait_for(what: &str, mut is_so: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !is_so() {
+        assert!(began.elapsed() < LONGEST, "{what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn signal(instance: &Instance, signal: &str) {
+    let id = instance.child.id().to_string();
+    let kill = Command::new("kill").args([signal, &id]).status();
+    assert!(kill.expect("a signal").success());
+}
+
+#[test]
+fn an_instance_serves_reloads_and_leaves() {
+    let store = store();
+    let server = server();
+    let mut instance = start(store);
+    let is_ready =
+        |instance: &Instance| get(instance.readiness, names::READINESS).starts_with("HTTP/1.1 200");
+    wait_for("a start", || {
+        get(instance.admin, "/healthz").starts_with("HTTP/1.1 200")
+    });
+    assert!(!is_ready(&instance), "ready without a configuration");
+    publish(store, server);
+    wait_for("readiness", || is_ready(&instance));
+    wait_for("an answer", || {
+        get(instance.callers, "/p/x").starts_with("HTTP/1.1 200")
+    });
+    let answer = get(instance.callers, "/p/x");
+    assert!(
+        answer.contains("x-server-stamp: s") && answer.ends_with("ok"),
+        "{answer}"
+    );
+    assert!(get(instance.callers, "/none/x").starts_with("HTTP/1.1 404"));
+
+    // A file that can't be read leaves the settings in force, and the process goes on.
+    let text = std::fs::read_to_string(&instance.settings).expect("a file");
+    std::fs::write(&instance.settings, "node_name: [").expect("a file");
+    signal(&instance, "-HUP");
+    thread::sleep(Duration::from_millis(200));
+    std::fs::write(&instance.settings, text).expect("a file");
+    signal(&instance, "-HUP");
+    assert!(get(instance.callers, "/p/x").starts_with("HTTP/1.1 200"));
+
+    let metrics = get(instance.admin, "/metrics");
+    assert!(metrics.contains("kind=\"unreadable\""), "{metrics}");
+    assert!(get(instance.admin, "/debug/state").contains("\"configuration\":3"));
+
+    signal(&instance, "-TERM");
+    wait_for("unreadiness", || !is_ready(&instance));
+    assert!(get(instance.callers, "/p/x").starts_with("HTTP/1.1 200"));
+    let mut log = String::new();
+    let mut output = instance.child.stdout.take().expect("a log");
+    output.read_to_string(&mut log).expect("text");
+    assert_eq!(instance.child.wait().expect("an end").code(), Some(0));
+    for line in [
+        "relay: started.",
+        "follow: entry names no server.",
+        "registry: server found.",
+        "relay: configuration in force.",
+        "relay: answered.",
+        "relay: not routed.",
+        "relay: settings can't be read, those in force stay.",
+        "relay: leaving.",
+        "relay: draining.",
+        "relay: stopped.",
+    ] {
+        assert!(log.contains(line), "{line} isn't in\n{log}");
+    }
+}
+
+#[test]
+fn settings_that_can_not_be_read_give_exit_code_2() {
+    let output = Command::new(PROGRAM)
+        .arg("relay")
+        .env(names::SETTINGS, "/nowhere/settings.yaml")
+        .output()
+        .expect("a process");
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("/nowhere/settings.yaml"));
+    let output = Command::new(PROGRAM)
+        .args(["relay", "--caller-margin", "2h", "--log-format", "tea"])
+        .env_remove(names::SETTINGS)
+        .output()
+        .expect("a process");
+    assert_eq!(output.status.code(), Some(2));
+    insta::assert_snapshot!(String::from_utf8_lossy(&output.stderr), @r#"
+    --caller-margin (TANAGERYOKE_CALLER_MARGIN): "2h" isn't valid, expected 0ms to 1s
+    --log-format (TANAGERYOKE_LOG_FORMAT): "tea" isn't valid, expected text or json
+    "#);
+}
