--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod answer;
 pub mod call;
 pub mod caller;
+mod description;
 pub mod follow;
 pub mod forward;
 pub mod gather;
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -34,6 +34,10 @@
 };
 use serde::Serialize;
 
+pub use crate::description::{
+    Description,
+    Standing, //
+};
 use crate::{
     link::{
         self,
@@ -68,56 +72,6 @@
 /// Share of recent failures that counts like one failure in a row where servers are compared.
 const FAILURE_SHARE: f64 = 0.1;
 
-/// What a server says of itself.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Description {
-    /// Id, new with most starts.
-    pub id: Arc<str>,
-    /// Service that it is one of.
-    pub service: Arc<str>,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Availability zone.
-    pub zone: Arc<str>,
-    /// Requests that it works on at the same time.
-    pub slots: usize,
-    /// Whether it is about to leave.
-    pub draining: bool,
-    /// Time for which it is still slow after its start.
-    pub warmup: Duration,
-    /// Tells starts under the same id apart: Unix milliseconds of the start.
-    pub born: Option<u64>,
-}
-
-impl Description {
-    /// Returns whether `other` describes the same start of the same server.
-    pub fn is_same_start(&self, other: &Self) -> bool {
-        self.address == other.address && self.service == other.service && self.born == other.born
-    }
-}
-
-/// Whether a server is to get work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Standing {
-    /// It is.
-    Ready,
-    /// Its entry has gone in an outage of the store; it is, until then.
-    Kept(Instant),
-    /// It leaves or has gone; only where no other server can be had, until then.
-    LastResort(Instant),
-}
-
-impl Standing {
-    /// Returns the standing as logs and dumps show it.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Ready => "ready",
-            Self::Kept(_) => "kept",
-            Self::LastResort(_) => "last-resort",
-        }
-    }
-}
-
 /// A backend server.
 #[derive(Debug)]
 pub struct Server {
