--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -380,7 +380,8 @@
     }
 }
 
-fn multiple(latency: Duration, usual: Duration) -> f64 {
+/// Returns a latency as a multiple of the usual one.
+pub(crate) fn multiple(latency: Duration, usual: Duration) -> f64 {
     latency.as_secs_f64() / usual.as_secs_f64().max(1e-6)
 }
 
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -125,10 +125,7 @@
             return;
         }
     };
-    let limits = relay
-        .table()
-        .map(|table| table.limits())
-        .unwrap_or_default();
+    let limits = relay.limits();
     let activity = Rc::new(Activity::default());
     let service = service_fn(|request| {
         let (relay, activity) = (relay.clone(), activity.clone());
@@ -179,10 +176,7 @@
 /// Waits until the connection was idle for as long as the configuration in force allows.
 async fn idle(relay: &Relay, activity: &Activity) {
     loop {
-        let limits = relay
-            .table()
-            .map(|table| table.limits())
-            .unwrap_or_default();
+        let limits = relay.limits();
         let left = match activity.busy.get() {
             true => limits.idle,
             false => limits.idle.saturating_sub(activity.last.get().elapsed()),
@@ -206,8 +200,8 @@
     let id = id.and_then(|id| id.to_str().ok()).unwrap_or("none");
     let begun = relay.begin(id.to_owned());
     let mut answer = match origin {
-        Origin::Caller => respond(relay, request, arrived, origin).await,
-        Origin::Peer => respond_to_peer(relay, request, arrived).await,
+        Origin::Caller => respond(relay, request, begun.request(), arrived, origin).await,
+        Origin::Peer => respond_to_peer(relay, request, begun.request(), arrived).await,
     };
     begun.end();
     activity.busy.set(false);
@@ -222,15 +216,16 @@
 async fn respond_to_peer(
     relay: &Rc<Relay>,
     mut request: Request<Incoming>,
+    id: &str,
     arrived: Instant,
 ) -> Response<Bytes> {
     let Some(hop) = peer::take(request.headers_mut()) else {
         return answer::own(StatusCode::BAD_REQUEST, "expected a query of a peer");
     };
-    if let Err(decline) = peer::admit(relay, relay.registry(), hop) {
+    if let Err(decline) = peer::admit(relay, hop) {
         return peer::declined(decline);
     }
-    let mut answer = respond(relay, request, arrived, Origin::Peer).await;
+    let mut answer = respond(relay, request, id, arrived, Origin::Peer).await;
     peer::mark(&mut answer);
     answer
 }
@@ -238,16 +233,12 @@
 async fn respond(
     relay: &Rc<Relay>,
     request: Request<Incoming>,
+    id: &str,
     arrived: Instant,
     origin: Origin,
 ) -> Response<Bytes> {
-    let id = request.headers().get(&relay.names().request);
-    let id = id
-        .and_then(|id| id.to_str().ok())
-        .unwrap_or("none")
-        .to_owned();
     let refuse = |status, text| {
-        relay.note_unrouted(&id, text, status);
+        relay.note_unrouted(id, text, status);
         answer::own(status, text)
     };
     let table = relay.table();
@@ -267,7 +258,7 @@
             Some(_) => refuse(StatusCode::NOT_FOUND, "no route"),
             None => {
                 let status = StatusCode::SERVICE_UNAVAILABLE;
-                relay.note_unrouted(&id, "no configuration yet", status);
+                relay.note_unrouted(id, "no configuration yet", status);
                 relay.unconfigured()
             }
         };
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -30,11 +30,11 @@
 
 use crate::{
     answer,
+    call::multiple,
     link::{
         Failure,
         Reply, //
     },
-    registry::Registry,
     relay::Relay,
     request::Asked,
     server::{
@@ -169,9 +169,8 @@
     );
     request.headers_mut().insert(HOP, hop(relay));
     let number = service.next_exchange();
-    let receiver = peer.send(request, number, now + left, usual, false);
+    let mut receiver = peer.send(request, number, now + left, usual, false);
     let doubt = left.min((objective * PATIENCE).max(WAIT_LEAST));
-    let mut receiver = receiver;
     let mut result = timeout(doubt, &mut receiver).await;
     if result.is_err() && peer.has_answered_since(now) {
         result = timeout(left.saturating_sub(now.elapsed()), receiver).await;
@@ -187,10 +186,7 @@
         }
         Ok(Ok(Ok(reply))) if reply.headers().contains_key(HOP) => {
             peer.served();
-            peer.record(
-                Instant::now(),
-                now.elapsed().as_secs_f64() / usual.as_secs_f64().max(1e-6),
-            );
+            peer.record(Instant::now(), multiple(now.elapsed(), usual));
             relay.meter().delegated.add(1);
             info!(request = id, peer = %peer.id(), status = reply.status().as_u16(), ms, "peer: answered.");
             Passed::Answered(finish(reply))
@@ -267,13 +263,13 @@
 }
 
 /// Decides whether to take a peer's query.
-pub(crate) fn admit(relay: &Relay, registry: &Registry, hop: Hop) -> Result<(), Decline> {
+pub(crate) fn admit(relay: &Relay, hop: Hop) -> Result<(), Decline> {
     let version = relay.table().map_or(0, |table| table.version());
     match () {
         () if relay.is_leaving() => Err(Decline::Leaving),
         () if relay.in_flight() > TAKEN_MAX => Err(Decline::Full),
         () if version < hop.version => Err(Decline::Older),
-        () if registry.is_store_lost() && hop.reaches_store => Err(Decline::CutOff),
+        () if relay.registry().is_store_lost() && hop.reaches_store => Err(Decline::CutOff),
         () => Ok(()),
     }
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -28,6 +28,7 @@
 };
 use route::{
     Gather,
+    Limits,
     Route,
     Table,
     Target, //
@@ -103,11 +104,6 @@
         &self.names
     }
 
-    /// Returns the time taken off a query's objective.
-    pub fn margin(&self) -> Duration {
-        self.margin
-    }
-
     /// Returns the servers.
     pub fn registry(&self) -> &Rc<Registry> {
         &self.registry
@@ -123,6 +119,15 @@
         self.table.borrow().clone()
     }
 
+    /// Returns the bounds on callers.
+    pub(crate) fn limits(&self) -> Limits {
+        let table = self.table.borrow();
+        table
+            .as_ref()
+            .map(|table| table.limits())
+            .unwrap_or_default()
+    }
+
     /// Puts a table in force, unless one as new is.
     pub fn set_table(&self, table: Arc<Table>) {
         let was = self.table().map(|table| table.version());
@@ -207,7 +212,10 @@
             Target::Service(service) => self.forward(&context, service, &pace).await,
             Target::Split(split) => match split.pick(self.number(route)) {
                 Some(service) => self.forward(&context, service, &pace).await,
-                None => self.refuse(&context, "no service has a weight", 0),
+                None => {
+                    let text = "no service has a weight";
+                    self.refuse(&context, text, 0, Refusal::NoServer, NO_SERVER)
+                }
             },
         }
     }
@@ -275,18 +283,14 @@
         let reachable = waits.len();
         if reachable < gather.min_shards() {
             let missing = gather.services.len() - reachable;
-            return self.refuse(context, "too few shards can be reached", missing);
+            let text = "too few shards can be reached";
+            return self.refuse(context, text, missing, Refusal::NoServer, NO_SERVER);
         }
         let left = place.wait_until.saturating_duration_since(now);
         if let Err(room) = admission::query(waits.into_iter(), left, gather.min_shards()) {
-            let answer = self.refusal(context, "too few shards have room", room);
-            let detail = Detail {
-                missing: gather.services.len(),
-                cause: Some(Cause::Refused(Refusal::Busy)),
-                ..Detail::default()
-            };
-            self.note(context, &answer, &detail);
-            return answer;
+            let missing = gather.services.len();
+            let text = "too few shards have room";
+            return self.refuse(context, text, missing, Refusal::Busy, room);
         }
         let (query, has_answer) = gather::run(
             self,
@@ -324,11 +328,18 @@
     }
 
     /// Refuses a request that no server was asked for.
-    fn refuse(&self, context: &Context<'_>, text: &'static str, missing: usize) -> Response<Bytes> {
-        let answer = self.refusal(context, text, NO_SERVER);
+    fn refuse(
+        &self,
+        context: &Context<'_>,
+        text: &'static str,
+        missing: usize,
+        refusal: Refusal,
+        room: Duration,
+    ) -> Response<Bytes> {
+        let answer = self.refusal(context, text, room);
         let detail = Detail {
             missing,
-            cause: Some(Cause::Refused(Refusal::NoServer)),
+            cause: Some(Cause::Refused(refusal)),
             ..Detail::default()
         };
         self.note(context, &answer, &detail);
@@ -464,6 +475,11 @@
 }
 
 impl Begun {
+    /// Returns the id of the request.
+    pub(crate) fn request(&self) -> &str {
+        &self.request
+    }
+
     /// Notes that the request is answered.
     pub(crate) fn end(mut self) {
         self.answered = true;
--- a/crates/tanageryoke/src/configs/relay.rs
+++ b/crates/tanageryoke/src/configs/relay.rs
@@ -1,12 +1,19 @@
 //! Settings of `relay` that are its own; the rest comes from the platform's settings file.
 
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use clap::Args;
 
 use crate::configs::serve::{
+    duration,
+    levels,
+    parse,
     Fault,
-    Format, //
+    Format,
+    Reader, //
 };
 
 /// The settings as they are written. Each is a flag and an environment variable.
@@ -36,7 +43,7 @@
     /// Format of the log.
     pub log_format: Format,
     /// Levels of the log.
-    pub log_level: String,
+    pub log_level: Arc<str>,
 }
 
 impl Settings {
@@ -46,74 +53,30 @@
     ///
     /// Returns every fault, in the order of the flags.
     pub fn read(flags: Flags) -> Result<Self, Vec<Fault>> {
-        let mut faults = Vec::new();
-        let margin = duration(
-            &mut faults,
-            "caller-margin",
-            flags.caller_margin,
-            Duration::from_millis(12),
-            "0ms to 1s",
-        );
-        let timeout = duration(
-            &mut faults,
-            "platform-timeout",
-            flags.platform_timeout,
-            Duration::from_secs(1),
-            "10ms to 60s",
-        );
-        let log_format = match flags.log_format.as_deref().map(str::parse) {
-            None => Format::Json,
-            Some(Ok(format)) => format,
-            Some(Err(())) => {
-                faults.push(Fault {
-                    name: "log-format",
-                    value: flags.log_format,
-                    range: "text or json",
-                });
-                Format::Json
-            }
-        };
-        let log_level = flags.log_level.unwrap_or_else(|| "info".to_owned());
-        if tracing_subscriber::EnvFilter::try_new(&log_level).is_err() {
-            faults.push(Fault {
-                name: "log-level",
-                value: Some(log_level.clone()),
-                range: "a level filter",
-            });
-        }
-        match faults.is_empty() {
-            true => Ok(Self {
-                caller_margin: margin,
-                platform_timeout: timeout,
-                log_format,
-                log_level,
-            }),
-            false => Err(faults),
-        }
+        let mut reader = Reader::default();
+        let settings = Self::collect(&mut reader, flags);
+        settings.ok_or(reader.faults)
     }
-}
 
-fn duration(
-    faults: &mut Vec<Fault>,
-    name: &'static str,
-    value: Option<String>,
-    default: Duration,
-    range: &'static str,
-) -> Duration {
-    let (least, most) = match name {
-        "caller-margin" => (Duration::ZERO, Duration::from_secs(1)),
-        _ => (Duration::from_millis(10), Duration::from_secs(60)),
-    };
-    let Some(text) = value else { return default };
-    match humantime::parse_duration(&text) {
-        Ok(duration) if (least..=most).contains(&duration) => duration,
-        _ => {
-            faults.push(Fault {
-                name,
-                value: Some(text),
-                range,
-            });
-            default
-        }
+    fn collect(reader: &mut Reader, flags: Flags) -> Option<Self> {
+        let or = |value: Option<String>, default: &str| value.or_else(|| Some(default.to_owned()));
+        let margin = or(flags.caller_margin, "12ms");
+        let margin = reader.read("caller-margin", margin, "0ms to 1s", |text| {
+            duration(text, Duration::ZERO, Duration::from_secs(1))
+        });
+        let timeout = or(flags.platform_timeout, "1s");
+        let timeout = reader.read("platform-timeout", timeout, "10ms to 60s", |text| {
+            duration(text, Duration::from_millis(10), Duration::from_secs(60))
+        });
+        let log_format = or(flags.log_format, "json");
+        let log_format = reader.read("log-format", log_format, "text or json", parse);
+        let log_level = or(flags.log_level, "info");
+        let log_level = reader.read("log-level", log_level, "a level filter", levels);
+        Some(Self {
+            caller_margin: margin?,
+            platform_timeout: timeout?,
+            log_format: log_format?,
+            log_level: log_level?,
+        })
     }
 }
--- a/crates/tanageryoke/src/configs/serve.rs
+++ b/crates/tanageryoke/src/configs/serve.rs
@@ -136,12 +136,12 @@
 
 /// Collects every fault before anything is refused.
 #[derive(Debug, Default)]
-struct Reader {
-    faults: Vec<Fault>,
+pub(super) struct Reader {
+    pub(super) faults: Vec<Fault>,
 }
 
 impl Reader {
-    fn read<T>(
+    pub(super) fn read<T>(
         &mut self,
         name: &'static str,
         value: Option<String>,
@@ -200,10 +200,7 @@
         let log_format = or(flags.log_format, "text");
         let log_format = reader.read("log-format", log_format, "text or json", parse);
         let log_level = or(flags.log_level, "info");
-        let log_level = reader.read("log-level", log_level, "a level filter", |text| {
-            let filter = tracing_subscriber::EnvFilter::try_new(text);
-            filter.ok().map(|_| Arc::from(text))
-        });
+        let log_level = reader.read("log-level", log_level, "a level filter", levels);
         Some(Self {
             name: name?,
             zone: zone?,
@@ -222,17 +219,22 @@
     }
 }
 
-fn parse<T: FromStr>(text: &str) -> Option<T> {
+pub(super) fn parse<T: FromStr>(text: &str) -> Option<T> {
     text.parse().ok()
 }
 
+pub(super) fn levels(text: &str) -> Option<Arc<str>> {
+    let filter = tracing_subscriber::EnvFilter::try_new(text);
+    filter.ok().map(|_| Arc::from(text))
+}
+
 fn name_like(text: &str) -> Option<Arc<str>> {
     let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
     let fits = !text.is_empty() && text.len() <= NAME_MAX;
     (fits && text.bytes().all(allowed)).then(|| Arc::from(text))
 }
 
-fn duration(text: &str, min: Duration, max: Duration) -> Option<Duration> {
+pub(super) fn duration(text: &str, min: Duration, max: Duration) -> Option<Duration> {
     let duration = humantime::parse_duration(text).ok()?;
     (min..=max).contains(&duration).then_some(duration)
 }
