feat(bench): a fault soak of real processes on the users' platform

Instances, servers, the store and a proxy run as processes; faults are drawn from a seed: kills, stops, freezes, spoilt settings, links that delay, cut, reset, silence one way, truncate or lose answers, and a store that refuses, hangs, is slow, loses answers or forgets its history.

--- a/crates/bench/src/demo/child.rs
+++ b/crates/bench/src/demo/child.rs
@@ -60,9 +60,12 @@
         self.process.id()
     }
 
-    /// Sends a signal.
-    pub fn signal(&self, signal: Signal) {
-        // A child that has ended and wasn't waited for keeps its id, so no other process is hit.
+    /// Sends a signal, unless the child has ended.
+    pub fn signal(&mut self, signal: Signal) {
+        if self.ended().is_some() {
+            return;
+        }
+        // A child that ends from here on keeps its id until it is waited for, so no other process is hit.
         let _ = kill_process(Pid::from_child(&self.process), signal);
     }
 
--- a/crates/bench/src/demo/failure.rs
+++ b/crates/bench/src/demo/failure.rs
@@ -27,6 +27,8 @@
     Replay,
     /// The report can't be finished.
     Report,
+    /// The file of cases can't be read.
+    Cases,
     /// The demo was interrupted.
     Interrupted,
 }
@@ -45,6 +47,7 @@
             Self::Trace => f.write_str("the trace can't be loaded"),
             Self::Report => f.write_str("the report can't be finished"),
             Self::Replay => f.write_str("the replay failed"),
+            Self::Cases => f.write_str("the file of cases can't be read"),
             Self::Interrupted => f.write_str("interrupted"),
         }
     }
--- a/crates/bench/src/demo/instance.rs
+++ b/crates/bench/src/demo/instance.rs
@@ -68,7 +68,7 @@
     /// Sends a signal to the current process.
     pub fn signal(&self, signal: Signal) {
         self.note();
-        if let Some(child) = &*self.child.borrow() {
+        if let Some(child) = &mut *self.child.borrow_mut() {
             child.signal(signal);
         }
     }
--- a/crates/bench/src/demo/layout.rs
+++ b/crates/bench/src/demo/layout.rs
@@ -1,10 +1,13 @@
 //! Addresses of everything that a demo starts.
 
-use std::net::{
-    IpAddr,
-    Ipv4Addr,
-    SocketAddr,
-    TcpListener, //
+use std::{
+    net::{
+        IpAddr,
+        Ipv4Addr,
+        SocketAddr,
+        TcpListener, //
+    },
+    rc::Rc,
 };
 
 use error_stack::Report;
@@ -15,8 +18,8 @@
 const PORT_FIRST: u16 = 21_000;
 /// Last port tried.
 const PORT_LAST: u16 = 31_000;
-/// Ports left between the starting points of two processes.
-const PORT_STRIDE: u32 = 400;
+/// Ports of one block.
+const PORT_STRIDE: u16 = 400;
 /// Ports that the backend servers may take.
 const BACKENDS_MAX: u16 = 200;
 /// The loopback address that everything listens on.
@@ -50,6 +53,8 @@
     pub balancer: SocketAddr,
     /// The instances.
     pub instances: Vec<Ports>,
+    /// Keeps other processes off these ports.
+    pub free: Rc<Free>,
 }
 
 impl Layout {
@@ -59,9 +64,7 @@
     ///
     /// Fails if the range holds too few.
     pub fn find(instances: usize) -> Result<Self, Report<Failure>> {
-        let span = u32::from(PORT_LAST - PORT_FIRST) / PORT_STRIDE;
-        let start = PORT_FIRST + (std::process::id() % span * PORT_STRIDE) as u16;
-        let mut free = Free { next: start };
+        let mut free = Free::default();
         Ok(Self {
             platform: free.address()?,
             backends: free.address()?,
@@ -70,25 +73,70 @@
             instances: (0..instances)
                 .map(|_| free.ports())
                 .collect::<Result<_, _>>()?,
-            backends_base: free.block(),
+            backends_base: free.block()?,
+            free: Rc::new(free),
         })
     }
 }
 
-struct Free {
+/// Free ports of the loopback address, one after the other, from blocks that no other process draws from.
+#[derive(Debug, Default)]
+pub struct Free {
+    /// One listener at the first port of each block that this process draws from.
+    claims: Vec<TcpListener>,
     next: u16,
+    end: u16,
 }
 
 impl Free {
-    fn address(&mut self) -> Result<SocketAddr, Report<Failure>> {
-        for _ in PORT_FIRST..PORT_LAST {
+    /// Returns the next free address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if every block is taken.
+    pub fn address(&mut self) -> Result<SocketAddr, Report<Failure>> {
+        loop {
+            if self.next >= self.end {
+                self.claim()?;
+            }
             let address = SocketAddr::new(LOOPBACK, self.next);
-            self.advance();
+            self.next += 1;
             if TcpListener::bind(address).is_ok() {
                 return Ok(address);
             }
         }
-        Err(Report::new(Failure::Ports))
+    }
+
+    /// Goes on with a block that no process has claimed.
+    fn claim(&mut self) -> Result<(), Report<Failure>> {
+        let blocks = (PORT_LAST - PORT_FIRST) / PORT_STRIDE;
+        let first = (std::process::id() % u32::from(blocks)) as u16;
+        let mut starts =
+            (0..blocks).map(|block| PORT_FIRST + (first + block) % blocks * PORT_STRIDE);
+        let claimed = starts.find_map(|start| {
+            let claim = TcpListener::bind(SocketAddr::new(LOOPBACK, start)).ok()?;
+            Some((claim, start))
+        });
+        let (claim, start) = claimed.ok_or_else(|| Report::new(Failure::Ports))?;
+        self.claims.push(claim);
+        (self.next, self.end) = (start + 1, start + PORT_STRIDE);
+        Ok(())
+    }
+
+    /// Returns the first of two free neighbouring addresses.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the range holds none.
+    pub fn pair(&mut self) -> Result<[SocketAddr; 2], Report<Failure>> {
+        let mut first = self.address()?;
+        loop {
+            let second = self.address()?;
+            if second.port() == first.port() + 1 {
+                return Ok([first, second]);
+            }
+            first = second;
+        }
     }
 
     fn ports(&mut self) -> Result<Ports, Report<Failure>> {
@@ -100,18 +148,13 @@
         })
     }
 
-    /// Returns the start of a block; the backend servers pass over its taken ports themselves.
-    fn block(&mut self) -> u16 {
-        match self.next {
-            next if next + BACKENDS_MAX < PORT_LAST => next,
-            _ => PORT_FIRST,
-        }
-    }
-
-    fn advance(&mut self) {
-        self.next += 1;
-        if self.next >= PORT_LAST {
-            self.next = PORT_FIRST;
+    /// Returns the start of ports enough for the backend servers, which pass over taken ones themselves.
+    fn block(&mut self) -> Result<u16, Report<Failure>> {
+        if self.next + BACKENDS_MAX > self.end {
+            self.claim()?;
         }
+        let start = self.next;
+        self.next += BACKENDS_MAX;
+        Ok(start)
     }
 }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod replay;
 pub mod report;
 pub mod runtime;
+pub mod servers;
+pub mod soak;
 pub mod socket;
 pub mod store;
 pub mod sweep;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -23,6 +23,10 @@
     Backends(bench::backends::Options),
     /// Runs a TCP proxy that injects faults.
     Proxy(bench::proxy::Options),
+    /// Runs one backend server of the users' platform.
+    Server(bench::servers::Options),
+    /// Runs instances, servers and the store as processes, harms them and checks the promises.
+    Soak(bench::soak::Options),
     /// Runs a round-robin balancer over instances.
     Balancer(bench::balancer::Options),
     /// Starts stand-ins and instances, replays a trace and reports.
@@ -50,6 +54,8 @@
     match Arguments::parse().command {
         Command::Platform(options) => bench::store::run(options),
         Command::Backends(options) => bench::backends::run(options),
+        Command::Server(options) => bench::servers::run(options),
+        Command::Soak(options) => bench::soak::run(options),
         Command::Balancer(options) => bench::balancer::run(options),
         Command::Proxy(options) => bench::proxy::run(options),
         Command::Demo(options) => bench::demo::run(options),
--- a/crates/bench/src/proxy/fault.rs
+++ b/crates/bench/src/proxy/fault.rs
@@ -43,6 +43,8 @@
     pub delay_ms: Option<u64>,
     /// Cuts open connections and refuses new ones.
     pub cut: Option<bool>,
+    /// Whether connections that are cut end with a reset.
+    pub reset: Option<bool>,
     /// Holds bytes back until restored; in one direction only, this is one-way loss.
     pub freeze: Option<bool>,
     /// Number of replies that are lost, each with its connection.
@@ -71,6 +73,8 @@
     pub back: Path,
     /// Whether connections are refused.
     pub cut: bool,
+    /// Whether connections that are cut end with a reset.
+    pub reset: bool,
     /// Replies that are still to be lost.
     pub lose_replies: u64,
 }
@@ -89,6 +93,7 @@
             self.back.apply(change);
         }
         self.cut = change.cut.unwrap_or(self.cut);
+        self.reset = change.reset.unwrap_or(self.reset);
         self.lose_replies = change.lose_replies.unwrap_or(self.lose_replies);
     }
 
--- a/crates/bench/src/proxy/link.rs
+++ b/crates/bench/src/proxy/link.rs
@@ -27,6 +27,8 @@
 };
 use web::Stop;
 
+use crate::socket::Socket;
+
 use super::{
     fault::{
         Change,
@@ -109,6 +111,7 @@
             continue;
         };
         if link.is_cut() {
+            Ending(&link, Socket::new(&stream)).close();
             continue;
         }
         let link = link.clone();
@@ -121,6 +124,23 @@
     }
 }
 
+/// Makes the end of a connection a reset, if the link's connections end so.
+struct Ending<'a>(&'a Link, Socket);
+
+impl Ending<'_> {
+    /// Settles how the connection ends.
+    fn close(self) {}
+}
+
+impl Drop for Ending<'_> {
+    fn drop(&mut self) {
+        let Self(link, socket) = self;
+        if link.faults.borrow().reset {
+            socket.reset();
+        }
+    }
+}
+
 async fn pass(link: &Link, near: TcpStream) {
     // A connection over a frozen link isn't set up before it thaws.
     link.thaw(Way::Forward).await;
@@ -128,8 +148,11 @@
         return;
     };
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
+    let sockets = [Socket::new(&near), Socket::new(&far)];
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
+    // Declared after the halves, so that they are still open when it is dropped.
+    let _endings = sockets.map(|socket| Ending(link, socket));
     let forward = pump::run(link, Way::Forward, near_read, far_write);
     let back = pump::run(link, Way::Back, far_read, near_write);
     pin_mut!(forward, back);
--- /dev/null
+++ b/crates/bench/src/soak/answer.rs
@@ -0,0 +1,116 @@
+//! Whether an answer is the whole answer to its request.
+
+use http::{
+    HeaderMap,
+    HeaderName,
+    Response, //
+};
+use relay::Headers;
+use route::{
+    Gather,
+    Target, //
+};
+
+use super::history::{
+    Kind,
+    Version, //
+};
+use crate::servers::content::{
+    self,
+    Signature, //
+};
+
+/// Returns the services that a success was made by; none for a failure.
+///
+/// # Errors
+///
+/// Tells what is wrong with the answer.
+pub fn check(
+    names: &Headers,
+    kind: Kind,
+    id: &str,
+    answer: &Response<impl AsRef<[u8]>>,
+    versions: &[Version],
+) -> Result<Vec<String>, String> {
+    let headers = answer.headers();
+    let signed = text(headers, &names.signature);
+    match (answer.status().as_u16(), kind, signed) {
+        (200..300, Kind::Query, _) => query(names, id, answer, versions),
+        (200..300, _, Some(signed)) => single(id, &signed, answer.body().as_ref()),
+        (200..300, _, None) => Err("a success without a signature".to_owned()),
+        // The servers sign one failure only.
+        (status, _, Some(_)) if status != 500 => {
+            Err(format!("{status} with the signature of a server"))
+        }
+        _ => Ok(Vec::new()),
+    }
+}
+
+fn text(headers: &HeaderMap, name: &HeaderName) -> Option<String> {
+    let values = headers.get_all(name).iter();
+    let values: Vec<_> = values.filter_map(|value| value.to_str().ok()).collect();
+    (!values.is_empty()).then(|| values.join(","))
+}
+
+fn own(id: &str, signed: &str) -> Result<Signature, String> {
+    let signature =
+        Signature::parse(signed).ok_or_else(|| format!("{signed:?} is no signature"))?;
+    match signature.request == id {
+        true => Ok(signature),
+        false => Err(format!("{signed} signs another request")),
+    }
+}
+
+fn single(id: &str, signed: &str, body: &[u8]) -> Result<Vec<String>, String> {
+    let signature = own(id, signed)?;
+    match content::body(&signature) == body {
+        true => Ok(vec![signature.service]),
+        false => Err(format!(
+            "{signed}: {} bytes that aren't its body",
+            body.len()
+        )),
+    }
+}
+
+fn query(
+    names: &Headers,
+    id: &str,
+    answer: &Response<impl AsRef<[u8]>>,
+    versions: &[Version],
+) -> Result<Vec<String>, String> {
+    let parts = text(answer.headers(), &names.parts).unwrap_or_default();
+    let missing = text(answer.headers(), &names.missing).unwrap_or_default();
+    let missing: usize = missing.parse().unwrap_or(0);
+    let mut services = Vec::new();
+    for signed in parts.split(',').filter(|part| !part.trim().is_empty()) {
+        let service = own(id, signed)?.service;
+        if services.contains(&service) {
+            return Err(format!("{service} twice"));
+        }
+        services.push(service);
+    }
+    let mut gathers = versions
+        .iter()
+        .flat_map(|version| version.table.routes().cloned());
+    let named = gathers.find_map(|route| match &route.target {
+        Target::Gather(gather) if is_of(gather, &services, missing) => Some(gather.clone()),
+        _ => None,
+    });
+    let Some(gather) = named else {
+        return Err(format!(
+            "{services:?} and {missing} missing are no configuration's"
+        ));
+    };
+    if services.len() < gather.min_shards() {
+        return Err(format!("only {} parts", services.len()));
+    }
+    match content::merged(id, &services, gather.top) == answer.body().as_ref() {
+        true => Ok(services),
+        false => Err("records that aren't the greatest of the parts".to_owned()),
+    }
+}
+
+fn is_of(gather: &Gather, services: &[String], missing: usize) -> bool {
+    let is_named = |service: &String| gather.services.iter().any(|name| **name == **service);
+    services.len() + missing == gather.services.len() && services.iter().all(is_named)
+}
--- a/crates/bench/src/socket.rs
+++ b/crates/bench/src/socket.rs
@@ -12,6 +12,7 @@
         FromRawFd,
         RawFd, //
     },
+    time::Duration,
 };
 
 /// The socket of a connection that is being served.
@@ -41,4 +42,12 @@
     pub fn shutdown(self) {
         let _ = self.stream().shutdown(Shutdown::Both);
     }
+
+    /// Makes the end of the connection a reset.
+    pub fn reset(self) {
+        let linger = Some(Duration::ZERO);
+        if let Err(error) = rustix::net::sockopt::set_socket_linger(&*self.stream(), linger) {
+            tracing::warn!("socket: can't be reset: {error}.");
+        }
+    }
 }
--- a/crates/bench/src/store/fault.rs
+++ b/crates/bench/src/store/fault.rs
@@ -36,6 +36,8 @@
     pub lose_replies: Option<u64>,
     /// Lag of the instance list, in milliseconds.
     pub list_lag_ms: Option<u64>,
+    /// Forgets the history that watches go on from.
+    pub forget: bool,
 }
 
 /// The faults in force.
--- a/crates/bench/src/store/handler.rs
+++ b/crates/bench/src/store/handler.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::RefCell,
+    collections::HashMap,
     rc::Rc,
     sync::Arc,
     time::Duration, //
@@ -11,12 +12,15 @@
     Listing,
     Object, //
 };
-use adapter::wire::{
-    Changes,
-    Entry,
-    Event,
-    Page,
-    OBJECTS, //
+use adapter::{
+    wire::{
+        Changes,
+        Entry,
+        Event,
+        Page,
+        OBJECTS, //
+    },
+    Directory,
 };
 use bytes::Bytes;
 use http::{
@@ -30,6 +34,7 @@
     timeout_at,
     Instant, //
 };
+use relay::follow::Directory as _;
 use serde::Serialize;
 use serde_json::value::{
     to_raw_value,
@@ -62,6 +67,8 @@
 
 /// Pause between looks at whether a dead store is back.
 const DEAD_PAUSE: Duration = Duration::from_millis(20);
+/// Looks for silent servers in the time that one may be silent.
+const EXPIRE_LOOKS: u32 = 10;
 /// Longest wait of a watch.
 const WATCH_MAX: Duration = Duration::from_secs(60);
 
@@ -79,6 +86,8 @@
     roster: RefCell<Roster>,
     /// Set and replaced on every change.
     changed: RefCell<Stop>,
+    /// When the entry of each server was written last.
+    touched: RefCell<HashMap<Arc<str>, Instant>>,
 }
 
 impl Platform {
@@ -92,6 +101,42 @@
             faults: RefCell::new(Faults::new(delay)),
             roster: RefCell::new(Roster::new(lag)),
             changed: RefCell::default(),
+            touched: RefCell::default(),
+        }
+    }
+
+    fn touch(&self, kind: &str, name: &str) {
+        if kind == Directory::SERVERS {
+            let mut touched = self.touched.borrow_mut();
+            touched.insert(Arc::from(name), Instant::now());
+        }
+    }
+
+    /// Removes the entries of servers that are silent for longer than `silence`, for ever.
+    pub async fn expire(&self, silence: Duration) {
+        loop {
+            sleep(silence / EXPIRE_LOOKS).await;
+            let mut gone = Vec::new();
+            self.touched.borrow_mut().retain(|name, at| {
+                let lives = at.elapsed() <= silence;
+                if !lives {
+                    gone.push(name.clone());
+                }
+                lives
+            });
+            for name in gone {
+                let mut objects = self.objects.borrow_mut();
+                let version = objects
+                    .read(Directory::SERVERS, &name)
+                    .map_or(0, |entry| entry.version);
+                let deleted =
+                    objects.delete(Directory::SERVERS, &name, Condition::Version(version));
+                drop(objects);
+                match deleted {
+                    Ok(_) => self.announce(),
+                    Err(refusal) => tracing::warn!("store: {name} can't be removed: {refusal:?}."),
+                }
+            }
         }
     }
 
@@ -147,6 +192,10 @@
             let lag = Duration::from_millis(lag);
             self.platform.roster.borrow_mut().set_lag(lag);
         }
+        if fault.forget {
+            self.platform.objects.borrow_mut().forget();
+            self.platform.announce();
+        }
         answer::empty(StatusCode::OK)
     }
 
@@ -255,6 +304,7 @@
         };
         match written {
             Ok(_) => {
+                self.platform.touch(kind, &named);
                 self.platform.announce();
                 if self.platform.faults.borrow_mut().loses_reply() {
                     self.socket.shutdown();
--- a/crates/bench/src/store/mod.rs
+++ b/crates/bench/src/store/mod.rs
@@ -59,6 +59,9 @@
     /// Lag of the instance list, in milliseconds.
     #[arg(long, default_value_t = LIST_LAG_MS)]
     pub list_lag_ms: u64,
+    /// Time after which the entry of a silent server is removed, in milliseconds; never if it is 0.
+    #[arg(long, default_value_t = 0)]
+    pub expire_ms: u64,
 }
 
 /// Runs the stand-in until it is killed.
@@ -76,6 +79,11 @@
     let listener = crate::listen::bind(options.listen)?;
     tracing::info!("platform: listening on {}.", options.listen);
     let platform = Rc::new(Platform::new(&options));
+    if options.expire_ms > 0 {
+        let platform = platform.clone();
+        let silence = std::time::Duration::from_millis(options.expire_ms);
+        monoio::spawn(async move { platform.expire(silence).await });
+    }
     let limits = Limits {
         body: 2 * ::platform::VALUE_MAX,
         idle: std::time::Duration::from_secs(600),
--- a/crates/bench/src/store/objects.rs
+++ b/crates/bench/src/store/objects.rs
@@ -155,6 +155,12 @@
         Ok(Some(listing))
     }
 
+    /// Forgets the history, so that no watch can go on.
+    pub fn forget(&mut self) {
+        self.history.clear();
+        self.compacted = self.revision;
+    }
+
     /// Returns every change of an object that the history holds, oldest first.
     pub fn accepted(&self, kind: &str, name: &str) -> Vec<Accepted> {
         let own = |change: &&Change| &*change.kind == kind && &*change.name == name;
--- a/crates/route/src/split.rs
+++ b/crates/route/src/split.rs
@@ -40,6 +40,11 @@
             .map(|(name, _)| name)
     }
 
+    /// Returns the services with their weights.
+    pub fn parts(&self) -> &[(Arc<str>, f64)] {
+        &self.0
+    }
+
     /// Returns the services.
     pub fn services(&self) -> impl Iterator<Item = &Arc<str>> {
         self.0.iter().map(|(name, _)| name)
