feat(relay): answer queries earlier by what their callers have waited already

Behind a hop the peer counted from its own arrival, and didn't know of the hop at all.

Now the first request of a connection counts as begun half the margin earlier, and a hop tells the peer what had passed, with the usual lag of hops (policy::lag), which the peer's own time in its answer shows.

Tests: the first query of a connection leaves earlier; a peer answers within what is left (both failed first); policy::lag.

--- a/crates/bench/src/soak/inject.rs
+++ b/crates/bench/src/soak/inject.rs
@@ -131,9 +131,8 @@
     let relay = &world.relays[index];
     match blow {
         Blow::Stop if relay.is_running() => {
-            let start = relay.start_number();
-            // One that is frozen or killed meanwhile may need the kill.
-            if !relay.stop(GRACE).await && relay.start_number() == start {
+            // One that is frozen meanwhile may need the kill.
+            if !relay.stop(GRACE).await {
                 tracing::warn!("soak: {} had to be killed.", relay.name);
             }
         }
--- a/crates/bench/src/soak/process.rs
+++ b/crates/bench/src/soak/process.rs
@@ -17,6 +17,10 @@
     Report,
     ResultExt, //
 };
+use monoio::time::{
+    sleep,
+    Instant, //
+};
 use rustix::process::Signal;
 
 use crate::demo::{
@@ -24,6 +28,9 @@
     failure::Failure, //
 };
 
+/// Pause between looks at whether a process has ended.
+const LOOK: Duration = Duration::from_millis(10);
+
 /// One process.
 pub struct Process {
     /// Name.
@@ -87,6 +94,7 @@
     pub fn kill(&self) {
         if let Some(child) = self.child.take() {
             child.close();
+            self.ending.set(false);
             self.starts.set(self.starts.get() + 1);
         }
     }
@@ -98,13 +106,19 @@
         }
     }
 
-    /// Tells it to stop and kills it after `grace`. Returns whether it ended by itself.
+    /// Tells it to stop and kills it after `grace`. Returns whether it ended by itself, or was killed and
+    /// started again by another fault meanwhile.
     pub async fn stop(&self, grace: Duration) -> bool {
+        let start = self.start_number();
         self.ending.set(true);
         self.signal(Signal::TERM);
-        let until = monoio::time::Instant::now() + grace;
-        while monoio::time::Instant::now() < until && self.is_running() {
-            monoio::time::sleep(Duration::from_millis(10)).await;
+        let until = Instant::now() + grace;
+        let is_same = || self.start_number() == start;
+        while Instant::now() < until && is_same() && self.is_running() {
+            sleep(LOOK).await;
+        }
+        if !is_same() {
+            return true;
         }
         let ended = !self.is_running();
         self.kill();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod extra;
 pub mod health;
 pub mod hedge;
+pub mod lag;
 pub mod lapse;
 pub mod latency;
 pub mod patience;
--- a/crates/policy/src/patience.rs
+++ b/crates/policy/src/patience.rs
@@ -75,8 +75,23 @@
 
 /// Returns the time at which an answer must leave to reach the caller within `objective`.
 ///
-/// `margin` covers the way of the request and of the answer, and the wait for the processor.
-pub fn leave_by(arrived: Instant, objective: Duration, margin: Duration) -> Instant {
-    // An objective below twice the margin is too short to be met by waiting less.
-    arrived + objective.saturating_sub(margin).max(objective / 2)
+/// `margin` covers the way of the request and of the answer, and the wait for the processor; `waited` is
+/// what had passed for the caller before the request arrived.
+pub fn leave_by(
+    arrived: Instant,
+    waited: Duration,
+    objective: Duration,
+    margin: Duration,
+) -> Instant {
+    // An objective that is too short for both isn't met by waiting less.
+    arrived + objective.saturating_sub(margin + waited).max(objective / 2)
+}
+
+/// Share of the margin that opening a connection takes beforehand: a way there and back, as for the request
+/// and its answer, without the wait for the processor.
+const OPENING: f64 = 0.5;
+
+/// Returns what had passed for a caller before the first request on its connection arrived.
+pub fn opening(margin: Duration) -> Duration {
+    margin.mul_f64(OPENING)
 }
--- a/crates/policy/tests/queries.rs
+++ b/crates/policy/tests/queries.rs
@@ -12,6 +12,7 @@
         Plan, //
     },
     hedge,
+    lag::Lag,
     patience::{
         self,
         Progress,
@@ -34,7 +35,7 @@
 
 fn times(arrived: Instant) -> Times {
     Times {
-        objective: patience::leave_by(arrived, OBJECTIVE, MARGIN),
+        objective: patience::leave_by(arrived, Duration::ZERO, OBJECTIVE, MARGIN),
         deadline: arrived + DEADLINE,
     }
 }
@@ -123,7 +124,7 @@
     let arrived = Instant::now();
     let short = Duration::from_millis(10);
     assert_eq!(
-        patience::leave_by(arrived, short, MARGIN),
+        patience::leave_by(arrived, Duration::ZERO, short, MARGIN),
         arrived + short / 2
     );
 }
@@ -250,3 +251,22 @@
     assert!(admission::until_served(0, 0.0) > Duration::from_secs(60));
     assert!(admission::until_served(0, f64::NAN) > Duration::from_secs(60));
 }
+
+/// Load pattern: an instance with a tenth of a core passes queries on; now and then its processor time is
+/// used up, and what comes back waits for tens of milliseconds.
+#[test]
+fn the_lag_of_a_hop_covers_most_hops_and_follows_a_change() {
+    let ms = Duration::from_millis;
+    let mut lag = Lag::default();
+    assert_eq!(lag.usual(), Duration::ZERO);
+    let usual = |number: u32| if number % 20 == 0 { ms(30) } else { ms(2) };
+    let mut covered = 0;
+    for number in 1..=200 {
+        covered += u32::from(usual(number) <= lag.usual());
+        lag.record(usual(number));
+    }
+    assert!(covered >= 180, "{covered} of 200");
+    assert!(lag.usual() < ms(20), "{:?}", lag.usual());
+    (0..40).for_each(|_| lag.record(ms(1)));
+    assert!(lag.usual() < ms(3), "{:?}", lag.usual());
+}
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -56,6 +56,7 @@
     MonoioIo,
     MonoioTimer, //
 };
+use policy::patience;
 use tracing::{
     debug,
     warn, //
@@ -157,9 +158,11 @@
     }
 }
 
-/// When a connection was last of use.
+/// What a connection was used for.
 #[derive(Debug)]
 struct Activity {
+    /// Whether no request has come yet.
+    new: Cell<bool>,
     busy: Cell<bool>,
     last: Cell<Instant>,
 }
@@ -167,6 +170,7 @@
 impl Default for Activity {
     fn default() -> Self {
         Self {
+            new: Cell::new(true),
             busy: Cell::new(false),
             last: Cell::new(Instant::now()),
         }
@@ -199,8 +203,17 @@
     let id = request.headers().get(&relay.names().request);
     let id = id.and_then(|id| id.to_str().ok()).unwrap_or("none");
     let begun = relay.begin(id.to_owned());
+    let waited = match activity.new.replace(false) {
+        true => patience::opening(relay.margin()),
+        false => Duration::ZERO,
+    };
+    let arrival = Arrival {
+        at: arrived,
+        waited,
+        origin,
+    };
     let mut answer = match origin {
-        Origin::Caller => respond(relay, request, begun.request(), arrived, origin).await,
+        Origin::Caller => respond(relay, request, begun.request(), arrival).await,
         Origin::Peer => respond_to_peer(relay, request, begun.request(), arrived).await,
     };
     begun.end();
@@ -213,6 +226,15 @@
     answer.map(Full::new)
 }
 
+/// How a request came.
+#[derive(Debug, Clone, Copy)]
+struct Arrival {
+    at: Instant,
+    /// Time that its caller had waited before.
+    waited: Duration,
+    origin: Origin,
+}
+
 async fn respond_to_peer(
     relay: &Rc<Relay>,
     mut request: Request<Incoming>,
@@ -225,8 +247,13 @@
     if let Err(decline) = peer::admit(relay, hop) {
         return peer::declined(decline);
     }
-    let mut answer = respond(relay, request, id, arrived, Origin::Peer).await;
-    peer::mark(&mut answer);
+    let arrival = Arrival {
+        at: arrived,
+        waited: hop.waited(),
+        origin: Origin::Peer,
+    };
+    let mut answer = respond(relay, request, id, arrival).await;
+    peer::mark(&mut answer, arrived.elapsed());
     answer
 }
 
@@ -234,8 +261,7 @@
     relay: &Rc<Relay>,
     request: Request<Incoming>,
     id: &str,
-    arrived: Instant,
-    origin: Origin,
+    arrival: Arrival,
 ) -> Response<Bytes> {
     let refuse = |status, text| {
         relay.note_unrouted(id, text, status);
@@ -252,7 +278,7 @@
         .as_ref()
         .and_then(|table| table.find(host, request.uri().path()))
         .cloned();
-    let passes_on = origin == Origin::Caller && !relay.registry().gathers();
+    let passes_on = arrival.origin == Origin::Caller && !relay.registry().gathers();
     if route.is_none() && !passes_on {
         return match table {
             Some(_) => refuse(StatusCode::NOT_FOUND, "no route"),
@@ -280,8 +306,11 @@
         Ok(Err(_)) => return refuse(StatusCode::BAD_REQUEST, "the body can't be read"),
         Err(_) => return refuse(StatusCode::REQUEST_TIMEOUT, "the body took too long"),
     };
-    let asked = match Asked::new(head, body, arrived, relay.names()) {
-        Ok(asked) => asked,
+    let asked = match Asked::new(head, body, arrival.at, relay.names()) {
+        Ok(asked) => Asked {
+            waited: arrival.waited,
+            ..asked
+        },
         Err(fault) => return refuse(StatusCode::BAD_REQUEST, fault.text()),
     };
     if passes_on {
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -24,7 +24,10 @@
     Response, //
 };
 use monoio::time::timeout;
-use policy::health::Change;
+use policy::{
+    health::Change,
+    lag::Lag, //
+};
 use route::Route;
 use tracing::info;
 
@@ -44,7 +47,8 @@
     service::Service,
 };
 
-/// Carries the configuration's version that the sender knows, and whether it reaches the store.
+/// Carries the configuration's version that the sender knows, whether it reaches the store, and the time
+/// that its caller has waited, in microseconds. In an answer, the time that the peer took.
 const HOP: HeaderName = HeaderName::from_static("tanageryoke-hop");
 /// Present where a peer states that it didn't take a query.
 const DECLINED: HeaderName = HeaderName::from_static("tanageryoke-declined");
@@ -82,6 +86,8 @@
 pub struct Peers {
     service: Rc<Service>,
     members: RefCell<Vec<Member>>,
+    /// What hops take beyond the work of the peer.
+    lag: RefCell<Lag>,
 }
 
 impl Peers {
@@ -90,6 +96,7 @@
         Self {
             service,
             members: RefCell::default(),
+            lag: RefCell::default(),
         }
     }
 
@@ -98,6 +105,15 @@
         self.service.is_reachable(now)
     }
 
+    /// Records what a hop took beyond what the peer says that it took itself.
+    fn record_lag(&self, reply: &Reply, took: Duration) {
+        let own = reply.headers().get(HOP);
+        let own = own.and_then(|own| own.to_str().ok()?.parse().ok());
+        if let Some(own) = own.map(Duration::from_micros) {
+            self.lag.borrow_mut().record(took.saturating_sub(own));
+        }
+    }
+
     /// Takes the instances that gather for this one; none if it gathers itself.
     pub(crate) fn set(&self, members: Vec<Member>) {
         let was = self.members.replace(members.clone());
@@ -167,7 +183,7 @@
         peer.target(),
         asked.left(now).unwrap_or(left),
     );
-    request.headers_mut().insert(HOP, hop(relay));
+    request.headers_mut().insert(HOP, hop(relay, asked, now));
     let number = service.next_exchange();
     let mut receiver = peer.send(request, number, now + left, usual, false);
     let doubt = left.min((objective * PATIENCE).max(WAIT_LEAST));
@@ -187,6 +203,7 @@
         Ok(Ok(Ok(reply))) if reply.headers().contains_key(HOP) => {
             peer.served();
             peer.record(Instant::now(), multiple(now.elapsed(), usual));
+            relay.registry().peers().record_lag(&reply, now.elapsed());
             relay.meter().delegated.add(1);
             info!(request = id, peer = %peer.id(), status = reply.status().as_u16(), ms, "peer: answered.");
             Passed::Answered(finish(reply))
@@ -220,11 +237,14 @@
     }
 }
 
-fn hop(relay: &Relay) -> HeaderValue {
+fn hop(relay: &Relay, asked: &Asked, now: Instant) -> HeaderValue {
     let version = relay.table().map_or(0, |table| table.version());
     let reaches = u8::from(!relay.registry().is_store_lost());
-    let text = format!("{version};{reaches}");
-    HeaderValue::from_str(&text).unwrap_or_else(|_| HeaderValue::from_static("0;0"))
+    let here = now.saturating_duration_since(asked.arrived);
+    let lag = relay.registry().peers().lag.borrow().usual();
+    let waited_us = (asked.waited + here + lag).as_micros();
+    let text = format!("{version};{reaches};{waited_us}");
+    HeaderValue::from_str(&text).unwrap_or_else(|_| HeaderValue::from_static("0;0;0"))
 }
 
 fn finish(mut reply: Reply) -> Response<Bytes> {
@@ -237,15 +257,31 @@
 pub struct Hop {
     version: u64,
     reaches_store: bool,
+    waited: Duration,
+}
+
+impl Hop {
+    /// Returns the time that the caller had waited, with what the hop takes.
+    pub(crate) fn waited(self) -> Duration {
+        self.waited
+    }
 }
 
+/// Longest time before a hop that is believed; it keeps sums of times in range.
+const WAITED_MAX: Duration = Duration::from_secs(60);
+
 /// Takes the sender's knowledge out of the headers of a query from a peer.
 pub fn take(headers: &mut HeaderMap) -> Option<Hop> {
     let value = headers.remove(HOP)?;
-    let (version, reaches) = value.to_str().ok()?.split_once(';')?;
+    let mut fields = value.to_str().ok()?.split(';');
+    let version = fields.next()?.parse().ok()?;
+    let reaches_store = fields.next()? == "1";
+    // An instance of an earlier release doesn't tell.
+    let waited = fields.next().and_then(|waited| waited.parse().ok());
     Some(Hop {
-        version: version.parse().ok()?,
-        reaches_store: reaches == "1",
+        version,
+        reaches_store,
+        waited: Duration::from_micros(waited.unwrap_or(0)).min(WAITED_MAX),
     })
 }
 
@@ -274,11 +310,10 @@
     }
 }
 
-/// Marks an answer as one of a peer.
-pub(crate) fn mark(answer: &mut Response<Bytes>) {
-    answer
-        .headers_mut()
-        .insert(HOP, HeaderValue::from_static("1"));
+/// Marks an answer as one of a peer that `took` so long.
+pub(crate) fn mark(answer: &mut Response<Bytes>, took: Duration) {
+    let took_us = HeaderValue::from(took.as_micros() as u64);
+    answer.headers_mut().insert(HOP, took_us);
 }
 
 /// Makes the answer that states that a query wasn't taken.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -99,6 +99,11 @@
         })
     }
 
+    /// Returns the time that is taken off a query's objective for the way to its caller.
+    pub(crate) fn margin(&self) -> Duration {
+        self.margin
+    }
+
     /// Returns the header names.
     pub fn names(&self) -> &Headers {
         &self.names
@@ -187,7 +192,8 @@
         let pace = self.pace(route);
         let limit = asked.arrived + route.timeout;
         let limit = asked.deadline.map_or(limit, |deadline| deadline.min(limit));
-        let answer_by = patience::leave_by(asked.arrived, route.objective, self.margin);
+        let answer_by =
+            patience::leave_by(asked.arrived, asked.waited, route.objective, self.margin);
         let left = limit.saturating_duration_since(asked.arrived);
         let (wait_until, deadline) = match &route.target {
             Target::Gather(_) => (answer_by, limit.min(answer_by + route.objective * LATE)),
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -76,6 +76,8 @@
     pub body: Bytes,
     /// When the request had arrived.
     pub arrived: Instant,
+    /// Time that its caller had waited before it arrived, as far as is known.
+    pub waited: Duration,
     /// When its caller stops waiting, if it said so.
     pub deadline: Option<Instant>,
 }
@@ -111,6 +113,7 @@
             headers,
             body,
             arrived,
+            waited: Duration::ZERO,
             deadline,
         })
     }
--- a/crates/relay/tests/gather.rs
+++ b/crates/relay/tests/gather.rs
@@ -251,3 +251,44 @@
         assert!(slow.arrivals() < 6, "{}", slow.arrivals());
     });
 }
+
+/// Time from a query to its answer on a connection.
+async fn timed(plain: &mut common::Plain) -> Duration {
+    let began = Instant::now();
+    plain.write(common::get("/all/x")).await;
+    assert_eq!(plain.read().await.unwrap_or_default().status(), 200);
+    began.elapsed()
+}
+
+/// Load pattern: a shard is late, so that every query ends by its objective; callers come on new
+/// connections, for whose opening they have waited before their request is here.
+#[test]
+fn the_first_query_of_a_connection_is_answered_earlier_by_what_opening_it_took() {
+    run(async {
+        let late = Act::Serve(Duration::from_millis(400), record('b').into_bytes());
+        let shards = shards(vec![serve(&record('a')), late]);
+        let instance = instance(&shards, 5, 0.5);
+        let mut first = Vec::new();
+        let mut second = Vec::new();
+        for _ in 0..4 {
+            let mut plain = common::Plain::open(instance.address).await;
+            first.push(timed(&mut plain).await);
+            second.push(timed(&mut plain).await);
+        }
+        // The objective is 300 ms and the margin 50 ms.
+        assert!(
+            second
+                .iter()
+                .all(|took| *took >= Duration::from_millis(250)),
+            "{second:?}"
+        );
+        assert!(
+            first.iter().all(|took| *took >= Duration::from_millis(225)),
+            "{first:?}"
+        );
+        assert!(
+            first.iter().any(|took| *took < Duration::from_millis(240)),
+            "{first:?}"
+        );
+    });
+}
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -175,3 +175,34 @@
         assert!(abandoned - left < Duration::from_millis(450));
     });
 }
+
+/// Load pattern: a shard is late, and small instances take a while to pass a query on.
+#[test]
+fn a_peer_answers_within_what_is_left_of_the_objective() {
+    run(async {
+        let fast = Fake::start("a", |_| serve("0123456789abcdef"));
+        let late = |_| Act::Serve(Duration::from_millis(400), b"0123456789abcdef".to_vec());
+        let late = Fake::start("b", late);
+        let servers = [("one", &fast), ("two", &late)];
+        let large = common::started(vec![common::query(&["one", "two"], 5, 0.5)], &servers);
+        let mut peer = common::Plain::open(large.peers).await;
+        let began = Instant::now();
+        let hop = "tanageryoke-hop: 1;1;90000\r\n\r\n";
+        let request = common::get("/all/x").replacen("\r\n\r\n", &format!("\r\n{hop}"), 1);
+        peer.write(request).await;
+        let answer = peer.read().await.unwrap_or_default();
+        let took = began.elapsed();
+        assert_eq!(answer.status(), 200);
+        // Of 300 ms, 50 are the margin and 90 had passed before; without these it takes 250.
+        let expected = Duration::from_millis(160)..Duration::from_millis(230);
+        assert!(expected.contains(&took), "{took:?}");
+        let own = answer
+            .header("tanageryoke-hop")
+            .and_then(|own| own.parse().ok());
+        let own = Duration::from_micros(own.expect("what the peer took"));
+        assert!(
+            own >= expected.start - Duration::from_millis(5) && own <= took,
+            "{own:?}"
+        );
+    });
+}
