fix(policy): a new instance takes no allowance of further sub-requests

Cause: an instance that is killed forgets what it has sent, and its successor takes its part of the allowance again, the whole of it until it has read how many instances there are.

Now an instance takes its part after a span of the bound, and none while the number of instances isn't known. Ruled out: hops (a second run after one is counted), arrivals that were refused (they are taken from the budget).

--- a/crates/policy/src/extra.rs
+++ b/crates/policy/src/extra.rs
@@ -2,7 +2,8 @@
 //!
 //! Load pattern: half of a service's servers stall at the same moment, and every instance wants to
 //! send everything twice. The bound is on the sum over all instances, so each takes the share that
-//! its own first sub-requests earn and an equal part of the allowance.
+//! its own first sub-requests earn and an equal part of the allowance. Instances that are killed forget
+//! what they have sent, so a new one takes its part of the allowance only after a span.
 
 use std::time::{
     Duration,
@@ -60,31 +61,41 @@
 pub struct Budget {
     bound: Bound,
     instances: usize,
-    started: Option<Instant>,
+    /// Start of the instance. What ran in its place before may have sent its part of the allowance.
+    begun: Instant,
     // One piece more than the span, so that a piece counts until all of it is too old.
     pieces: [Piece; PIECES + 1],
 }
 
 impl Budget {
-    /// Makes a budget for one of `instances`.
-    pub fn new(bound: Bound, instances: usize) -> Self {
+    /// Makes a budget for one of `instances`, 0 if their number isn't known, which was started at `begun`.
+    pub fn new(bound: Bound, instances: usize, begun: Instant) -> Self {
         Self {
             bound,
-            instances: instances.max(1),
-            started: None,
+            instances,
+            begun,
             pieces: [Piece::default(); PIECES + 1],
         }
     }
 
-    /// Sets the bound and the number of instances that share it.
+    /// Sets the bound and the number of instances that share it, 0 if it isn't known.
     pub fn share(&mut self, bound: Bound, instances: usize) {
         self.bound = bound;
-        self.instances = instances.max(1);
+        self.instances = instances;
     }
 
-    fn number(&mut self, now: Instant) -> u64 {
-        let started = *self.started.get_or_insert(now);
-        let age = now.saturating_duration_since(started);
+    /// Returns this instance's part of the allowance.
+    fn allowance(&self, now: Instant) -> f64 {
+        let is_new = now.saturating_duration_since(self.begun) < self.bound.span;
+        match self.instances {
+            0 => 0.0,
+            _ if is_new => 0.0,
+            instances => self.bound.allowance / instances as f64,
+        }
+    }
+
+    fn number(&self, now: Instant) -> u64 {
+        let age = now.saturating_duration_since(self.begun);
         let piece = self.bound.span.as_secs_f64() / PIECES as f64;
         // Numbers start above 0, which marks a piece that was never used.
         (age.as_secs_f64() / piece.max(1e-3)) as u64 + 1
@@ -115,8 +126,7 @@
             Purpose::Retry => USED,
         };
         let (firsts, extras) = self.counts(now);
-        let allowance = self.bound.allowance / self.instances as f64;
-        let allowed = (self.bound.ratio * f64::from(firsts) + allowance) * share;
+        let allowed = (self.bound.ratio * f64::from(firsts) + self.allowance(now)) * share;
         if f64::from(extras + 1) > allowed {
             return false;
         }
@@ -131,7 +141,7 @@
     }
 
     /// Returns the first and the further sub-requests of the last span.
-    pub fn counts(&mut self, now: Instant) -> (u32, u32) {
+    pub fn counts(&self, now: Instant) -> (u32, u32) {
         let number = self.number(now);
         let recent = |piece: &&Piece| piece.number + PIECES as u64 >= number && piece.number > 0;
         let recent = self.pieces.iter().filter(recent);
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -23,7 +23,10 @@
         Part,
         Plan, //
     },
-    extra::Bound,
+    extra::{
+        Bound,
+        Budget, //
+    },
     lapse::{
         Fate,
         Outage, //
@@ -82,10 +85,11 @@
 }
 
 impl Registry {
-    /// Makes an empty registry.
-    pub fn new(settings: Settings) -> Rc<Self> {
+    /// Makes the empty registry of an instance that was started at `started`.
+    pub fn new(settings: Settings, started: Instant) -> Rc<Self> {
         let me = settings.me.clone();
-        let peers = Service::new(Arc::from("peers"), me.zone.clone(), settings.extra, 1);
+        let budget = Budget::new(settings.extra, 1, started);
+        let peers = Service::new(Arc::from("peers"), me.zone.clone(), budget);
         Rc::new(Self {
             settings: RefCell::new(settings),
             services: RefCell::default(),
@@ -98,7 +102,7 @@
             knows_instances: Cell::new(false),
             outage: RefCell::default(),
             is_listed: Cell::new(false),
-            started: Instant::now(),
+            started,
             is_young: Cell::new(true),
         })
     }
@@ -115,13 +119,9 @@
             return service.clone();
         }
         let settings = self.settings.borrow();
-        let instances = self.members.borrow().len();
-        let service = Service::new(
-            name.clone(),
-            settings.me.zone.clone(),
-            settings.extra,
-            instances,
-        );
+        let zone = settings.me.zone.clone();
+        let budget = Budget::new(settings.extra, self.known_instances(), self.started);
+        let service = Service::new(name.clone(), zone, budget);
         let mut services = self.services.borrow_mut();
         services.insert(name.clone(), service.clone());
         service
@@ -147,6 +147,14 @@
         self.members.borrow().len()
     }
 
+    /// Returns the number of instances, 0 until the list of them was read.
+    fn known_instances(&self) -> usize {
+        match self.knows_instances.get() {
+            true => self.instances(),
+            false => 0,
+        }
+    }
+
     /// Notes that the store's list can't be read.
     pub fn store_lost(&self, now: Instant) {
         self.outage.borrow_mut().lost(now);
@@ -344,7 +352,8 @@
                 allowance: settings.extra.allowance * part.share,
                 ..settings.extra
             };
-            service.share_budget(extra, part.among);
+            let among = part.among.min(self.known_instances());
+            service.share_budget(extra, among);
             self.share_connections(service, part);
         }
     }
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -82,13 +82,13 @@
 }
 
 impl Service {
-    pub(crate) fn new(name: Arc<str>, zone: Arc<str>, bound: Bound, instances: usize) -> Rc<Self> {
+    pub(crate) fn new(name: Arc<str>, zone: Arc<str>, budget: Budget) -> Rc<Self> {
         Rc::new(Self {
             name,
             zone,
             servers: RefCell::default(),
             queue: RefCell::new(Deadline::new(QUEUE)),
-            budget: RefCell::new(Budget::new(bound, instances)),
+            budget: RefCell::new(budget),
             exchanges: Cell::new(0),
         })
     }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -432,12 +432,18 @@
     pub stop: Stop,
 }
 
-/// Starts an instance of the given power.
+/// Starts an instance of the given power that counts as one that has run for long.
 pub fn instance(name: &str, power: f64) -> Instance {
+    let long_ago = Instant::now().checked_sub(Duration::from_secs(10));
+    instance_since(name, power, long_ago.expect("a clock that runs for long"))
+}
+
+/// Starts an instance of the given power that counts as started at `started`.
+pub fn instance_since(name: &str, power: f64, started: Instant) -> Instance {
     let listeners = [(); 2].map(|()| TcpListener::bind("127.0.0.1:0").expect("a listener"));
     let addresses = listeners.each_ref().map(TcpListener::local_addr);
     let [address, peers] = addresses.map(|address| address.expect("an address"));
-    let registry = Registry::new(registry::Settings {
+    let settings = registry::Settings {
         me: Member {
             name: name.into(),
             address: peers,
@@ -450,7 +456,8 @@
             span: Duration::from_secs(10),
         },
         drain: Duration::from_secs(3),
-    });
+    };
+    let registry = Registry::new(settings, started);
     registry.set_members(Vec::new());
     let provider = opentelemetry::metrics::noop::NoopMeterProvider::new();
     let source = opentelemetry::metrics::MeterProvider::meter(&provider, "test");
--- a/crates/relay/tests/registry.rs
+++ b/crates/relay/tests/registry.rs
@@ -12,6 +12,7 @@
 
 use common::{
     instance,
+    instance_since,
     routes,
     run,
     serve,
@@ -128,16 +129,16 @@
 fn a_new_instance_opens_one_connection_a_server_at_first() {
     run(async {
         let fake = Fake::start("s1", |_| serve("ok"));
-        let instance = instance("a", 1.0);
-        let registry = instance.relay.registry();
-        registry.replace(vec![fake.entry("one")], Instant::now());
-        instance.relay.set_table(Arc::new(table(1, routes())));
-        let connections = || registry.servers()[0].state(Instant::now()).connections;
-        assert_eq!(connections(), 1);
-        registry.sweep(Instant::now() + Duration::from_secs(11));
-        // The clock of the shares is the real one, so that only the share as such is looked at here.
-        let share = policy::subset::share(20, 1, 1);
-        assert!(share.at_age(Duration::from_secs(11)).connections > 1);
-        assert_eq!(share.at_age(Duration::from_secs(1)).connections, 1);
+        let connections = |age: u64| {
+            let started = Instant::now().checked_sub(Duration::from_secs(age));
+            let instance = instance_since("a", 1.0, started.expect("a clock that runs for long"));
+            let registry = instance.relay.registry();
+            registry.replace(vec![fake.entry("one")], Instant::now());
+            instance.relay.set_table(Arc::new(table(1, routes())));
+            let connections = registry.servers()[0].state(Instant::now()).connections;
+            connections
+        };
+        assert_eq!((connections(0), connections(9)), (1, 1));
+        assert!(connections(11) > 1);
     });
 }
--- a/crates/tanageryoke/src/commands/relay.rs
+++ b/crates/tanageryoke/src/commands/relay.rs
@@ -137,7 +137,7 @@
 
 fn context(settings: &Settings, site: adapter::Settings) -> Result<Rc<Context>, Report<Error>> {
     let metrics = Metrics::new()?;
-    let registry = Registry::new(registry_settings(&site));
+    let registry = Registry::new(registry_settings(&site), Instant::now());
     let names = adapter::names::headers();
     let meter = Meter::new(&metrics.meter());
     let relay = Relay::new(names, settings.caller_margin, registry, meter);
