fix(policy): the estimate of a wait holds the service itself

Test: three queries for a server with one place; the third would be late and is refused at once (failed first: served at 308 ms of 300). until_served's expectations changed with its meaning: 20 and 40 ms were the waits, 40 and 60 are the times until served.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -114,10 +114,12 @@
 /// Longest estimate, where nothing serves at all.
 const NEVER: Duration = Duration::from_secs(3_600);
 
-/// Returns the time until an item that is queued now has been served, where `rate` items are served
-/// in a second by servers that differ in speed.
-pub fn until_served(ahead: usize, rate: f64) -> Duration {
-    let seconds = (ahead + 1) as f64 / rate.max(0.0);
+/// Returns the time until an item that is queued now has been served, where `at_once` items are served at
+/// the same time, and `rate` in a second, by servers that differ in speed.
+///
+/// It waits for those `ahead` and for one place, and is then served for as long as the others.
+pub fn until_served(ahead: usize, at_once: usize, rate: f64) -> Duration {
+    let seconds = (ahead + 1 + at_once) as f64 / rate.max(0.0);
     match seconds.is_finite() {
         true => Duration::from_secs_f64(seconds.min(NEVER.as_secs_f64())),
         false => NEVER,
--- a/crates/policy/tests/queries.rs
+++ b/crates/policy/tests/queries.rs
@@ -245,11 +245,12 @@
 
 #[test]
 fn a_shard_that_has_lost_a_server_is_known_to_serve_half() {
-    let two = admission::until_served(3, 4.0 / 0.020);
-    let one = admission::until_served(3, 2.0 / 0.020);
-    assert_eq!((two.as_millis(), one.as_millis()), (20, 40));
-    assert!(admission::until_served(0, 0.0) > Duration::from_secs(60));
-    assert!(admission::until_served(0, f64::NAN) > Duration::from_secs(60));
+    // Three go first, each takes 20 ms, and its own 20 ms come on top of the wait.
+    let two = admission::until_served(3, 4, 4.0 / 0.020);
+    let one = admission::until_served(3, 2, 2.0 / 0.020);
+    assert_eq!((two.as_millis(), one.as_millis()), (40, 60));
+    assert!(admission::until_served(0, 1, 0.0) > Duration::from_secs(60));
+    assert!(admission::until_served(0, 1, f64::NAN) > Duration::from_secs(60));
 }
 
 /// Load pattern: an instance with a tenth of a core passes queries on; now and then its processor time is
@@ -259,7 +260,13 @@
     let ms = Duration::from_millis;
     let mut lag = Lag::default();
     assert_eq!(lag.usual(), Duration::ZERO);
-    let usual = |number: u32| if number % 20 == 0 { ms(30) } else { ms(2) };
+    let usual = |number: u32| {
+        if number.is_multiple_of(20) {
+            ms(30)
+        } else {
+            ms(2)
+        }
+    };
     let mut covered = 0;
     for number in 1..=200 {
         covered += u32::from(usual(number) <= lag.usual());
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -228,7 +228,7 @@
     }
 
     /// Returns the exchanges that may run at the same time.
-    fn usable(&self, now: Instant) -> usize {
+    pub(crate) fn usable(&self, now: Instant) -> usize {
         let refused = self.refused.get();
         let is_pausing =
             refused.is_some_and(|at| now.saturating_duration_since(at) < REFUSED_WORK_PAUSE);
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -189,8 +189,12 @@
         let ahead = self.queue.borrow().ahead(place.class, place.deadline);
         let servers = self.servers.borrow();
         let usual = servers.iter().filter(|server| server.is_usual(now));
-        let rates = usual.map(|server| server.rate(now, place.usual));
-        admission::until_served(ahead, rates.sum())
+        let (mut at_once, mut rate) = (0, 0.0);
+        for server in usual {
+            at_once += server.usable(now);
+            rate += server.rate(now, place.usual);
+        }
+        admission::until_served(ahead, at_once, rate)
     }
 
     async fn wait(&self, now: Instant, place: Place) -> Result<(), Refusal> {
--- a/crates/relay/tests/gather.rs
+++ b/crates/relay/tests/gather.rs
@@ -4,6 +4,7 @@
 
 use std::{
     rc::Rc,
+    sync::Arc,
     time::{
         Duration,
         Instant, //
@@ -292,3 +293,51 @@
         );
     });
 }
+
+/// Load pattern: a third of the shards has lost a server, and half as many queries again come as the rest
+/// serve. Those that would be late only make others late.
+#[test]
+fn a_query_that_would_wait_and_then_be_late_is_refused_at_once() {
+    run(async {
+        let took = Duration::from_millis(100);
+        let fake = Fake::start("a", move |_| Act::Serve(took, record('a').into_bytes()));
+        let instance = started(vec![query(&["shard"], 5, 1.0)], &[("shard", &fake)]);
+        let table = table_of_one_connection(&instance);
+        instance.relay.set_table(Arc::new(table));
+        // What is usual is known after a few queries.
+        for _ in 0..8 {
+            assert_eq!(instance.get("/all/x").await.status(), 200);
+        }
+        let began = Instant::now();
+        let ask = || async {
+            let answer = instance.get("/all/x").await;
+            (answer.status(), began.elapsed())
+        };
+        let mut answers = futures_util::future::join_all((0..4).map(|_| ask())).await;
+        answers.sort_unstable();
+        // The first is served at 100 ms, the second at 200 ms; a third one at 300 ms would be late.
+        let statuses: Vec<u16> = answers.iter().map(|(status, _)| *status).collect();
+        assert_eq!(statuses, [200, 200, 503, 503], "{answers:?}");
+        assert!(
+            answers[2..]
+                .iter()
+                .all(|(_, at)| *at < Duration::from_millis(60)),
+            "{answers:?}"
+        );
+    });
+}
+
+fn table_of_one_connection(instance: &common::Instance) -> route::Table {
+    let wide = instance.relay.table().expect("a table");
+    let services = wide.services().cloned().map(|service| route::Service {
+        connections: 1,
+        ..service
+    });
+    let routes = wide.routes().map(|route| (**route).clone()).collect();
+    route::Table::new(
+        wide.version() + 1,
+        routes,
+        services.collect(),
+        wide.limits(),
+    )
+}
