feat(relay): a request that a peer declines goes to the next one

Now up to three peers are asked, and one that declines counts as failed, so that it is out after three in a row. A decline states that nothing ran.

Test: two of three large instances know less; all 30 requests are answered by the third (failed first: 28), and those that decline aren't asked each time.

--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -63,6 +63,8 @@
 /// Multiple of the objective after which a peer that answers nobody isn't waited for any more: its
 /// callers can still ask another instance.
 const PATIENCE: u32 = 2;
+/// Peers that are asked for one request at most: each that declines costs a way there and back.
+const PEERS_MAX: usize = 3;
 /// Shortest wait for a peer.
 const WAIT_LEAST: Duration = Duration::from_millis(150);
 /// Share of the objective that a gathered query usually takes.
@@ -165,70 +167,116 @@
     MayHaveRun,
 }
 
-/// Passes a request on to a peer.
+/// Passes a request on to a peer; one that declines it is followed by another.
 ///
 /// `route` is what this instance knows of the request; a peer that knows better decides.
 pub(crate) async fn ask(relay: &Relay, asked: &Asked, route: Option<&Route>) -> Passed {
     let service = &relay.registry().peers().service;
     let objective = route.map_or(OBJECTIVE, |route| route.objective);
-    let usual = objective.mul_f64(USUAL_SHARE);
-    let Some(peer) = service.choose_now(usual, &[]) else {
-        return Passed::NotTaken;
-    };
-    let now = Instant::now();
     let limit = route.map_or(LONGEST, |route| route.timeout);
-    let left = limit.min(asked.left(now).unwrap_or(limit));
-    let mut request = asked.outgoing(
-        relay.names(),
-        peer.target(),
-        asked.left(now).unwrap_or(left),
-    );
-    request.headers_mut().insert(HOP, hop(relay, asked, now));
-    let number = service.next_exchange();
-    let mut receiver = peer.send(request, number, now + left, usual, false);
-    let doubt = left.min((objective * PATIENCE).max(WAIT_LEAST));
-    let mut result = timeout(doubt, &mut receiver).await;
-    if result.is_err() && peer.has_answered_since(now) {
-        result = timeout(left.saturating_sub(now.elapsed()), receiver).await;
+    let mut tried: Vec<Rc<Server>> = Vec::new();
+    while tried.len() < PEERS_MAX {
+        let usual = objective.mul_f64(USUAL_SHARE);
+        let Some(peer) = service.choose_now(usual, &tried) else {
+            return Passed::NotTaken;
+        };
+        tried.push(peer.clone());
+        let hop = Hopping {
+            relay,
+            asked,
+            peer,
+            objective,
+            limit,
+        };
+        match hop.run().await {
+            Some(passed) => return passed,
+            None => relay.meter().declined.add(1),
+        }
     }
-    peer.forget(number);
-    let id = asked.id.to_str().unwrap_or("unprintable");
-    let ms = now.elapsed().as_millis() as u64;
-    match result {
-        Ok(Ok(Ok(reply))) if reply.headers().contains_key(DECLINED) => {
-            relay.meter().declined.add(1);
-            info!(request = id, peer = %peer.id(), ms, "peer: request declined, it is answered here.");
-            Passed::NotTaken
+    Passed::NotTaken
+}
+
+/// A request on its way to one peer.
+struct Hopping<'a> {
+    relay: &'a Relay,
+    asked: &'a Asked,
+    peer: Rc<Server>,
+    objective: Duration,
+    limit: Duration,
+}
+
+impl Hopping<'_> {
+    /// Runs the exchange; returns none if the peer declines.
+    async fn run(&self) -> Option<Passed> {
+        let Self {
+            relay, asked, peer, ..
+        } = self;
+        let now = Instant::now();
+        let usual = self.objective.mul_f64(USUAL_SHARE);
+        let result = self.exchange(now, usual).await;
+        let id = asked.id.to_str().unwrap_or("unprintable");
+        let ms = now.elapsed().as_millis() as u64;
+        match result {
+            Some(Ok(Ok(reply))) if reply.headers().contains_key(DECLINED) => {
+                let is_out = peer.failed(Instant::now()) != Change::None;
+                info!(request = id, peer = %peer.id(), ms, is_out, "peer: request declined.");
+                None
+            }
+            Some(Ok(Ok(reply))) if reply.headers().contains_key(HOP) => {
+                peer.served();
+                peer.record(Instant::now(), multiple(now.elapsed(), usual));
+                relay.registry().peers().record_lag(&reply, now.elapsed());
+                relay.meter().delegated.add(1);
+                info!(request = id, peer = %peer.id(), status = reply.status().as_u16(), ms, "peer: answered.");
+                Some(Passed::Answered(finish(reply)))
+            }
+            failure => Some(self.failed(id, ms, failure)),
         }
-        Ok(Ok(Ok(reply))) if reply.headers().contains_key(HOP) => {
-            peer.served();
-            peer.record(Instant::now(), multiple(now.elapsed(), usual));
-            relay.registry().peers().record_lag(&reply, now.elapsed());
-            relay.meter().delegated.add(1);
-            info!(request = id, peer = %peer.id(), status = reply.status().as_u16(), ms, "peer: answered.");
-            Passed::Answered(finish(reply))
+    }
+
+    /// Sends the request and waits for the answer, as long as the peer answers anyone.
+    async fn exchange(&self, now: Instant, usual: Duration) -> Option<Answered> {
+        let Self {
+            relay, asked, peer, ..
+        } = self;
+        let left = self.limit.min(asked.left(now).unwrap_or(self.limit));
+        let told = asked.left(now).unwrap_or(left);
+        let mut request = asked.outgoing(relay.names(), peer.target(), told);
+        request.headers_mut().insert(HOP, hop(relay, asked, now));
+        let number = relay.registry().peers().service.next_exchange();
+        let mut receiver = peer.send(request, number, now + left, usual, false);
+        let doubt = left.min((self.objective * PATIENCE).max(WAIT_LEAST));
+        let mut result = timeout(doubt, &mut receiver).await;
+        if result.is_err() && peer.has_answered_since(now) {
+            result = timeout(left.saturating_sub(now.elapsed()), receiver).await;
         }
-        failure => {
-            relay.meter().peer_failures.add(1);
-            let failure = failure.ok();
-            let was_sent = !matches!(&failure, Some(Ok(Err(failure))) if !failure.sent);
-            let now = Instant::now();
-            let change = match was_sent {
-                true => peer.failed(now),
-                false => peer.lost(now),
-            };
-            let is_out = change != Change::None;
-            let failure = describe(failure);
-            info!(request = id, peer = %peer.id(), failure, was_sent, ms, is_out, "peer: request isn't answered.");
-            match was_sent {
-                true => Passed::MayHaveRun,
-                false => Passed::NotTaken,
-            }
+        peer.forget(number);
+        result.ok()
+    }
+
+    fn failed(&self, id: &str, ms: u64, failure: Option<Answered>) -> Passed {
+        let peer = &self.peer;
+        self.relay.meter().peer_failures.add(1);
+        let was_sent = !matches!(&failure, Some(Ok(Err(failure))) if !failure.sent);
+        let now = Instant::now();
+        let change = match was_sent {
+            true => peer.failed(now),
+            false => peer.lost(now),
+        };
+        let is_out = change != Change::None;
+        let failure = describe(failure);
+        info!(request = id, peer = %peer.id(), failure, was_sent, ms, is_out, "peer: request isn't answered.");
+        match was_sent {
+            true => Passed::MayHaveRun,
+            false => Passed::NotTaken,
         }
     }
 }
 
-fn describe(failure: Option<Result<Result<Reply, Failure>, oneshot::Canceled>>) -> String {
+/// What came of an exchange with a peer.
+type Answered = Result<Result<Reply, Failure>, oneshot::Canceled>;
+
+fn describe(failure: Option<Answered>) -> String {
     match failure {
         Some(Ok(Err(failure))) => failure.to_string(),
         Some(Ok(Ok(reply))) => format!("not from an instance, status {}", reply.status()),
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -82,6 +82,27 @@
     });
 }
 
+/// Load pattern: a part of the fleet is cut off from the store and knows an older configuration; the large
+/// instances that are nearest are among it.
+#[test]
+fn a_request_that_a_peer_declines_goes_to_the_next_one() {
+    run(async {
+        let fake = Fake::start("s1", |_| serve("ok"));
+        let (small, large) = fleet(&fake);
+        for one in [&small, &large[2]] {
+            one.relay.set_table(Arc::new(table(2, routes())));
+        }
+        for _ in 0..30 {
+            assert_eq!(small.ask(&post("/write/a", "x")).await.status(), 200);
+        }
+        assert_eq!(delegated(&small), 30);
+        assert_eq!(fake.arrivals(), 30);
+        // Those that always decline aren't asked each time.
+        let declined = small.relay.meter().declined.get();
+        assert!((1..20).contains(&declined), "{declined}");
+    });
+}
+
 #[test]
 fn a_peer_that_lost_the_store_declines_one_that_has_not() {
     run(async {
--- a/crates/relay/tests/registry.rs
+++ b/crates/relay/tests/registry.rs
@@ -135,8 +135,7 @@
             let registry = instance.relay.registry();
             registry.replace(vec![fake.entry("one")], Instant::now());
             instance.relay.set_table(Arc::new(table(1, routes())));
-            let connections = registry.servers()[0].state(Instant::now()).connections;
-            connections
+            registry.servers()[0].state(Instant::now()).connections
         };
         assert_eq!((connections(0), connections(9)), (1, 1));
         assert!(connections(11) > 1);
