--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod compare;
 pub mod demo;
 pub mod listen;
+pub mod model;
 pub mod parameter;
 pub mod plot;
 pub mod proxy;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -27,6 +27,8 @@
     Server(bench::servers::Options),
     /// Runs instances, servers and the store as processes, harms them and checks the promises.
     Soak(bench::soak::Options),
+    /// Replays the worst load patterns against the policies, without I/O.
+    Model(bench::model::Options),
     /// Runs a round-robin balancer over instances.
     Balancer(bench::balancer::Options),
     /// Starts stand-ins and instances, replays a trace and reports.
@@ -56,6 +58,7 @@
         Command::Backends(options) => bench::backends::run(options),
         Command::Server(options) => bench::servers::run(options),
         Command::Soak(options) => bench::soak::run(options),
+        Command::Model(options) => bench::model::run(options),
         Command::Balancer(options) => bench::balancer::run(options),
         Command::Proxy(options) => bench::proxy::run(options),
         Command::Demo(options) => bench::demo::run(options),
--- a/crates/bench/src/plot/mod.rs
+++ b/crates/bench/src/plot/mod.rs
@@ -63,11 +63,39 @@
     area.present().map_err(draw)
 }
 
+/// Named lines, each of points in order of time.
+pub type Lines = Vec<(String, Vec<(f64, f64)>)>;
+
+/// Plots values over seconds to an SVG file, one panel a title.
+///
+/// # Errors
+///
+/// Fails if the file can't be written.
+pub fn over_time(panels: Vec<(String, Lines)>, out: &Path) -> Result<(), Report<Error>> {
+    let area = SVGBackend::new(out, SIZE).into_drawing_area();
+    area.fill(&WHITE).map_err(draw)?;
+    let areas = area.split_evenly((panels.len().max(1), 1));
+    for (area, (title, lines)) in areas.iter().zip(panels) {
+        let lines = lines
+            .into_iter()
+            .map(|(label, points)| Line { label, points });
+        let panel = Panel {
+            title: &title,
+            x: "seconds",
+            x_label: |x| format!("{x:.0}"),
+            from_zero: true,
+            lines: lines.collect(),
+        };
+        panel.draw(area).map_err(draw)?;
+    }
+    area.present().map_err(draw)
+}
+
 fn draw<E: std::error::Error + Send + Sync + 'static>(error: E) -> Report<Error> {
     Report::new(error).change_context(Error::Draw)
 }
 
-fn panels(summaries: &[Summary]) -> [Panel; PANELS] {
+fn panels(summaries: &[Summary]) -> [Panel<'static>; PANELS] {
     [
         Panel {
             title: "latency, ms, by percentile",
--- a/crates/bench/src/plot/panel.rs
+++ b/crates/bench/src/plot/panel.rs
@@ -45,9 +45,9 @@
 
 /// What a panel shows.
 #[derive(Debug)]
-pub(super) struct Panel {
+pub(super) struct Panel<'a> {
     /// Title.
-    pub(super) title: &'static str,
+    pub(super) title: &'a str,
     /// Name of the horizontal axis.
     pub(super) x: &'static str,
     /// Label of a place on the horizontal axis.
@@ -60,7 +60,7 @@
 
 type Error<'a> = DrawingAreaErrorKind<<SVGBackend<'a> as DrawingBackend>::ErrorType>;
 
-impl Panel {
+impl Panel<'_> {
     /// Draws the panel.
     pub(super) fn draw<'a>(
         &self,
