--- a/crates/bench/src/model/engine.rs
+++ b/crates/bench/src/model/engine.rs
@@ -27,7 +27,6 @@
         Times, //
     },
     refusal,
-    slowness::Recent,
 };
 use rand::{
     rngs::StdRng,
@@ -55,6 +54,13 @@
         End,
         Outcome, //
     },
+    state::{
+        Member,
+        Part,
+        Query,
+        Server,
+        View, //
+    },
 };
 
 /// Time taken off the objective for the way to the caller.
@@ -98,45 +104,6 @@
     Look { query: usize },
 }
 
-#[derive(Debug)]
-struct Query {
-    instance: usize,
-    times: Times,
-    progress: Progress,
-    answered: Vec<bool>,
-    is_over: bool,
-    arrived: Duration,
-}
-
-#[derive(Debug, Clone)]
-struct Part {
-    query: usize,
-    shard: usize,
-    sent: Duration,
-    servers: Vec<usize>,
-    is_done: bool,
-}
-
-#[derive(Debug, Default)]
-struct Server {
-    running: usize,
-    queue: VecDeque<usize>,
-}
-
-#[derive(Debug, Default, Clone)]
-struct View {
-    in_flight: usize,
-    recent: Recent,
-    last: u64,
-}
-
-struct Member {
-    views: Vec<View>,
-    queues: Vec<VecDeque<usize>>,
-    budgets: Vec<Budget>,
-    pace: Pace,
-}
-
 struct Engine {
     load: Load,
     without: Without,
@@ -242,7 +209,6 @@
                     least
                 },
             },
-            answered: vec![false; SHARDS],
             is_over: false,
             arrived: self.now,
         });
@@ -455,7 +421,6 @@
         if !is_done {
             member.pace.record(now, latency);
             self.parts[part].is_done = true;
-            self.queries[query].answered[shard] = true;
             self.queries[query].progress.answered += 1;
             self.look(query);
         }
--- a/crates/bench/src/model/mod.rs
+++ b/crates/bench/src/model/mod.rs
@@ -5,6 +5,7 @@
 pub mod engine;
 pub mod load;
 pub mod outcome;
+mod state;
 
 use std::{
     path::PathBuf,
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -65,6 +65,7 @@
 
 use crate::{
     answer,
+    begun::Begun,
     peer::{
         self,
         Passed, //
@@ -202,7 +203,7 @@
     activity.busy.set(true);
     let id = request.headers().get(&relay.names().request);
     let id = id.and_then(|id| id.to_str().ok()).unwrap_or("none");
-    let begun = relay.begin(id.to_owned());
+    let begun = Begun::new(relay.clone(), id.to_owned());
     let waited = match activity.new.replace(false) {
         true => patience::opening(relay.margin()),
         false => Duration::ZERO,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,6 +9,7 @@
 //! on which one attempt runs at a time. [`follow`] keeps routes and servers in step with the store.
 
 pub mod answer;
+mod begun;
 pub mod call;
 pub mod caller;
 mod description;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -175,16 +175,15 @@
         pace.clone()
     }
 
-    /// Counts a request from its arrival until the guard is dropped.
-    pub(crate) fn begin(self: &Rc<Self>, request: String) -> Begun {
+    /// Counts a request that has arrived.
+    pub(crate) fn count_begun(&self) {
         self.meter.requests.add(1);
         self.in_flight.set(self.in_flight.get() + 1);
-        Begun {
-            relay: self.clone(),
-            request,
-            arrived: Instant::now(),
-            answered: false,
-        }
+    }
+
+    /// Counts a request that is answered or whose caller has left.
+    pub(crate) fn count_ended(&self) {
+        self.in_flight.set(self.in_flight.get() - 1);
     }
 
     /// Answers a whole request on `route`, which `table` names.
@@ -470,35 +469,3 @@
     let fold = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
     u128::from(id.iter().fold(0xcbf2_9ce4_8422_2325, fold))
 }
-
-/// One request that was read and isn't answered yet.
-#[derive(Debug)]
-pub(crate) struct Begun {
-    relay: Rc<Relay>,
-    request: String,
-    arrived: Instant,
-    answered: bool,
-}
-
-impl Begun {
-    /// Returns the id of the request.
-    pub(crate) fn request(&self) -> &str {
-        &self.request
-    }
-
-    /// Notes that the request is answered.
-    pub(crate) fn end(mut self) {
-        self.answered = true;
-    }
-}
-
-impl Drop for Begun {
-    fn drop(&mut self) {
-        self.relay.in_flight.set(self.relay.in_flight.get() - 1);
-        if !self.answered {
-            self.relay.meter.abandoned.add(1);
-            let ms = self.arrived.elapsed().as_millis() as u64;
-            info!(request = %self.request, ms, "relay: caller left before its answer.");
-        }
-    }
-}
