fix(policy): a larger part of the allowance is taken only after a span

Cause: the number of instances shared by fell from five to one, and each took the whole allowance at once, while the others had sent theirs in the same span. There it fell because the stand-in's list of instances left out what they had written, which is mended; on the platform it falls the same way when all are told to stop and see each other leave.

Now the least part of a span counts, which holds for new instances, for those that leave and for a change of plan alike.

--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -101,6 +101,8 @@
 struct Case {
     seed: u64,
     processes: usize,
+    /// That of the options if it isn't given.
+    mischief: Option<f64>,
     cause: String,
 }
 
@@ -123,6 +125,7 @@
             Self {
                 seed: case.seed,
                 processes: case.processes,
+                mischief: case.mischief.unwrap_or(self.mischief),
                 ..self.clone()
             }
         };
--- a/crates/bench/src/store/handler.rs
+++ b/crates/bench/src/store/handler.rs
@@ -216,6 +216,9 @@
         match (kind, &segments[..]) {
             (Kind::Read, [kind, name]) => self.read(kind, name),
             (Kind::List, [kind]) => self.list(kind, parameter::text(query, "after")),
+            (Kind::Instances, [kind]) if self.platform.roster.borrow().is_unset() => {
+                self.list(kind, parameter::text(query, "after"))
+            }
             (Kind::Instances, _) => self.instances(),
             (Kind::Write, [kind, rest @ ..]) => self.write(kind, rest.first(), request).await,
             (Kind::Watch, [kind]) => self.watch(kind, query).await,
--- a/crates/bench/src/store/roster.rs
+++ b/crates/bench/src/store/roster.rs
@@ -28,6 +28,11 @@
         }
     }
 
+    /// Returns whether the true list was never set: the list is then what instances have written.
+    pub fn is_unset(&self) -> bool {
+        self.shown.is_empty() && self.pending.is_empty()
+    }
+
     /// Sets the lag of what is set from now on.
     pub fn set_lag(&mut self, lag: Duration) {
         self.lag = lag;
--- a/crates/policy/src/extra.rs
+++ b/crates/policy/src/extra.rs
@@ -60,38 +60,63 @@
 #[derive(Debug, Clone)]
 pub struct Budget {
     bound: Bound,
-    instances: usize,
+    /// Parts of the allowance, each with the time from which it held, oldest first.
+    parts: Vec<(Instant, f64)>,
     /// Start of the instance. What ran in its place before may have sent its part of the allowance.
     begun: Instant,
     // One piece more than the span, so that a piece counts until all of it is too old.
     pieces: [Piece; PIECES + 1],
 }
 
+/// Returns one instance's part of the allowance; none where it isn't known how many there are.
+fn part(bound: Bound, instances: usize) -> f64 {
+    match instances {
+        0 => 0.0,
+        instances => bound.allowance / instances as f64,
+    }
+}
+
 impl Budget {
     /// Makes a budget for one of `instances`, 0 if their number isn't known, which was started at `begun`.
     pub fn new(bound: Bound, instances: usize, begun: Instant) -> Self {
         Self {
             bound,
-            instances,
+            parts: vec![(begun, part(bound, instances))],
             begun,
             pieces: [Piece::default(); PIECES + 1],
         }
     }
 
     /// Sets the bound and the number of instances that share it, 0 if it isn't known.
-    pub fn share(&mut self, bound: Bound, instances: usize) {
+    ///
+    /// A larger part is taken after a span: those that have left may have sent theirs.
+    pub fn share(&mut self, bound: Bound, instances: usize, now: Instant) {
         self.bound = bound;
-        self.instances = instances;
+        let part = part(bound, instances);
+        if self.parts.last().is_none_or(|(_, last)| *last != part) {
+            self.parts.push((now, part));
+        }
+        let is_over = |from: Instant| now.saturating_duration_since(from) >= bound.span;
+        while self.parts.len() > 1 && is_over(self.parts[1].0) {
+            self.parts.remove(0);
+        }
     }
 
-    /// Returns this instance's part of the allowance.
+    /// Returns this instance's part of the allowance: the least of a span.
     fn allowance(&self, now: Instant) -> f64 {
-        let is_new = now.saturating_duration_since(self.begun) < self.bound.span;
-        match self.instances {
-            0 => 0.0,
-            _ if is_new => 0.0,
-            instances => self.bound.allowance / instances as f64,
+        let since = |from: Instant| now.saturating_duration_since(from);
+        if since(self.begun) < self.bound.span {
+            return 0.0;
         }
+        let next = self.parts.iter().skip(1).map(|(from, _)| Some(*from));
+        let until = next.chain([None]);
+        let recent = self
+            .parts
+            .iter()
+            .zip(until)
+            .filter(|(_, until)| until.is_none_or(|until| since(until) < self.bound.span));
+        let least = recent.map(|((_, part), _)| *part).reduce(f64::min);
+        least.unwrap_or(0.0)
     }
 
     fn number(&self, now: Instant) -> u64 {
--- a/crates/policy/tests/extra.rs
+++ b/crates/policy/tests/extra.rs
@@ -76,8 +76,34 @@
     let now = Instant::now();
     let mut budget = old(0, now);
     assert!(!budget.take(now, Purpose::Retry));
-    budget.share(BOUND, INSTANCES);
-    assert!(budget.take(now, Purpose::Retry));
+    budget.share(BOUND, INSTANCES, now);
+    assert!(!budget.take(now + BOUND.span / 2, Purpose::Retry));
+    assert!(budget.take(now + BOUND.span, Purpose::Retry));
+}
+
+/// Load pattern: all instances are told to stop at the same moment and each sees the others leave.
+#[test]
+fn those_that_see_the_others_leave_keep_the_bound_together() {
+    let now = Instant::now();
+    let mut fleet = vec![old(INSTANCES, now); INSTANCES];
+    let mut sent = 0;
+    for left in 0..INSTANCES {
+        let at = now + Duration::from_millis(200) * left as u32;
+        for budget in &mut fleet {
+            budget.share(BOUND, INSTANCES - left, at);
+            while budget.take(at, Purpose::Retry) {
+                sent += 1;
+            }
+        }
+    }
+    assert!(f64::from(sent) <= BOUND.allowance, "{sent}");
+    // One that stays has it all in the end, and gives way at once to one that comes.
+    let later = now + BOUND.span * 3;
+    let last = &mut fleet[0];
+    last.share(BOUND, 1, later);
+    assert!((0..40).all(|_| last.take(later, Purpose::Retry)));
+    last.share(BOUND, 2, later);
+    assert!(!last.take(later, Purpose::Retry));
 }
 
 /// The budget of one of so many instances that has run for long.
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -118,7 +118,8 @@
     }
 
     pub(crate) fn share_budget(&self, bound: Bound, instances: usize) {
-        self.budget.borrow_mut().share(bound, instances);
+        let now = Instant::now();
+        self.budget.borrow_mut().share(bound, instances, now);
     }
 
     pub(crate) fn count_first(&self, now: Instant) {
