--- a/crates/relay/tests/forward.rs
+++ b/crates/relay/tests/forward.rs
@@ -330,3 +330,52 @@
         assert_eq!((answer.status(), answer.text().as_str()), (200, "ok"));
     });
 }
+
+#[test]
+fn a_request_is_sent_to_as_many_servers_as_its_route_allows() {
+    run(async {
+        let fakes = ["s1", "s2", "s3"].map(|id| Fake::start(id, |_| Act::Fail));
+        let servers = fakes.each_ref().map(|fake| ("one", fake));
+        let instance = started(routes(), &servers);
+        assert_eq!(instance.get("/read/a").await.status(), 500);
+        let arrivals: usize = fakes.iter().map(|fake| fake.arrivals()).sum();
+        assert_eq!(arrivals, 2);
+    });
+}
+
+#[test]
+fn a_long_body_arrives_whole() {
+    run(async {
+        let fake = Fake::start("s1", |_| serve("ok"));
+        let instance = started(routes(), &[("one", &fake)]);
+        let body: String = (0..40_000)
+            .map(|number| char::from(b'a' + (number % 23) as u8))
+            .collect();
+        assert_eq!(instance.ask(&post("/write/a", &body)).await.status(), 200);
+        assert!(fake.seen.borrow()[0].text() == body);
+    });
+}
+
+/// Load pattern: a service answers with a failure more often than not.
+#[test]
+fn further_sub_requests_stay_within_their_bound() {
+    const REQUESTS: usize = 500;
+    run(async {
+        let fails = |number: usize| match number.is_multiple_of(3) {
+            true => serve("ok"),
+            false => Act::Fail,
+        };
+        let fakes = ["s1", "s2"].map(|id| Fake::start(id, fails));
+        let servers = fakes.each_ref().map(|fake| ("one", fake));
+        let instance = started(routes(), &servers);
+        let mut plain = Plain::open(instance.address).await;
+        for _ in 0..REQUESTS {
+            plain.write(get("/read/a")).await;
+            plain.read().await.expect("an answer");
+        }
+        let arrivals: usize = fakes.iter().map(|fake| fake.arrivals()).sum();
+        // A fifth of the requests and an allowance of 50.
+        let further = arrivals - REQUESTS;
+        assert!((60..=REQUESTS / 5 + 50).contains(&further), "{further}");
+    });
+}
