--- a/crates/policy/src/extra.rs
+++ b/crates/policy/src/extra.rs
@@ -2,8 +2,10 @@
 //!
 //! Load pattern: half of a service's servers stall at the same moment, and every instance wants to
 //! send everything twice. The bound is on the sum over all instances, so each takes the share that
-//! its own first sub-requests earn and an equal part of the allowance. Instances that are killed forget
-//! what they have sent, so a new one takes its part of the allowance only after a span.
+//! its own first sub-requests earn and an equal part of the allowance.
+//!
+//! Instances that are killed forget what they have sent, and those that leave have sent their part: a
+//! new instance takes its part, and one that stays a larger one, only after a span.
 
 use std::time::{
     Duration,
