refactor: one copy where the change had several

- bench: the stand-ins' ways to run are one, runtime::stand; the soak's checks find a kind's routes in one place; a parameter and a timer that nothing needed went
- policy::extra: a new instance is one whose part was none until it began, as for any larger part, in place of a rule of its own

No behaviour changed; assertions stay as they were.

--- a/crates/bench/src/balancer.rs
+++ b/crates/bench/src/balancer.rs
@@ -69,19 +69,12 @@
 
 /// Runs the balancer until it is killed.
 pub fn run(options: Options) -> ExitCode {
-    let result = crate::runtime::run(async {
+    crate::runtime::stand("balancer", async {
         let listener = crate::listen::bind(options.listen)?;
         tracing::info!("balancer: listening on {}.", options.listen);
         serve(listener, options.to).await;
         Ok(())
-    });
-    match result {
-        Ok(Ok(())) => ExitCode::SUCCESS,
-        Ok(Err(error)) | Err(error) => {
-            tracing::error!("balancer: {error}.");
-            ExitCode::FAILURE
-        }
-    }
+    })
 }
 
 /// Balances over the instances at `to` for ever.
--- a/crates/bench/src/proxy/mod.rs
+++ b/crates/bench/src/proxy/mod.rs
@@ -45,13 +45,7 @@
         let message = "--listen and --to must name as many addresses\n";
         clap::Error::raw(ErrorKind::WrongNumberOfValues, message).exit();
     }
-    match crate::runtime::run(serve(options)) {
-        Ok(Ok(())) => ExitCode::SUCCESS,
-        Ok(Err(error)) | Err(error) => {
-            tracing::error!("proxy: {error}.");
-            ExitCode::FAILURE
-        }
-    }
+    crate::runtime::stand("proxy", serve(options))
 }
 
 async fn serve(options: Options) -> io::Result<()> {
--- a/crates/bench/src/runtime.rs
+++ b/crates/bench/src/runtime.rs
@@ -2,7 +2,8 @@
 
 use std::{
     future::Future,
-    io, //
+    io,
+    process::ExitCode, //
 };
 
 use monoio::{
@@ -21,3 +22,14 @@
         .build()?;
     Ok(runtime.block_on(future))
 }
+
+/// Runs the stand-in of that name until it ends; a failure is logged.
+pub fn stand(name: &str, future: impl Future<Output = io::Result<()>>) -> ExitCode {
+    match run(future) {
+        Ok(Ok(())) => ExitCode::SUCCESS,
+        Ok(Err(error)) | Err(error) => {
+            tracing::error!("{name}: {error}.");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/bench/src/servers/mod.rs
+++ b/crates/bench/src/servers/mod.rs
@@ -145,13 +145,7 @@
 
 /// Runs a server until it is told to leave or killed.
 pub fn run(options: Options) -> ExitCode {
-    match crate::runtime::run(serve(options)) {
-        Ok(Ok(())) => ExitCode::SUCCESS,
-        Ok(Err(error)) | Err(error) => {
-            tracing::error!("servers: {error}.");
-            ExitCode::FAILURE
-        }
-    }
+    crate::runtime::stand("servers", serve(options))
 }
 
 async fn serve(options: Options) -> std::io::Result<()> {
--- a/crates/bench/src/soak/check.rs
+++ b/crates/bench/src/soak/check.rs
@@ -10,7 +10,10 @@
 };
 
 use policy::extra::Bound;
-use route::Table;
+use route::{
+    Route,
+    Table, //
+};
 
 use super::history::{
     History,
@@ -123,11 +126,20 @@
     arrivals
 }
 
+/// Returns the routes of a kind in one configuration.
+fn routes(table: &Table, kind: Kind) -> impl Iterator<Item = &Arc<Route>> {
+    let is_of = move |route: &&Arc<Route>| &*route.prefix == kind.prefix();
+    table.routes().filter(is_of)
+}
+
+/// Returns the routes of a kind in all configurations.
+fn all_routes(history: &History, kind: Kind) -> impl Iterator<Item = &Arc<Route>> {
+    let versions = history.versions.iter();
+    versions.flat_map(move |version| routes(&version.table, kind))
+}
+
 fn services(table: &Table, kind: Kind) -> impl Iterator<Item = Arc<str>> + '_ {
-    let routes = table
-        .routes()
-        .filter(move |route| &*route.prefix == kind.prefix());
-    routes.flat_map(|route| route.services().into_iter().cloned().collect::<Vec<_>>())
+    routes(table, kind).flat_map(|route| route.services().into_iter().cloned().collect::<Vec<_>>())
 }
 
 /// Checks one request by itself.
@@ -204,24 +216,12 @@
 }
 
 fn timeout_us(history: &History, kind: Kind) -> u64 {
-    let routes = history
-        .versions
-        .iter()
-        .flat_map(|version| version.table.routes());
-    let timeouts = routes
-        .filter(|route| &*route.prefix == kind.prefix())
-        .map(|route| route.timeout);
+    let timeouts = all_routes(history, kind).map(|route| route.timeout);
     timeouts.max().unwrap_or_default().as_micros() as u64
 }
 
 fn attempts(history: &History, id: &str, request: &Request, ran: &[&&Arrival], found: &mut Found) {
-    let routes = history
-        .versions
-        .iter()
-        .flat_map(|version| version.table.routes());
-    let allowed = routes
-        .filter(|route| &*route.prefix == request.kind.prefix())
-        .map(|route| route.attempts);
+    let allowed = all_routes(history, request.kind).map(|route| route.attempts);
     let allowed = allowed.max().unwrap_or(1);
     let mut servers: BTreeMap<&str, BTreeSet<(&str, u64)>> = BTreeMap::new();
     for arrival in ran {
--- a/crates/bench/src/soak/inject.rs
+++ b/crates/bench/src/soak/inject.rs
@@ -54,7 +54,7 @@
 const WRITE_TRIES: usize = 60;
 const WRITE_PAUSE: std::time::Duration = std::time::Duration::from_millis(100);
 
-/// Starts a task for each fault; the number of them that still last is that of `world`'s holders.
+/// Starts a task for each fault; it ends with the fault.
 pub fn start(world: &Rc<World>, events: Vec<Event>) -> Vec<monoio::task::JoinHandle<()>> {
     let began = Instant::now();
     let tasks = events.into_iter().map(|event| {
@@ -69,7 +69,6 @@
 }
 
 async fn run(world: &World, event: Event) {
-    let lasts = sleep(event.length);
     match event.fault {
         Fault::Relay(index, blow) => strike(world, index, blow, event).await,
         Fault::Relays(blow) => {
@@ -82,7 +81,7 @@
             process.hold(true);
             spoil(&relay.file, "node_name: [");
             process.signal(Signal::HUP);
-            lasts.await;
+            sleep(event.length).await;
             spoil(&relay.file, &relay.settings.text());
             process.signal(Signal::HUP);
             process.hold(false);
--- a/crates/bench/src/soak/site.rs
+++ b/crates/bench/src/soak/site.rs
@@ -137,7 +137,7 @@
         let shards: Vec<Arc<str>> = (0..(left / replicas).max(SHARDS_MIN))
             .map(|shard| format!("shard-{shard}").into())
             .collect();
-        let relays = (0..relays).map(|index| relay(index, store, folder, &mut free));
+        let relays = (0..relays).map(|index| relay(index, folder, &mut free));
         let relays = relays.collect::<Result<_, _>>()?;
         let names = READERS.into_iter().chain([WRITER]).map(Arc::from);
         let mut servers = Vec::new();
@@ -237,15 +237,9 @@
     }
 }
 
-fn relay(
-    index: usize,
-    store: SocketAddr,
-    folder: &Path,
-    free: &mut Free,
-) -> Result<Relay, Report<Failure>> {
+fn relay(index: usize, folder: &Path, free: &mut Free) -> Result<Relay, Report<Failure>> {
     let [admin, peers] = free.pair()?;
     let store_link = free.address()?;
-    tracing::debug!("soak: relay-{index} reaches {store} over {store_link}.");
     Ok(Relay {
         settings: Settings {
             name: format!("relay-{index}").into(),
--- a/crates/bench/src/store/mod.rs
+++ b/crates/bench/src/store/mod.rs
@@ -66,13 +66,7 @@
 
 /// Runs the stand-in until it is killed.
 pub fn run(options: Options) -> ExitCode {
-    match crate::runtime::run(serve(options)) {
-        Ok(Ok(())) => ExitCode::SUCCESS,
-        Ok(Err(error)) | Err(error) => {
-            tracing::error!("platform: {error}.");
-            ExitCode::FAILURE
-        }
-    }
+    crate::runtime::stand("platform", serve(options))
 }
 
 async fn serve(options: Options) -> std::io::Result<()> {
--- a/crates/policy/src/extra.rs
+++ b/crates/policy/src/extra.rs
@@ -64,7 +64,6 @@
     bound: Bound,
     /// Parts of the allowance, each with the time from which it held, oldest first.
     parts: Vec<(Instant, f64)>,
-    /// Start of the instance. What ran in its place before may have sent its part of the allowance.
     begun: Instant,
     // One piece more than the span, so that a piece counts until all of it is too old.
     pieces: [Piece; PIECES + 1],
@@ -83,7 +82,8 @@
     pub fn new(bound: Bound, instances: usize, begun: Instant) -> Self {
         Self {
             bound,
-            parts: vec![(begun, part(bound, instances))],
+            // What ran in its place before may have sent its part, so that it had none until then.
+            parts: vec![(begun, 0.0), (begun, part(bound, instances))],
             begun,
             pieces: [Piece::default(); PIECES + 1],
         }
@@ -107,9 +107,6 @@
     /// Returns this instance's part of the allowance: the least of a span.
     fn allowance(&self, now: Instant) -> f64 {
         let since = |from: Instant| now.saturating_duration_since(from);
-        if since(self.begun) < self.bound.span {
-            return 0.0;
-        }
         let next = self.parts.iter().skip(1).map(|(from, _)| Some(*from));
         let until = next.chain([None]);
         let recent = self
--- a/crates/tanageryoke/tests/process.rs
+++ b/crates/tanageryoke/tests/process.rs
@@ -1,17 +1,14 @@
 //! The program as a process: readiness, refusals, the dump, descriptors and the stop.
 
+#[path = "common/process.rs"]
+mod process;
+
 use std::{
     io::{
         BufRead,
-        BufReader,
-        Read,
-        Write, //
-    },
-    net::{
-        SocketAddr,
-        TcpListener,
-        TcpStream, //
+        BufReader, //
     },
+    net::SocketAddr,
     process::{
         Child,
         Command,
@@ -20,16 +17,16 @@
     time::Duration,
 };
 
-const PROGRAM: &str = env!("CARGO_BIN_EXE_tanageryoke");
+use process::{
+    ask,
+    free,
+    signal,
+    PROGRAM, //
+};
+
 /// Tries to reach a process that starts.
 const TRIES: usize = 3_000;
 
-/// An address that was free a moment ago.
-fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
-    listener.local_addr().expect("an address")
-}
-
 fn start(listen: SocketAddr) -> Child {
     Command::new(PROGRAM)
         .args(["serve", "--name", "a", "--zone", "z"])
@@ -41,19 +38,6 @@
         .expect("a process")
 }
 
-fn terminate(child: &Child) {
-    let kill = Command::new("kill").arg(child.id().to_string()).status();
-    assert!(kill.expect("a signal").success());
-}
-
-fn ask(address: SocketAddr, request: &str) -> Option<String> {
-    let mut stream = TcpStream::connect(address).ok()?;
-    stream.write_all(request.as_bytes()).ok()?;
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).ok()?;
-    Some(answer)
-}
-
 fn wait_for(address: SocketAddr) {
     let request = "GET /healthz HTTP/1.1\r\nconnection: close\r\n\r\n";
     for _ in 0..TRIES {
@@ -83,7 +67,7 @@
         "POST /v1/g/query HTTP/1.1\r\nconnection: close\r\ncontent-length: 11\r\n\r\n{\"query\":1}";
     let refused = ask(listen, query).expect("an answer");
     let links = links(&child);
-    terminate(&child);
+    signal(&child, "-TERM");
     let code = child.wait().expect("an exit code");
     assert!(ready.expect("an answer").starts_with("HTTP/1.1 503"));
     assert!(refused.contains("\"run\":\"not_run\""), "{refused}");
@@ -106,9 +90,9 @@
     wait_for(listen);
     let log = child.stdout.take().expect("a log");
     let mut lines = BufReader::new(log).lines().map_while(Result::ok);
-    terminate(&child);
+    signal(&child, "-TERM");
     assert!(lines.any(|line| line.contains("serve: leaving.")));
-    terminate(&child);
+    signal(&child, "-TERM");
     let rest: Vec<String> = lines.collect();
     let code = child.wait().expect("an exit code");
     assert!(
--- a/crates/tanageryoke/tests/relay.rs
+++ b/crates/tanageryoke/tests/relay.rs
@@ -1,5 +1,8 @@
 //! `tanageryoke relay` as a process, between a store, a backend server and callers.
 
+#[path = "common/process.rs"]
+mod process;
+
 use std::{
     io::{
         BufRead,
@@ -35,21 +38,21 @@
     RuntimeBuilder, //
 };
 use platform::Store;
+use process::{
+    ask,
+    free,
+    signal,
+    PROGRAM, //
+};
 use relay::follow::Directory as _;
 use serde_json::value::RawValue;
 
-const PROGRAM: &str = env!("CARGO_BIN_EXE_tanageryoke");
 const CONFIG: &str = include_str!("../../../platform/tests/data/process-config.json");
 const SERVER: &str = include_str!("../../../platform/tests/data/process-server.json");
 const SETTINGS: &str = include_str!("../../../platform/tests/data/process-settings.yaml");
 /// Longest wait for a process that starts or stops.
 const LONGEST: Duration = Duration::from_secs(30);
 
-fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
-    listener.local_addr().expect("an address")
-}
-
 /// Starts a store that serves until the test ends.
 fn store() -> SocketAddr {
     let listen = free();
@@ -178,14 +181,6 @@
     }
 }
 
-fn ask(address: SocketAddr, request: &str) -> Option<String> {
-    let mut stream = TcpStream::connect(address).ok()?;
-    stream.write_all(request.as_bytes()).ok()?;
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).ok()?;
-    Some(answer)
-}
-
 fn get(address: SocketAddr, path: &str) -> String {
     let names = names::headers();
     let (id, deadline) = (names.request, names.deadline);
@@ -201,12 +196,6 @@
     }
 }
 
-fn signal(instance: &Instance, signal: &str) {
-    let id = instance.child.id().to_string();
-    let kill = Command::new("kill").args([signal, &id]).status();
-    assert!(kill.expect("a signal").success());
-}
-
 #[test]
 fn an_instance_serves_reloads_and_leaves() {
     let store = store();
@@ -233,17 +222,17 @@
     // A file that can't be read leaves the settings in force, and the process goes on.
     let text = std::fs::read_to_string(&instance.settings).expect("a file");
     std::fs::write(&instance.settings, "node_name: [").expect("a file");
-    signal(&instance, "-HUP");
+    signal(&instance.child, "-HUP");
     thread::sleep(Duration::from_millis(200));
     std::fs::write(&instance.settings, text).expect("a file");
-    signal(&instance, "-HUP");
+    signal(&instance.child, "-HUP");
     assert!(get(instance.callers, "/p/x").starts_with("HTTP/1.1 200"));
 
     let metrics = get(instance.admin, "/metrics");
     assert!(metrics.contains("kind=\"unreadable\""), "{metrics}");
     assert!(get(instance.admin, "/debug/state").contains("\"configuration\":3"));
 
-    signal(&instance, "-TERM");
+    signal(&instance.child, "-TERM");
     wait_for("unreadiness", || !is_ready(&instance));
     assert!(get(instance.callers, "/p/x").starts_with("HTTP/1.1 200"));
     let mut log = String::new();
