feat(relay): servers that are leaving, want a pause, or send without end

Cause: a server states in all its replies that it is leaving, and with a 503 for how long it wants nothing; neither was read. A server whose entry went from draining back to ready (heartbeats that overtake each other, a store that was restored), or that was listed again after it had been dropped, got work again. The body of one reply was limited to 8 MB, but not what all connections buffer together, nor the number of interim replies, nor the framing of short chunks.

Change: `policy::departure` remembers who has left and when an entry counts again; `policy::pause` grants pauses; peers name the leaving servers in their replies, so that an instance that passes an answer on learns of them. Health checks, hedges, retries and connections opened ahead obey both. Where all servers of a service want a pause, callers are refused at once with the time until the first one is back. `metered` limits the bytes of one reply and of all unfinished ones.

--- a/crates/policy/src/expiry.rs
+++ b/crates/policy/src/expiry.rs
@@ -45,6 +45,11 @@
         was_unavailable
     }
 
+    /// Records that the store was restored from an older copy, which may lack entries as after an outage.
+    pub fn record_restored(&mut self, now: Instant) {
+        self.ended_at = Some(now);
+    }
+
     /// Decides how a server is used whose entry is found missing at `now`.
     ///
     /// `drain` is how long a draining server keeps serving.
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -372,6 +372,10 @@
     }
 
     fn record_server_failure(&self, server: &Rc<Server>, now: Instant) {
+        // A server that asks for a pause is overloaded, not faulty.
+        if server.pause_left(now).is_some() {
+            return;
+        }
         if let Transition::Ejected(until) = server.record_failure(now) {
             let ms = until.saturating_duration_since(now).as_millis();
             let service = self.call.service.name();
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -256,7 +256,7 @@
         origin: Origin::Peer,
     };
     let mut answer = respond(relay, request, id, arrival).await;
-    peer::mark_as_peer_answer(&mut answer, arrived_at.elapsed());
+    peer::mark_as_peer_answer(relay, &mut answer, arrived_at.elapsed());
     answer
 }
 
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -60,12 +60,24 @@
 };
 use monoio_compat::hyper::MonoioIo;
 
-use crate::server::Server;
+pub use crate::metered::peak_buffered_bytes;
+use crate::{
+    metered::{
+        Allowance,
+        Metered,
+        Reservation, //
+    },
+    server::Server,
+};
 
 /// Maximum length of a reply's body, in bytes.
 ///
 /// A reply is buffered until it is complete, so that a truncated one is never passed on.
 pub const MAX_REPLY_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// Bytes of a body after which other tasks run; a server that sends without end would keep them waiting.
+const MAX_BYTES_WITHOUT_YIELD: usize = 64 * 1024;
+/// Bytes that a shorter frame of a body counts as, since each takes processor time.
+const MIN_FRAME_COST_BYTES: usize = 1024;
 /// Time within which a server at its connection limit closes a new connection: a few round trips.
 const ACCEPT_GRACE: Duration = Duration::from_millis(4);
 /// Maximum age at which the end of an unused connection means that the server refused it.
@@ -89,7 +101,7 @@
     Timeout,
     /// The reply isn't valid HTTP.
     Malformed,
-    /// The reply's body exceeds [`MAX_REPLY_BODY_BYTES`].
+    /// The reply exceeds a limit: its body [`MAX_REPLY_BODY_BYTES`], or what is buffered in all.
     Oversized,
 }
 
@@ -203,7 +215,10 @@
     .map_err(|_| FailureKind::Connect)?
     .map_err(|_| FailureKind::Connect)?;
     stream.set_nodelay(true).map_err(|_| FailureKind::Connect)?;
+    let allowance = Allowance::default();
+    allowance.start_head();
     let io = MonoioIo::new(stream.into_poll_io().map_err(|_| FailureKind::Connect)?);
+    let io = Metered::new(io, allowance.clone());
     let (sender, driver) = http1::Builder::new()
         .handshake(io)
         .await
@@ -211,16 +226,19 @@
     Ok(Connection {
         sender,
         driver,
+        allowance,
         has_ended: false,
     })
 }
 
-type Driver =
-    http1::Connection<MonoioIo<monoio::net::tcp::stream_poll::TcpStreamPoll>, Full<Bytes>>;
+type Socket = Metered<MonoioIo<monoio::net::tcp::stream_poll::TcpStreamPoll>>;
+type Driver = http1::Connection<Socket, Full<Bytes>>;
 
 struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: Driver,
+    /// Bytes that the current reply may still have.
+    allowance: Allowance,
     has_ended: bool,
 }
 
@@ -344,6 +362,7 @@
             linger: server.linger(),
             is_abandoned: false,
         };
+        self.allowance.start_head();
         let response = self.sender.try_send_request(request);
         let mut result = self.receive_reply(response, &mut watch, &mut reply).await;
         result = result.map_err(|failure| match failure.kind {
@@ -355,7 +374,10 @@
         });
         let was_refused = matches!(&result, Err(failure) if failure.kind == FailureKind::Refused);
         match &result {
-            Ok(_) => server.record_reply(),
+            Ok(reply) => {
+                server.record_reply();
+                server.record_notices(reply.status(), reply.headers(), Instant::now());
+            }
             Err(failure) if failure.kind == FailureKind::Timeout => server.record_timeout(),
             Err(_) => {}
         }
@@ -391,10 +413,13 @@
             .await
             .ok_or(sent(FailureKind::Timeout))?
             .map_err(|error| Failure {
-                kind: failure_kind(error.error()),
+                kind: self.failure_kind(error.error()),
                 sent: error.message().is_none(),
             })?;
         let (head, mut body) = response.into_parts();
+        self.allowance.start_body();
+        let mut since_yield = 0;
+        let mut reservation = Reservation::default();
         let mut buffered = BytesMut::new();
         loop {
             let frame = self
@@ -403,15 +428,22 @@
                 .ok_or(sent(FailureKind::Timeout))?;
             match frame {
                 None => break,
-                Some(Err(error)) => return Err(sent(failure_kind(&error))),
+                Some(Err(error)) => return Err(sent(self.failure_kind(&error))),
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
-                    if buffered.len() + data.len() > MAX_REPLY_BODY_BYTES {
+                    let is_too_long = buffered.len() + data.len() > MAX_REPLY_BODY_BYTES;
+                    if is_too_long || !reservation.reserve(data.len()) {
                         return Err(sent(FailureKind::Oversized));
                     }
                     buffered.extend_from_slice(&data);
+                    self.allowance.extend_body(data.len());
+                    since_yield += data.len().max(MIN_FRAME_COST_BYTES);
+                    if since_yield > MAX_BYTES_WITHOUT_YIELD {
+                        since_yield = 0;
+                        yield_now().await;
+                    }
                 }
             }
         }
@@ -440,6 +472,14 @@
         .await
     }
 
+    fn failure_kind(&self, error: &hyper::Error) -> FailureKind {
+        match error.is_parse() {
+            _ if self.allowance.is_used_up() => FailureKind::Oversized,
+            true => FailureKind::Malformed,
+            false => FailureKind::Closed,
+        }
+    }
+
     fn is_reusable(&mut self, headers: &HeaderMap) -> bool {
         let has_close = headers
             .get_all(CONNECTION)
@@ -476,11 +516,17 @@
     }
 }
 
-fn failure_kind(error: &hyper::Error) -> FailureKind {
-    match error.is_parse() {
-        true => FailureKind::Malformed,
-        false => FailureKind::Closed,
-    }
+/// Lets other tasks run.
+async fn yield_now() {
+    let mut has_yielded = false;
+    poll_fn(|cx| {
+        if std::mem::replace(&mut has_yielded, true) {
+            return Poll::Ready(());
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
 }
 
 fn idle_timeout(headers: &HeaderMap) -> Duration {
--- a/crates/relay/src/headers.rs
+++ b/crates/relay/src/headers.rs
@@ -19,6 +19,8 @@
     pub signature: HeaderName,
     /// Present if the server states that it didn't run the request.
     pub not_run: HeaderName,
+    /// Present in all replies of a server that is leaving.
+    pub leaving: HeaderName,
     /// Signatures of the parts in a query's answer.
     pub parts: HeaderName,
     /// Number of shards missing from a query's answer.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod maintenance;
 pub mod merge;
 pub mod meter;
+mod metered;
 pub mod peer;
 pub mod registry;
 pub mod relay;
--- a/crates/relay/src/maintenance.rs
+++ b/crates/relay/src/maintenance.rs
@@ -42,7 +42,7 @@
                 preconnect(&relay, &table);
             }
             for server in relay.registry().servers() {
-                let needs_check = server.is_ejected(now) && !server.is_misplaced();
+                let needs_check = server.is_ejected(now) && may_check(&server, now);
                 if needs_check && checking.borrow_mut().insert(server.id().clone()) {
                     let (relay, table, checking) = (relay.clone(), table.clone(), checking.clone());
                     monoio::spawn(async move {
@@ -74,6 +74,12 @@
     }
 }
 
+/// Returns whether a health check may be sent: not to a server that is gone or leaving, or wants no requests.
+fn may_check(server: &Server, now: Instant) -> bool {
+    let is_listed = !matches!(server.standing(), Standing::LastResort(_));
+    is_listed && !server.is_misplaced() && server.pause_left(now).is_none()
+}
+
 async fn check_health(relay: &Relay, table: &Table, server: &Rc<Server>) {
     let service = &server.description().service;
     let Some(path) = table.service(service).map(|service| &service.health_path) else {
@@ -99,6 +105,9 @@
             let id = exchange.response.headers().get(&relay.names().server);
             let is_it = id.is_none_or(|id| id.as_bytes() == server.id().as_bytes());
             let status = exchange.response.status();
+            if is_it {
+                server.record_notices(status, exchange.response.headers(), Instant::now());
+            }
             info!(server = %server.id(), %service, %status, is_it, "maintenance: health checked.");
             match is_it {
                 false => server.mark_misplaced(),
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -50,6 +50,8 @@
 /// In a request: the sender's configuration version, whether the store is available to it, and the time
 /// that the caller has waited, in microseconds. In a reply: the time that the peer took, in microseconds.
 const HOP_HEADER: HeaderName = HeaderName::from_static("tanageryoke-hop");
+/// In a reply: ids of servers that said that they are leaving, separated by commas.
+const LEAVING_HEADER: HeaderName = HeaderName::from_static("tanageryoke-leaving");
 /// Present if a peer declined the request.
 const DECLINED_HEADER: HeaderName = HeaderName::from_static("tanageryoke-declined");
 
@@ -65,6 +67,8 @@
 const UNRESPONSIVE_OBJECTIVES: u32 = 2;
 /// Maximum number of peers that are tried for one request: each that declines costs a round trip.
 const MAX_PEERS_PER_REQUEST: usize = 3;
+/// Maximum number of leaving servers that a reply names: the latest ones.
+const MAX_LEAVING: usize = 64;
 /// Minimum timeout of a peer; also the `Retry-After` of a declined request.
 const MIN_WAIT: Duration = Duration::from_millis(150);
 /// Baseline latency of a peer as a share of the latency objective.
@@ -240,6 +244,7 @@
                     .peers()
                     .record_hop_overhead(&reply, now.elapsed());
                 relay.meter().delegated.add(1);
+                record_leaving(relay, &reply);
                 info!(request = id, peer = %peer.id(), status = reply.status().as_u16(), ms, "peer: answered.");
                 Some(Delegation::Answered(into_answer(reply)))
             }
@@ -319,9 +324,21 @@
 
 fn into_answer(mut reply: Reply) -> Response<Bytes> {
     reply.headers_mut().remove(HOP_HEADER);
+    reply.headers_mut().remove(LEAVING_HEADER);
     answer::from_reply(reply)
 }
 
+/// Records the servers that said to the peer that they are leaving, as this instance passes on the replies
+/// that said so.
+fn record_leaving(relay: &Relay, reply: &Reply) {
+    let ids = reply.headers().get(LEAVING_HEADER);
+    let ids = ids.and_then(|ids| ids.to_str().ok()).unwrap_or_default();
+    let now = Instant::now();
+    for id in ids.split(',').filter(|id| !id.is_empty()) {
+        relay.registry().mark_leaving(id, now);
+    }
+}
+
 /// State of the peer that sent a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HopInfo {
@@ -384,10 +401,16 @@
     }
 }
 
-/// Marks an answer as coming from an instance, with the time that it took.
-pub(crate) fn mark_as_peer_answer(answer: &mut Response<Bytes>, took: Duration) {
+/// Marks an answer as coming from an instance, with the time that it took and the servers that are leaving.
+pub(crate) fn mark_as_peer_answer(relay: &Relay, answer: &mut Response<Bytes>, took: Duration) {
     let took_us = HeaderValue::from(took.as_micros() as u64);
     answer.headers_mut().insert(HOP_HEADER, took_us);
+    let leaving = relay.registry().leaving_servers();
+    let first = leaving.len().saturating_sub(MAX_LEAVING);
+    match HeaderValue::from_str(&leaving[first..].join(",")) {
+        Ok(ids) if !ids.is_empty() => drop(answer.headers_mut().insert(LEAVING_HEADER, ids)),
+        _ => {}
+    }
 }
 
 /// Builds the answer to a declined request.
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -17,12 +17,18 @@
     },
 };
 
+use http::HeaderName;
 use policy::{
     delegation::{
         self,
         Capacity,
         Plan, //
     },
+    departure::{
+        Cause,
+        Departures,
+        Source, //
+    },
     expiry::{
         Outage,
         Retention, //
@@ -37,7 +43,10 @@
     Table,
     Target, //
 };
-use tracing::info;
+use tracing::{
+    debug,
+    info, //
+};
 
 use crate::{
     peer::{
@@ -46,6 +55,7 @@
     },
     server::{
         Description,
+        Notices,
         Server,
         Standing, //
     },
@@ -65,6 +75,8 @@
     pub retry_budget: Bound,
     /// Time for which a draining server keeps serving.
     pub drain_time: Duration,
+    /// Header of all replies of a server that is leaving.
+    pub leaving_header: HeaderName,
 }
 
 /// The servers and services that an instance knows.
@@ -80,6 +92,9 @@
     shard_services: RefCell<HashSet<Arc<str>>>,
     knows_instances: Cell<bool>,
     outage: RefCell<Outage>,
+    departures: RefCell<Departures>,
+    /// Servers that said in a reply that they are leaving and that aren't dropped yet.
+    leaving: Rc<RefCell<Vec<Arc<str>>>>,
     is_listed: Cell<bool>,
     started_at: Instant,
     is_starting: Cell<bool>,
@@ -102,6 +117,8 @@
             shard_services: RefCell::default(),
             knows_instances: Cell::new(false),
             outage: RefCell::default(),
+            departures: RefCell::default(),
+            leaving: Rc::default(),
             is_listed: Cell::new(false),
             started_at,
             is_starting: Cell::new(true),
@@ -172,6 +189,13 @@
         }
     }
 
+    /// Records that the store was restored from an older copy: it may lack entries of servers that still run, and
+    /// list others that have left.
+    pub fn store_restored(&self, now: Instant) {
+        self.departures.borrow_mut().store_restored(now);
+        self.outage.borrow_mut().record_restored(now);
+    }
+
     /// Replaces the servers by a complete listing.
     pub fn replace(&self, descriptions: Vec<Description>, now: Instant) {
         let listed: HashSet<Arc<str>> = descriptions.iter().map(|one| one.id.clone()).collect();
@@ -180,29 +204,54 @@
             self.remove(id, now);
         }
         for description in descriptions {
-            self.upsert(description, now);
+            self.upsert(description, Source::Listing, now);
         }
         self.is_listed.set(true);
         self.apply_shares();
     }
 
-    /// Adds or updates one server.
+    /// Adds or updates one server whose entry was changed.
     pub fn update(&self, description: Description, now: Instant) {
-        self.upsert(description, now);
+        self.upsert(description, Source::Change, now);
         self.apply_shares();
     }
 
-    fn upsert(&self, description: Description, now: Instant) {
+    /// Returns the standing of a server by its entry; none if it isn't used.
+    fn listed_standing(
+        &self,
+        description: &Description,
+        source: Source,
+        now: Instant,
+    ) -> Option<Standing> {
+        let Description {
+            id, started_at_ms, ..
+        } = description;
+        let mut departures = self.departures.borrow_mut();
+        if description.draining {
+            departures.record(id, *started_at_ms, Cause::Announced, now);
+        }
+        match departures.announced_at(id, *started_at_ms) {
+            Some(at) => {
+                let until = at + self.settings.borrow().drain_time / 2;
+                (now < until).then_some(Standing::LastResort(until))
+            }
+            None if departures.may_return(id, *started_at_ms, source) => {
+                departures.forget(id);
+                Some(Standing::Ready)
+            }
+            None => None,
+        }
+    }
+
+    fn upsert(&self, description: Description, source: Source, now: Instant) {
         let known = self.servers.borrow().get(&description.id).cloned();
-        let standing = match description.draining {
-            true => Standing::LastResort(now + self.settings.borrow().drain_time / 2),
-            false => Standing::Ready,
+        let Some(standing) = self.listed_standing(&description, source, now) else {
+            debug!(server = %description.id, service = %description.service, "registry: entry ignored, the server has left.");
+            return;
         };
         match known {
             Some(server) if server.description().is_same_start(&description) => {
-                let was = server.standing();
-                let keeps_draining = description.draining && was != Standing::Ready;
-                if !keeps_draining && was != standing {
+                if server.standing() != standing {
                     info!(server = %server.id(), service = %description.service, standing = standing.name(), "registry: server changed.");
                     server.set_standing(standing);
                 }
@@ -214,12 +263,47 @@
         info!(server = %description.id, service = %description.service, address = %description.address, standing = standing.name(), "registry: server found.");
         let service = self.service(&description.service);
         let id = description.id.clone();
-        let server = Server::new(description, &service, now);
+        let notices = {
+            let settings = self.settings.borrow();
+            Notices {
+                leaving: settings.leaving_header.clone(),
+                last_resort: settings.drain_time / 2,
+                announced: self.leaving.clone(),
+            }
+        };
+        let server = Server::new(description, &service, notices, now);
         server.set_standing(standing);
         service.add(server.clone());
         self.servers.borrow_mut().insert(id, server);
     }
 
+    /// Records that a peer has had a reply of the server `id` that says that it is leaving.
+    pub(crate) fn mark_leaving(&self, id: &str, now: Instant) {
+        if let Some(server) = self.servers.borrow().get(id) {
+            server.mark_leaving(now);
+        }
+    }
+
+    /// Returns the ids of servers that said in a reply that they are leaving.
+    pub(crate) fn leaving_servers(&self) -> Vec<Arc<str>> {
+        self.leaving.borrow().clone()
+    }
+
+    /// Remembers the servers that said in a reply that they are leaving.
+    fn record_departures(&self, now: Instant) {
+        let mut departures = self.departures.borrow_mut();
+        departures.expire(now);
+        let mut leaving = Vec::new();
+        for server in self.servers.borrow().values() {
+            if let Some(at) = server.said_leaving_at() {
+                let start = server.description().started_at_ms;
+                departures.record(server.id(), start, Cause::Announced, at);
+                leaving.push(server.id().clone());
+            }
+        }
+        *self.leaving.borrow_mut() = leaving;
+    }
+
     /// Records that a server's entry was removed or has expired.
     pub fn remove(&self, id: &str, now: Instant) {
         let Some(server) = self.servers.borrow().get(id).cloned() else {
@@ -230,6 +314,12 @@
             Retention::Kept(until) => Standing::Kept(until),
             Retention::LastResort(until) => Standing::LastResort(until),
         };
+        self.departures.borrow_mut().record(
+            server.id(),
+            server.description().started_at_ms,
+            Cause::Removed,
+            now,
+        );
         if server.standing() == Standing::Ready {
             let service = &server.description().service;
             let is_outage = matches!(standing, Standing::Kept(_));
@@ -330,6 +420,7 @@
             self.is_starting.set(false);
             self.apply_shares();
         }
+        self.record_departures(now);
         let removable = |server: &Rc<Server>| server.is_removable(now);
         let removable: Vec<Rc<Server>> = self.servers().into_iter().filter(removable).collect();
         for server in &removable {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -50,7 +50,8 @@
     request::CallerRequest,
     service::{
         Refusal,
-        Scheduling, //
+        Scheduling,
+        Service, //
     },
 };
 
@@ -275,7 +276,7 @@
         let report = forward::run(
             self,
             context.route,
-            service,
+            service.clone(),
             context.caller_request,
             context.scheduling,
             route_latency,
@@ -289,16 +290,23 @@
             cause: failure_cause(&report),
             server: report.server.clone(),
         };
-        let answer = self.service_answer(context, report);
+        let answer = self.service_answer(context, &service, report);
         self.record_answer(context, &answer, &detail);
         answer
     }
 
-    fn service_answer(&self, context: &RequestContext<'_>, report: Report) -> Response<Bytes> {
+    fn service_answer(
+        &self,
+        context: &RequestContext<'_>,
+        service: &Service,
+        report: Report,
+    ) -> Response<Bytes> {
         match report.outcome {
             Outcome::Served(reply) | Outcome::Failed(reply) => answer::from_reply(reply),
             Outcome::NotRun(cause) => {
-                let expected_wait = expected_wait(cause, context.scheduling.baseline);
+                let expected_wait = service
+                    .pause_left(Instant::now())
+                    .unwrap_or_else(|| expected_wait(cause, context.scheduling.baseline));
                 self.refusal(context, "no server took the request", expected_wait)
             }
             Outcome::MayHaveRun(Cause::Late) => {
@@ -325,7 +333,8 @@
         if reachable < gather.min_shards() {
             let missing = gather.services.len() - reachable;
             let text = "too few shards can be reached";
-            return self.refuse(context, text, missing, Refusal::NoServer, NO_SERVER_RETRY);
+            let expected_wait = self.time_until_reachable(now, gather, scheduling);
+            return self.refuse(context, text, missing, Refusal::NoServer, expected_wait);
         }
         let time_left = scheduling.wait_until.saturating_duration_since(now);
         if let Err(expected_wait) =
@@ -360,6 +369,26 @@
         answer
     }
 
+    /// Returns the time until enough shards of a query have a server that takes requests.
+    fn time_until_reachable(
+        &self,
+        now: Instant,
+        gather: &Gather,
+        scheduling: Scheduling,
+    ) -> Duration {
+        let wait = |name| {
+            let service = self.registry.service(name);
+            match service.wait_for(now, scheduling) {
+                Some(_) => Duration::ZERO,
+                None => service.pause_left(now).unwrap_or(NO_SERVER_RETRY),
+            }
+        };
+        let mut waits: Vec<Duration> = gather.services.iter().map(wait).collect();
+        waits.sort_unstable();
+        let last = gather.min_shards().saturating_sub(1);
+        waits.get(last).copied().unwrap_or(NO_SERVER_RETRY)
+    }
+
     fn incomplete_query_answer(
         &self,
         context: &RequestContext<'_>,
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -20,8 +20,12 @@
 use bytes::Bytes;
 use futures_channel::oneshot;
 use http::{
+    header::RETRY_AFTER,
+    HeaderMap,
+    HeaderName,
     HeaderValue,
-    Request, //
+    Request,
+    StatusCode, //
 };
 use http_body_util::Full;
 use policy::{
@@ -30,9 +34,14 @@
         Health,
         Transition, //
     },
+    pause::Pause,
     slowness::Tracker,
 };
 use serde::Serialize;
+use tracing::{
+    info,
+    warn, //
+};
 
 pub use crate::description::{
     Description,
@@ -74,14 +83,29 @@
 /// Ratio of recent failures that weighs as much as one consecutive failure when servers are compared.
 const FAILURE_RATIO: f64 = 0.1;
 
+/// What a backend server may state about itself in its replies.
+#[derive(Debug, Clone)]
+pub(crate) struct Notices {
+    /// Header of a server that is leaving.
+    pub(crate) leaving: HeaderName,
+    /// Time for which a leaving server is a last resort.
+    pub(crate) last_resort: Duration,
+    /// Ids of the servers that said that they are leaving.
+    pub(crate) announced: Rc<RefCell<Vec<Arc<str>>>>,
+}
+
 /// A backend server, or a peer.
 #[derive(Debug)]
 pub struct Server {
     description: Description,
     target: HeaderValue,
     linger: Duration,
+    /// None for a peer, which states nothing about itself.
+    notices: Option<Notices>,
     service: Weak<Service>,
     standing: Cell<Standing>,
+    said_leaving_at: Cell<Option<Instant>>,
+    pause: Cell<Pause>,
     warm_at: Cell<Instant>,
     max_connections: Cell<usize>,
     open: Cell<usize>,
@@ -114,24 +138,32 @@
     pub connections: usize,
     /// Whether it is ejected after failures.
     pub out: bool,
+    /// How much longer it wants no requests, in milliseconds.
+    pub pause_ms: u64,
     /// Latency as a multiple of the baseline.
     pub slowness: f64,
 }
 
 impl Server {
     /// Creates a backend server.
-    pub(crate) fn new(description: Description, service: &Rc<Service>, now: Instant) -> Rc<Self> {
-        Self::with_linger(description, service, now, LINGER)
+    pub(crate) fn new(
+        description: Description,
+        service: &Rc<Service>,
+        notices: Notices,
+        now: Instant,
+    ) -> Rc<Self> {
+        Self::with_linger(description, service, Some(notices), now, LINGER)
     }
 
     /// Creates a peer, whose exchanges end as soon as they are abandoned.
     pub(crate) fn peer(description: Description, service: &Rc<Service>, now: Instant) -> Rc<Self> {
-        Self::with_linger(description, service, now, Duration::ZERO)
+        Self::with_linger(description, service, None, now, Duration::ZERO)
     }
 
     fn with_linger(
         description: Description,
         service: &Rc<Service>,
+        notices: Option<Notices>,
         now: Instant,
         linger: Duration,
     ) -> Rc<Self> {
@@ -143,8 +175,11 @@
             description,
             target,
             linger,
+            notices,
             service: Rc::downgrade(service),
             standing: Cell::new(Standing::Ready),
+            said_leaving_at: Cell::new(None),
+            pause: Cell::default(),
             warm_at: Cell::new(warm_at),
             max_connections: Cell::new(1),
             open: Cell::new(0),
@@ -185,9 +220,75 @@
         self.description.address
     }
 
-    /// Returns the standing: its eligibility by its entry in the store.
+    /// Returns the standing: its eligibility by its entry in the store and by what it said in its replies.
     pub fn standing(&self) -> Standing {
-        self.standing.get()
+        let last_resort = self
+            .notices
+            .as_ref()
+            .map_or(Duration::ZERO, |notices| notices.last_resort);
+        match (self.said_leaving_at.get(), self.standing.get()) {
+            (Some(at), Standing::LastResort(until)) => {
+                Standing::LastResort(until.min(at + last_resort))
+            }
+            (Some(at), _) => Standing::LastResort(at + last_resort),
+            (None, standing) => standing,
+        }
+    }
+
+    /// Returns when it first said in a reply that it is leaving.
+    pub(crate) fn said_leaving_at(&self) -> Option<Instant> {
+        self.said_leaving_at.get()
+    }
+
+    /// Records that it said in a reply that it is leaving.
+    pub(crate) fn mark_leaving(&self, now: Instant) {
+        let Some(notices) = self.notices.as_ref() else {
+            return;
+        };
+        if self.said_leaving_at.get().is_none() {
+            info!(server = %self.id(), service = %self.description.service, "server: it says that it is leaving.");
+            self.said_leaving_at.set(Some(now));
+            notices.announced.borrow_mut().push(self.id().clone());
+        }
+    }
+
+    /// Returns how much longer it wants no requests; none if it has asked for no pause.
+    pub(crate) fn pause_left(&self, now: Instant) -> Option<Duration> {
+        self.pause.get().left(now)
+    }
+
+    /// Records what the status and the headers of a reply state about the server itself.
+    pub(crate) fn record_notices(&self, status: StatusCode, headers: &HeaderMap, now: Instant) {
+        let Some(notices) = &self.notices else {
+            return;
+        };
+        if headers.contains_key(&notices.leaving) {
+            self.mark_leaving(now);
+        }
+        match headers.get(RETRY_AFTER) {
+            Some(value) if status == StatusCode::SERVICE_UNAVAILABLE => {
+                self.request_pause(value, now)
+            }
+            _ => {}
+        }
+    }
+
+    fn request_pause(&self, value: &HeaderValue, now: Instant) {
+        let seconds = value
+            .to_str()
+            .ok()
+            .and_then(|text| text.trim().parse().ok());
+        let mut pause = self.pause.get();
+        match seconds.and_then(|seconds: f64| pause.request(now, seconds)) {
+            Some(granted) => {
+                self.pause.set(pause);
+                let ms = granted.as_millis() as u64;
+                info!(server = %self.id(), service = %self.description.service, ms, "server: it wants no requests for a while.");
+            }
+            None => {
+                warn!(server = %self.id(), ?value, "server: time of a pause can't be read, ignored.");
+            }
+        }
     }
 
     pub(crate) fn set_standing(&self, standing: Standing) {
@@ -216,12 +317,13 @@
     fn may_get_work(&self, now: Instant) -> bool {
         let health = self.health.borrow();
         let is_probation_full = health.is_on_probation(now) && self.in_flight.get() > 0;
-        !self.misplaced.get() && !health.is_ejected(now) && !is_probation_full
+        let is_pausing = self.pause_left(now).is_some();
+        !self.misplaced.get() && !is_pausing && !health.is_ejected(now) && !is_probation_full
     }
 
     /// Returns whether it is eligible for work.
     pub(crate) fn is_available(&self, now: Instant) -> bool {
-        let standing_allows = match self.standing.get() {
+        let standing_allows = match self.standing() {
             Standing::Ready => true,
             Standing::Kept(until) => now < until,
             Standing::LastResort(_) => false,
@@ -242,7 +344,7 @@
 
     /// Returns whether it may get work if no server of the service is available.
     pub(crate) fn is_last_resort(&self, now: Instant) -> bool {
-        let standing_allows = match self.standing.get() {
+        let standing_allows = match self.standing() {
             Standing::Ready => true,
             Standing::Kept(until) | Standing::LastResort(until) => now < until,
         };
@@ -251,7 +353,7 @@
 
     /// Returns whether its grace time is over, so that it can be dropped.
     pub(crate) fn is_removable(&self, now: Instant) -> bool {
-        match self.standing.get() {
+        match self.standing() {
             Standing::Ready => false,
             Standing::Kept(until) => now >= until,
             Standing::LastResort(until) => now >= until,
@@ -397,7 +499,7 @@
         }
         if let Transition::Ejected(until) = self.record_failure(Instant::now()) {
             let ms = until.saturating_duration_since(Instant::now()).as_millis() as u64;
-            tracing::info!(server = %self.id(), service = %self.description.service, out_ms = ms, "server: no reply, ejected.");
+            info!(server = %self.id(), service = %self.description.service, out_ms = ms, "server: no reply, ejected.");
         }
     }
 
@@ -453,11 +555,12 @@
         State {
             id: self.id().clone(),
             address: self.address(),
-            standing: self.standing.get().name(),
+            standing: self.standing().name(),
             open: self.open.get(),
             busy: self.in_flight.get(),
             connections: self.max_connections.get(),
             out: self.is_ejected(now),
+            pause_ms: self.pause_left(now).unwrap_or_default().as_millis() as u64,
             slowness: self.slowness.borrow().current(now),
         }
     }
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -148,6 +148,16 @@
             .any(|server| server.is_available(now) || server.is_last_resort(now))
     }
 
+    /// Returns the time until the first of the servers that want no requests takes some again; none if there is
+    /// no such server.
+    pub(crate) fn pause_left(&self, now: Instant) -> Option<Duration> {
+        let servers = self.servers.borrow();
+        servers
+            .iter()
+            .filter_map(|server| server.pause_left(now))
+            .min()
+    }
+
     /// Returns a free server that isn't among `tried`, if there is one now.
     pub(crate) fn try_choose(
         &self,
--- a/crates/relay/tests/common/fake.rs
+++ b/crates/relay/tests/common/fake.rs
@@ -150,6 +150,10 @@
     Close,
     /// Sends nothing until the other end closes.
     Silent,
+    /// Replies with this status, these additional header lines and this body, signed and with the id.
+    Reply(&'static str, String, &'static str),
+    /// Sends the first text, then the second one again and again until the other end closes.
+    Endless(&'static str, &'static str),
 }
 
 /// Serves the body without delay.
@@ -157,6 +161,9 @@
     Behavior::Serve(Duration::ZERO, body.as_bytes().to_vec())
 }
 
+/// Length of one write of an endless reply.
+const ENDLESS_BLOCK_BYTES: usize = 64 * 1024;
+
 /// A backend server.
 pub struct FakeServer {
     /// Id.
@@ -171,6 +178,8 @@
     pub max_connections: Cell<usize>,
     /// Open connections.
     pub connections: Cell<usize>,
+    /// Bytes of endless replies that were sent.
+    pub endless_bytes: Cell<usize>,
     /// When the other end closed a connection whose request got no reply.
     pub abandoned_at: Cell<Option<Instant>>,
     behaviors: Box<dyn Fn(usize) -> Behavior>,
@@ -186,6 +195,7 @@
             requests: RefCell::default(),
             accepted: Cell::new(0),
             abandoned_at: Cell::new(None),
+            endless_bytes: Cell::new(0),
             max_connections: Cell::new(usize::MAX),
             connections: Cell::new(0),
             behaviors: Box::new(behaviors),
@@ -294,6 +304,22 @@
                     .write(reply(status, &own_headers, b"failed"))
                     .await
             }
+            Behavior::Reply(status, fields, body) => {
+                let fields = format!("{own_headers}{fields}");
+                connection
+                    .write(reply(status, &fields, body.as_bytes()))
+                    .await
+            }
+            Behavior::Endless(start, repeated) => {
+                let mut is_open = connection.write(start).await;
+                let block = repeated.repeat((ENDLESS_BLOCK_BYTES / repeated.len()).max(1));
+                while is_open {
+                    is_open = connection.write(block.as_str()).await;
+                    self.endless_bytes
+                        .set(self.endless_bytes.get() + block.len());
+                }
+                false
+            }
             Behavior::Close => false,
             Behavior::Silent => {
                 connection.closed().await;
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -83,6 +83,7 @@
         server: HeaderName::from_static("i-am"),
         signature: HeaderName::from_static("signed"),
         not_run: HeaderName::from_static("not-run"),
+        leaving: HeaderName::from_static("going"),
         parts: HeaderName::from_static("parts"),
         missing: HeaderName::from_static("missing"),
     }
@@ -172,6 +173,7 @@
             span: Duration::from_secs(10),
         },
         drain_time: Duration::from_secs(3),
+        leaving_header: names().leaving,
     };
     let registry = Registry::new(settings, started_at);
     registry.set_members(Vec::new());
