feat(relay, adapter, fleet): a store that was restored from an older copy

Cause: revisions go back and are given out again, so a watch from a remembered revision may be accepted although its history is another one. The header of the era wasn't read.

The stand-in of the store can be restored from its own history.

--- a/crates/bench/src/store/fault.rs
+++ b/crates/bench/src/store/fault.rs
@@ -38,6 +38,8 @@
     pub list_lag_ms: Option<u64>,
     /// Clears the history, so that watches can't resume.
     pub forget: bool,
+    /// Restores the store from a copy that is this old, in milliseconds.
+    pub restore_ms: Option<u64>,
 }
 
 /// The faults in force.
--- a/crates/bench/src/store/handler.rs
+++ b/crates/bench/src/store/handler.rs
@@ -24,6 +24,7 @@
 };
 use bytes::Bytes;
 use http::{
+    HeaderValue,
     Method,
     Request,
     Response,
@@ -194,6 +195,13 @@
             let lag = Duration::from_millis(lag);
             self.platform.instance_list.borrow_mut().set_lag(lag);
         }
+        if let Some(age) = change.restore_ms {
+            self.platform
+                .objects
+                .borrow_mut()
+                .restore(Duration::from_millis(age));
+            self.platform.notify_watches();
+        }
         if change.forget {
             self.platform.objects.borrow_mut().clear_history();
             self.platform.notify_watches();
@@ -347,6 +355,7 @@
             }
             if timed_out {
                 let listing = Listing {
+                    era: self.platform.objects.borrow().era(),
                     revision: self.platform.objects.borrow().revision(),
                     ..Listing::default()
                 };
@@ -362,8 +371,14 @@
         let objects = path.strip_prefix(OBJECTS_PATH);
         match (objects, path.strip_prefix("/control/")) {
             (Some(rest), _) => {
-                self.handle_call(rest.trim_start_matches('/'), &request)
-                    .await
+                let mut reply = self
+                    .handle_call(rest.trim_start_matches('/'), &request)
+                    .await;
+                let era = self.platform.objects.borrow().era();
+                reply
+                    .headers_mut()
+                    .insert(adapter::names::ERA_HEADER, HeaderValue::from(era));
+                reply
             }
             (_, Some(rest)) => self.handle_control(rest, &request),
             _ => response::empty(StatusCode::NOT_FOUND),
--- a/crates/bench/src/store/objects.rs
+++ b/crates/bench/src/store/objects.rs
@@ -7,6 +7,7 @@
         VecDeque, //
     },
     sync::Arc,
+    time::Duration,
 };
 
 use ::platform::{
@@ -53,6 +54,8 @@
     at_us: u64,
     kind: Arc<str>,
     name: Arc<str>,
+    /// The object before the change; `None` if it didn't exist.
+    previous: Option<Object>,
 }
 
 /// All objects of the store.
@@ -63,6 +66,8 @@
     history: VecDeque<Change>,
     /// Revision of the newest change that was removed from the history.
     compacted: u64,
+    /// Number of times that the store was restored from an older copy.
+    restorations: u64,
 }
 
 impl Objects {
@@ -75,6 +80,7 @@
     pub fn list(&self, kind: &str) -> Listing {
         let objects = self.kinds.get(kind).into_iter().flat_map(BTreeMap::values);
         Listing {
+            era: self.era(),
             revision: self.revision,
             objects: objects.cloned().collect(),
             deleted: Vec::new(),
@@ -98,7 +104,8 @@
         }
         self.check_condition(kind, name, condition)?;
         let name = Arc::<str>::from(name);
-        let version = self.record_change(kind, &name);
+        let previous = self.read(kind, &name).cloned();
+        let version = self.record_change(kind, &name, previous);
         let object = Object {
             name: name.clone(),
             version,
@@ -116,10 +123,9 @@
     /// Refuses an object that doesn't meet the condition.
     pub fn delete(&mut self, kind: &str, name: &str, condition: Condition) -> Result<u64, Refusal> {
         self.check_condition(kind, name, condition)?;
-        if let Some(objects) = self.kinds.get_mut(kind) {
-            objects.remove(name);
-        }
-        Ok(self.record_change(kind, &Arc::from(name)))
+        let objects = self.kinds.get_mut(kind);
+        let previous = objects.and_then(|objects| objects.remove(name));
+        Ok(self.record_change(kind, &Arc::from(name), previous))
     }
 
     /// Returns the objects of a kind that changed after revision `after`; `None` if there are none.
@@ -128,7 +134,8 @@
     ///
     /// Refuses a revision that the history no longer goes back to.
     pub fn changes_after(&self, kind: &str, after: u64) -> Result<Option<Listing>, Refusal> {
-        if after < self.compacted {
+        // A revision that was given out before a restoration may not exist any more.
+        if after < self.compacted || after > self.revision {
             return Err(Refusal::Compacted);
         }
         let names: BTreeSet<_> = self
@@ -143,6 +150,7 @@
             return Ok(None);
         }
         let mut listing = Listing {
+            era: self.era(),
             revision: self.revision,
             ..Listing::default()
         };
@@ -161,6 +169,34 @@
         self.compacted = self.revision;
     }
 
+    /// Goes back to the state of `age` ago, as far as the history goes, and enters a new era.
+    ///
+    /// The revisions after that state are given out again.
+    pub fn restore(&mut self, age: Duration) {
+        let since = now_us().saturating_sub(age.as_micros() as u64);
+        while self
+            .history
+            .back()
+            .is_some_and(|change| change.at_us >= since)
+        {
+            let Some(change) = self.history.pop_back() else {
+                break;
+            };
+            self.revision = change.revision - 1;
+            let objects = self.kinds.entry(change.kind).or_default();
+            match change.previous {
+                Some(object) => drop(objects.insert(change.name, object)),
+                None => drop(objects.remove(&change.name)),
+            }
+        }
+        self.restorations += 1;
+    }
+
+    /// Returns the era: 1, and one more for each restoration.
+    pub fn era(&self) -> u64 {
+        self.restorations + 1
+    }
+
     /// Returns the version and time of every change of an object in the history, oldest first.
     pub fn accepted(&self, kind: &str, name: &str) -> Vec<AcceptedVersion> {
         let of_object = |change: &&Change| &*change.kind == kind && &*change.name == name;
@@ -189,13 +225,14 @@
         }
     }
 
-    fn record_change(&mut self, kind: &str, name: &Arc<str>) -> u64 {
+    fn record_change(&mut self, kind: &str, name: &Arc<str>, previous: Option<Object>) -> u64 {
         self.revision += 1;
         self.history.push_back(Change {
             revision: self.revision,
             at_us: now_us(),
             kind: Arc::from(kind),
             name: name.clone(),
+            previous,
         });
         if self.history.len() > MAX_HISTORY {
             self.compacted = self.history.pop_front().map_or(0, |change| change.revision);
--- a/crates/bench/src/store/tests.rs
+++ b/crates/bench/src/store/tests.rs
@@ -1,6 +1,9 @@
 //! Tests of conditional updates, watches and compaction.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use serde_json::value::RawValue;
 
@@ -97,3 +100,30 @@
     let versions: Vec<_> = accepted.iter().map(|accepted| accepted.version).collect();
     assert_eq!(versions, [1, 3]);
 }
+
+/// A restored store gives out revisions again, and a watch from one that it no longer has is compacted.
+#[test]
+fn restored_store_loses_what_was_written_since_the_copy() {
+    let mut objects = Objects::default();
+    let created = objects.write("a", "x", Condition::Absent, value("1"));
+    std::thread::sleep(Duration::from_millis(60));
+    let since = [
+        objects.write("a", "x", Condition::Version(1), value("2")),
+        objects.write("a", "y", Condition::Absent, value("3")),
+        objects.delete("a", "x", Condition::Version(2)),
+    ];
+    objects.restore(Duration::from_millis(40));
+    assert_eq!((created, since), (Ok(1), [Ok(2), Ok(3), Ok(4)]));
+    let texts = objects.list("a").objects.into_iter();
+    let texts: Vec<String> = texts
+        .map(|object| format!("{} {} {}", object.name, object.version, object.value))
+        .collect();
+    assert_eq!(texts, ["x 1 1"]);
+    assert_eq!((objects.revision(), objects.era()), (1, 2));
+    assert_eq!(
+        objects.changes_after("a", 3).map(|_| ()),
+        Err(Refusal::Compacted)
+    );
+    let again = objects.write("a", "y", Condition::Absent, value("4"));
+    assert_eq!(again, Ok(2));
+}
--- a/crates/fleet/src/watch.rs
+++ b/crates/fleet/src/watch.rs
@@ -88,6 +88,7 @@
 /// Follows the documents until the future is dropped.
 pub(crate) async fn documents<S: Store>(fleet: &Fleet<S>) {
     let mut revision = None;
+    let mut era = 0;
     let mut failures = 0;
     let mut acting_until: Option<Instant> = None;
     loop {
@@ -96,6 +97,11 @@
             role == Role::Fallback && fleet.platform_contact.age(Instant::now()).is_some();
         let wait = role.watch_timeout(fleet.settings.heartbeat);
         let started_at = Instant::now();
+        // A store that was restored from an older copy gives out revisions again.
+        if fleet.store.era() != era {
+            era = fleet.store.era();
+            revision = None;
+        }
         match read_documents(fleet, revision, wait).await {
             Ok(listing) => {
                 failures = 0;
@@ -115,7 +121,7 @@
                 tracing::warn!("fleet: documents can't be read: {failure}.");
                 failures += 1;
                 acting_until = None;
-                if failure == Failure::Compacted {
+                if matches!(failure, Failure::Compacted | Failure::Restored) {
                     revision = None;
                 }
             }
--- a/crates/fleet/tests/common/store.rs
+++ b/crates/fleet/tests/common/store.rs
@@ -143,6 +143,7 @@
         self.platform.count("list");
         self.check()?;
         Ok(Listing {
+            era: 0,
             revision: self.platform.revision.get(),
             objects: self.platform.after(0),
             deleted: Vec::<Arc<str>>::new(),
@@ -168,6 +169,7 @@
             let left = wait.saturating_sub(start.elapsed());
             if !objects.is_empty() || left.is_zero() {
                 return Ok(Listing {
+                    era: 0,
                     revision: self.platform.revision.get(),
                     objects,
                     deleted: Vec::new(),
--- a/crates/platform/src/counters.rs
+++ b/crates/platform/src/counters.rs
@@ -42,6 +42,8 @@
     pub lost: u64,
     /// Calls whose reply was malformed.
     pub malformed: u64,
+    /// Calls whose reply was from before the store was restored from an older copy.
+    pub restored: u64,
 }
 
 /// Counts calls and their failures.
@@ -75,6 +77,7 @@
             Failure::Unavailable => counters.unavailable += 1,
             Failure::Lost => counters.lost += 1,
             Failure::Malformed => counters.malformed += 1,
+            Failure::Restored => counters.restored += 1,
             Failure::Invalid | Failure::Oversized | Failure::Compacted => {}
         }
         self.0.set(counters);
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -27,6 +27,10 @@
 /// All objects of one kind, or those that changed since a revision.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Listing {
+    /// Era of the store: it rises each time the store is restored from an older copy, and revisions of different
+    /// eras aren't comparable. 0 if the store states none.
+    #[serde(default)]
+    pub era: u64,
     /// Revision of the store that the listing reflects.
     pub revision: u64,
     /// The objects.
@@ -69,12 +73,14 @@
     Compacted,
     /// The reply is malformed; a write may have taken effect.
     Malformed,
+    /// The store was restored from an older copy meanwhile; what was written before may be lost.
+    Restored,
 }
 
 impl Failure {
     /// Returns whether a write that failed this way may have taken effect.
     pub fn may_have_taken_effect(self) -> bool {
-        matches!(self, Self::Lost | Self::Malformed)
+        matches!(self, Self::Lost | Self::Malformed | Self::Restored)
     }
 }
 
@@ -88,6 +94,7 @@
             Self::Invalid => f.write_str("kind or name not allowed"),
             Self::Compacted => f.write_str("revision too old to watch from"),
             Self::Malformed => f.write_str("platform reply malformed"),
+            Self::Restored => f.write_str("platform restored from an older copy"),
         }
     }
 }
@@ -121,6 +128,11 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Listing, Failure>>;
 
+    /// Returns the latest era that the store has stated in any reply; 0 if it has stated none.
+    fn era(&self) -> u64 {
+        0
+    }
+
     /// Reads the list of instances, which lags behind the actual state.
     fn instances(&self) -> impl Future<Output = Result<Vec<Instance>, Failure>>;
 }
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -6,6 +6,7 @@
 use std::{
     cell::RefCell,
     collections::HashMap,
+    pin::pin,
     rc::Rc,
     sync::Arc,
     time::{
@@ -14,6 +15,10 @@
     },
 };
 
+use futures_util::future::{
+    select,
+    Either, //
+};
 use monoio::time::{
     sleep,
     timeout, //
@@ -120,17 +125,28 @@
 }
 
 /// Notifies the tasks of one process that the store is available again, so that only one of them has to
-/// probe it.
+/// probe it, or that it was restored from an older copy, so that none waits for changes of the earlier era.
 #[derive(Debug, Clone, Default)]
-pub struct StoreRecovery(Rc<RefCell<Stop>>);
+pub struct StoreRecovery {
+    recovered: Rc<RefCell<Stop>>,
+    restored: Rc<RefCell<Stop>>,
+}
 
 impl StoreRecovery {
     fn notify(&self) {
-        self.0.replace(Stop::new()).set();
+        self.recovered.replace(Stop::new()).set();
+    }
+
+    fn notify_restored(&self) {
+        self.restored.replace(Stop::new()).set();
+    }
+
+    fn wait_restored(&self) -> impl std::future::Future<Output = ()> {
+        self.restored.borrow().wait()
     }
 
     async fn wait(&self, max_wait: Duration) {
-        let recovered = self.0.borrow().wait();
+        let recovered = self.recovered.borrow().wait();
         // The caller retries in either case: after the notification and after the timeout.
         let _ = timeout(max_wait, recovered).await;
     }
@@ -155,6 +171,35 @@
     fn changed(&mut self, listing: Listing, now: Instant);
     fn store_failed(&mut self, _now: Instant) {}
     fn store_answered(&mut self, _now: Instant) {}
+    /// Handles the restoration of the store from an older copy, before the objects are listed again.
+    fn store_restored(&mut self, _now: Instant) {}
+}
+
+/// State of the store that a task has read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Position {
+    era: u64,
+    revision: u64,
+}
+
+/// Waits for changes after `position`, until another task finds that the store was restored.
+async fn watch<S: Store>(
+    store: &S,
+    kind: &str,
+    position: Position,
+    wait: Duration,
+    recovery: &StoreRecovery,
+) -> Result<Listing, Failure> {
+    if store.era() != position.era {
+        return Err(Failure::Restored);
+    }
+    let changes = pin!(store.watch(kind, position.revision, wait));
+    let restored = pin!(recovery.wait_restored());
+    match select(changes, restored).await {
+        Either::Left((Ok(listing), _)) if listing.era != position.era => Err(Failure::Restored),
+        Either::Left((result, _)) => result,
+        Either::Right(_) => Err(Failure::Restored),
+    }
 }
 
 async fn follow<S: Store, F: Follower>(
@@ -164,14 +209,30 @@
     mut follower: F,
 ) {
     let mut backoff = Backoff::new(MIN_BACKOFF, MAX_BACKOFF);
-    let mut revision = None;
+    let mut position: Option<Position> = None;
+    // Era of the last successful read.
+    let mut era = None;
     let mut is_unavailable = false;
     loop {
-        let result = match revision {
+        let result = match position {
             None => store.list(kind).await,
-            Some(revision) => store.watch(kind, revision, follower.watch_timeout()).await,
+            Some(position) => {
+                let wait = follower.watch_timeout();
+                watch(&*store, kind, position, wait, &recovery).await
+            }
         };
         let now = Instant::now();
+        if era.is_some_and(|era| era != store.era()) {
+            info!(
+                kind,
+                era = store.era(),
+                "follow: {} are listed again, the store was restored from an older copy.",
+                F::NAME
+            );
+            era = Some(store.era());
+            follower.store_restored(now);
+            recovery.notify_restored();
+        }
         match result {
             Ok(listing) => {
                 if std::mem::take(&mut is_unavailable) {
@@ -186,8 +247,12 @@
                 follower.store_answered(now);
                 backoff.reset();
                 let is_unchanged = listing.objects.is_empty() && listing.deleted.is_empty();
-                let was = revision.replace(listing.revision);
-                match was {
+                let read = Position {
+                    era: listing.era,
+                    revision: listing.revision,
+                };
+                era = Some(read.era);
+                match position.replace(read) {
                     None => follower.listed(listing, now),
                     Some(_) => follower.changed(listing, now),
                 }
@@ -196,21 +261,23 @@
                     sleep(pause).await;
                 }
             }
+            Err(Failure::Restored) => position = None,
             Err(Failure::Compacted) => {
                 info!(
                     kind,
-                    revision,
+                    revision = position.map(|position| position.revision),
                     "follow: {} are listed again, the store has compacted the history.",
                     F::NAME
                 );
-                revision = None;
+                position = None;
             }
             Err(error) => {
                 if !std::mem::replace(&mut is_unavailable, true) {
+                    let revision = position.map(|position| position.revision);
                     warn!(kind, revision, %error, "follow: {} can't be read.", F::NAME);
                 }
                 follower.store_failed(now);
-                revision = revision.filter(|_| !follower.relists_after_failure());
+                position = position.filter(|_| !follower.relists_after_failure());
                 match F::PROBES_STORE {
                     true => sleep(backoff.next_wait()).await,
                     false => recovery.wait(MAX_RECOVERY_WAIT).await,
@@ -335,6 +402,10 @@
     fn store_answered(&mut self, now: Instant) {
         self.relay.registry().store_available(now);
     }
+
+    fn store_restored(&mut self, now: Instant) {
+        self.relay.registry().store_restored(now);
+    }
 }
 
 /// Keeps the instances that share the servers in sync until the process ends.
