feat(relay, policy): a few instances watch the store, the others ask them

Each change woke all of them.

Change: `policy::watchers` picks one instance a zone, four at least, from the list of instances; the others hold a long poll at one of them, in turn at one of their own zone and at one of another, so that a watcher that is cut off without knowing it holds a change back for one poll. Replies state their age. An instance that nobody supplies reads the store itself, spread over 2 to 5 s. The first list of instances is a stale read. Fleets of up to 12 watch the store as before. An instance's own entry is corrected whenever it isn't listed as it should be, also after the store was restored.

--- a/crates/bench/src/soak/topology.rs
+++ b/crates/bench/src/soak/topology.rs
@@ -267,6 +267,7 @@
             retry_budget: RETRY_BUDGET,
             server_drain_time: SERVER_DRAIN,
             grace: GRACE,
+            is_first_start: false,
         },
         file: folder.join(format!("relay-{index}.yaml")),
         log: folder.join(format!("relay-{index}.log")),
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -110,6 +110,13 @@
     /// Reads all objects of a kind.
     fn list(&self, kind: &str) -> impl Future<Output = Result<Listing, Failure>>;
 
+    /// Reads all objects of a kind as they were some seconds ago at most, which costs the store less.
+    ///
+    /// The default reads the current ones.
+    fn list_stale(&self, kind: &str) -> impl Future<Output = Result<Listing, Failure>> {
+        self.list(kind)
+    }
+
     /// Writes `value` if the object's version is `expected`, which is 0 for an object that doesn't
     /// exist; returns the new version.
     fn write(
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -53,3 +53,4 @@
 pub mod retry_budget;
 pub mod slowness;
 pub mod subset;
+pub mod watchers;
--- /dev/null
+++ b/crates/policy/src/watchers.rs
@@ -0,0 +1,102 @@
+//! Which instances watch the store, and from which of them the others learn of changes.
+//!
+//! Each call to the store is paid for, and its rates grow more slowly than the fleet: hundreds of instances
+//! that watch it are all woken by each change. A few instances watch it and pass on what they learn. Every
+//! instance derives the same few from the list of instances, so nothing is elected and nothing has to be
+//! agreed: while the lists of two instances differ, one of them only asks another one than usual.
+
+use std::time::Duration;
+
+/// Largest fleet in which every instance watches the store itself.
+const MAX_DIRECT_FLEET: usize = 12;
+/// Minimum number of watchers, so that the loss of a zone leaves some.
+const MIN_WATCHERS: usize = 4;
+/// Maximum number of watchers that are asked before a read fails.
+const MAX_TRIES: usize = 3;
+/// Age beyond which what an instance holds of the store is too old to pass on: a watch of the store that is lost
+/// is noticed within less.
+pub const MAX_AGE: Duration = Duration::from_millis(4_500);
+/// Time without a supply after which an instance asks the store itself, and the range over which instances are
+/// spread that lose their supply together.
+const MIN_UNSUPPLIED: Duration = Duration::from_millis(2_000);
+const UNSUPPLIED_SPREAD: Duration = Duration::from_millis(3_000);
+
+/// An instance of the fleet.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidate<'a> {
+    /// Name, unique in the fleet.
+    pub name: &'a str,
+    /// Availability zone.
+    pub zone: &'a str,
+    /// Processor time available to it, in cores.
+    pub cores: f64,
+}
+
+/// Returns the indexes of the instances that watch the store: the largest one of each zone, and further ones of
+/// each until there are enough.
+pub fn choose(candidates: &[Candidate<'_>]) -> Vec<usize> {
+    if candidates.len() <= MAX_DIRECT_FLEET {
+        return (0..candidates.len()).collect();
+    }
+    let mut ranked: Vec<usize> = (0..candidates.len()).collect();
+    ranked.sort_by(|one, other| {
+        let (one, other) = (&candidates[*one], &candidates[*other]);
+        let by_cores = other.cores.total_cmp(&one.cores);
+        by_cores.then_with(|| one.name.cmp(other.name))
+    });
+    let mut chosen: Vec<usize> = Vec::new();
+    while chosen.len() < MIN_WATCHERS {
+        let mut zones: Vec<&str> = Vec::new();
+        for index in &ranked {
+            let zone = candidates[*index].zone;
+            if !chosen.contains(index) && !zones.contains(&zone) {
+                zones.push(zone);
+                chosen.push(*index);
+            }
+        }
+    }
+    chosen
+}
+
+/// Returns the indexes of the watchers to ask, in order, for the read number `turn` of an instance.
+///
+/// Odd reads ask a watcher of another zone first: a watcher that is cut off from the store without knowing it
+/// yet holds back changes for one read only.
+pub fn order(local: &Candidate<'_>, watchers: &[Candidate<'_>], turn: u64) -> Vec<usize> {
+    let all = (0..watchers.len()).filter(|index| watchers[*index].name != local.name);
+    let is_near = |index: &usize| watchers[*index].zone == local.zone;
+    let (mut near, mut far): (Vec<usize>, Vec<usize>) = all.partition(is_near);
+    let rotate = |group: &mut Vec<usize>, by: u64| {
+        if !group.is_empty() {
+            let middle = (by % group.len() as u64) as usize;
+            group.rotate_left(middle);
+        }
+    };
+    let offset = hash(local.name);
+    let round = match near.is_empty() {
+        true => turn,
+        false => turn / 2,
+    };
+    rotate(&mut near, offset.wrapping_add(round));
+    rotate(&mut far, offset.wrapping_add(round));
+    let mut order = Vec::with_capacity(near.len() + far.len());
+    if turn % 2 == 1 && !far.is_empty() {
+        order.push(far.remove(0));
+    }
+    order.extend(near);
+    order.extend(far);
+    order.truncate(MAX_TRIES);
+    order
+}
+
+/// Returns how long an instance is without a supply before it asks the store itself.
+pub fn patience(name: &str) -> Duration {
+    let share = (hash(name) % 1_000) as f64 / 1_000.0;
+    MIN_UNSUPPLIED + UNSUPPLIED_SPREAD.mul_f64(share)
+}
+
+/// 64-bit FNV-1a with its standard offset basis and prime.
+fn hash(name: &str) -> u64 {
+    let fold = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, fold)
+}
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -65,6 +65,7 @@
 
 use crate::{
     answer,
+    feed,
     in_flight::InFlight,
     peer::{
         self,
@@ -203,6 +204,16 @@
 ) -> Response<Full<Bytes>> {
     let arrived_at = Instant::now();
     activity.is_busy.set(true);
+    // A poll waits for seconds, so it isn't one of the requests in flight that a shutdown waits for.
+    match feed::Query::parse(request.uri()) {
+        Some(query) if origin == Origin::Peer => {
+            let answer = feed::answer(relay, query).await;
+            activity.is_busy.set(false);
+            activity.last_used_at.set(Instant::now());
+            return answer.map(Full::new);
+        }
+        _ => {}
+    }
     let id = request.headers().get(&relay.names().request);
     let id = id.and_then(|id| id.to_str().ok()).unwrap_or("none");
     let in_flight = InFlight::new(relay.clone(), id.to_owned());
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -1,11 +1,11 @@
 //! Keeps routes, servers and instances in sync with the store.
 //!
-//! Each kind of object has its own task. It lists the objects, watches for changes from the revision of
-//! the listing on, and lists them again when the store has compacted that history.
+//! Each kind of object has its own task. It lists the objects, waits for changes from the revision of the listing
+//! on, and lists them again when that history is gone. What it reads is also kept for other instances, see
+//! [`crate::mirror`].
 
 use std::{
     cell::RefCell,
-    collections::HashMap,
     pin::pin,
     rc::Rc,
     sync::Arc,
@@ -30,17 +30,29 @@
     Object,
     Store, //
 };
-use route::Table;
+use policy::watchers;
 use tracing::{
     info,
     warn, //
 };
 use web::Stop;
 
+pub use crate::directory::{
+    Directory,
+    ParseError, //
+};
 use crate::{
-    peer::Member,
+    mirror::{
+        Position,
+        Reading, //
+    },
     relay::Relay,
-    server::Description, //
+    server::Description,
+    source::{
+        Limits,
+        ReadError,
+        Source, //
+    },
 };
 
 /// Timeout of one watch if this instance answers requests itself.
@@ -50,13 +62,13 @@
 const WATCH_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Timeout of one watch if peers, which are more up to date, answer the requests.
 const DELEGATING_WATCH_TIMEOUT: Duration = Duration::from_millis(12_000);
-/// Timeout of one watch of instances, whose changes aren't urgent.
-const INSTANCES_WATCH_TIMEOUT: Duration = Duration::from_millis(25_000);
+/// How long a watcher holds a read whose changes must take effect within seconds. Reads ask watchers in turn, so a
+/// change that one of them lacks is learned from another one after this time.
+const FEED_WAIT: Duration = Duration::from_millis(1_500);
 /// Pause after a change of servers, so that many changes are read in one call. A draining server keeps
 /// serving for several times as long.
 const SERVERS_PAUSE: Duration = Duration::from_millis(400);
-/// Pause after a change that isn't urgent: of instances, which all write their entries within the same
-/// seconds, and of servers if peers answer the requests.
+/// Pause after a change of servers if peers answer the requests.
 const BATCH_PAUSE: Duration = Duration::from_millis(3_000);
 /// Initial and maximum backoff after a failed call to the store.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
@@ -65,62 +77,21 @@
 /// store.
 const MAX_RECOVERY_WAIT: Duration = Duration::from_millis(3_000);
 
-/// An object that can't be parsed.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ParseError {
-    /// Reason, for logs.
-    pub reason: String,
-}
-
-impl std::fmt::Display for ParseError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(&self.reason)
-    }
-}
-
-impl std::error::Error for ParseError {}
-
-/// Location and encoding of the objects that a relay reads from and writes to the store.
-pub trait Directory: 'static {
-    /// The store.
-    type Store: Store;
-
-    /// Kind and name of the object with the routes.
-    const ROUTES: (&'static str, &'static str);
-    /// Kind of the servers' entries.
-    const SERVERS: &'static str;
-    /// Kind of the instances' entries.
-    const INSTANCES: &'static str;
-
-    /// Parses the routes.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the object doesn't hold routes.
-    fn table(object: &Object) -> Result<Table, ParseError>;
-
-    /// Parses the entry of a server.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the object doesn't describe a server.
-    fn server(object: &Object) -> Result<Description, ParseError>;
-
-    /// Encodes the entry of this instance.
-    fn instance(member: &Member, draining: bool) -> Box<serde_json::value::RawValue>;
-
-    /// Parses the entry of an instance; none if the instance is shutting down.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the object isn't the entry of an instance.
-    fn member(object: &Object) -> Result<Option<Member>, ParseError>;
+/// Returns whether changes are urgent for this instance: it answers requests itself, or supplies others.
+fn is_urgent(relay: &Relay) -> bool {
+    let registry = relay.registry();
+    registry.answers_locally(Instant::now()) || registry.supplies_others()
 }
 
-fn watch_timeout(relay: &Relay) -> Duration {
-    match relay.registry().answers_locally(Instant::now()) {
-        true => WATCH_TIMEOUT,
-        false => DELEGATING_WATCH_TIMEOUT,
+/// Returns the limits of reads whose changes must take effect within seconds.
+fn urgent_limits(relay: &Relay) -> Limits {
+    Limits {
+        store_wait: match is_urgent(relay) {
+            true => WATCH_TIMEOUT,
+            false => DELEGATING_WATCH_TIMEOUT,
+        },
+        feed_wait: FEED_WAIT,
+        max_age: watchers::MAX_AGE,
     }
 }
 
@@ -153,7 +124,7 @@
 }
 
 /// Handler of the objects of one kind.
-trait Follower {
+pub(crate) trait Follower {
     const NAME: &'static str;
     /// Whether this task probes an unavailable store with backoff instead of waiting for a notification.
     const PROBES_STORE: bool = false;
@@ -165,8 +136,8 @@
     ///
     /// A store that has dropped its history would let a watch from an earlier revision wait in vain.
     fn relists_after_failure(&self) -> bool;
-    /// Returns the timeout of the next watch.
-    fn watch_timeout(&self) -> Duration;
+    /// Returns the limits of the next read.
+    fn limits(&self) -> Limits;
     fn listed(&mut self, listing: Listing, now: Instant);
     fn changed(&mut self, listing: Listing, now: Instant);
     fn store_failed(&mut self, _now: Instant) {}
@@ -175,35 +146,30 @@
     fn store_restored(&mut self, _now: Instant) {}
 }
 
-/// State of the store that a task has read.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Position {
-    era: u64,
-    revision: u64,
-}
-
-/// Waits for changes after `position`, until another task finds that the store was restored.
-async fn watch<S: Store>(
-    store: &S,
-    kind: &str,
-    position: Position,
-    wait: Duration,
+/// Reads all objects, or waits for changes after `position` until another task finds that the store was restored.
+async fn read<S: Store>(
+    source: &Source<S>,
+    kind: &'static str,
+    position: Option<Position>,
+    limits: Limits,
     recovery: &StoreRecovery,
-) -> Result<Listing, Failure> {
-    if store.era() != position.era {
-        return Err(Failure::Restored);
-    }
-    let changes = pin!(store.watch(kind, position.revision, wait));
-    let restored = pin!(recovery.wait_restored());
-    match select(changes, restored).await {
-        Either::Left((Ok(listing), _)) if listing.era != position.era => Err(Failure::Restored),
-        Either::Left((result, _)) => result,
-        Either::Right(_) => Err(Failure::Restored),
+) -> Result<Reading, ReadError> {
+    match position {
+        None => source.read(kind, None, limits).await,
+        Some(position) if position.era != source.era() => Err(ReadError::Failed(Failure::Restored)),
+        Some(position) => {
+            let reading = pin!(source.read(kind, Some(position), limits));
+            let restored = pin!(recovery.wait_restored());
+            match select(reading, restored).await {
+                Either::Left((result, _)) => result,
+                Either::Right(_) => Err(ReadError::Failed(Failure::Restored)),
+            }
+        }
     }
 }
 
-async fn follow<S: Store, F: Follower>(
-    store: Rc<S>,
+pub(crate) async fn follow<S: Store, F: Follower>(
+    source: Rc<Source<S>>,
     kind: &'static str,
     recovery: StoreRecovery,
     mut follower: F,
@@ -214,64 +180,66 @@
     let mut era = None;
     let mut is_unavailable = false;
     loop {
-        let result = match position {
-            None => store.list(kind).await,
-            Some(position) => {
-                let wait = follower.watch_timeout();
-                watch(&*store, kind, position, wait, &recovery).await
-            }
-        };
+        let result = read(&source, kind, position, follower.limits(), &recovery).await;
         let now = Instant::now();
-        if era.is_some_and(|era| era != store.era()) {
+        if era.is_some_and(|era| era != source.era()) {
             info!(
                 kind,
-                era = store.era(),
+                era = source.era(),
                 "follow: {} are listed again, the store was restored from an older copy.",
                 F::NAME
             );
-            era = Some(store.era());
+            era = Some(source.era());
             follower.store_restored(now);
             recovery.notify_restored();
         }
         match result {
-            Ok(listing) => {
+            Ok(reading) => {
+                let read = Position::of(&reading.listing);
                 if std::mem::take(&mut is_unavailable) {
                     recovery.notify();
                     info!(
                         kind,
-                        revision = listing.revision,
+                        revision = read.revision,
                         "follow: {} can be read again.",
                         F::NAME
                     );
                 }
                 follower.store_answered(now);
                 backoff.reset();
-                let is_unchanged = listing.objects.is_empty() && listing.deleted.is_empty();
-                let read = Position {
-                    era: listing.era,
-                    revision: listing.revision,
-                };
+                let Listing {
+                    objects, deleted, ..
+                } = &reading.listing;
+                let is_unchanged = objects.is_empty() && deleted.is_empty();
                 era = Some(read.era);
+                let mirror = source.relay().mirror();
                 match position.replace(read) {
-                    None => follower.listed(listing, now),
-                    Some(_) => follower.changed(listing, now),
+                    None => {
+                        mirror.replace(kind, &reading);
+                        follower.listed(reading.listing, now);
+                    }
+                    Some(_) => {
+                        mirror.update(kind, &reading);
+                        follower.changed(reading.listing, now);
+                    }
                 }
                 let pause = follower.pause();
                 if !is_unchanged && !pause.is_zero() {
                     sleep(pause).await;
                 }
             }
-            Err(Failure::Restored) => position = None,
-            Err(Failure::Compacted) => {
+            Err(ReadError::Unsupplied) => sleep(backoff.next_wait()).await,
+            Err(ReadError::Failed(Failure::Restored)) => position = None,
+            Err(ReadError::Failed(Failure::Compacted)) => {
                 info!(
                     kind,
                     revision = position.map(|position| position.revision),
-                    "follow: {} are listed again, the store has compacted the history.",
+                    "follow: {} are listed again, the history was compacted.",
                     F::NAME
                 );
                 position = None;
             }
-            Err(error) => {
+            Err(ReadError::Failed(error)) => {
                 if !std::mem::replace(&mut is_unavailable, true) {
                     let revision = position.map(|position| position.revision);
                     warn!(kind, revision, %error, "follow: {} can't be read.", F::NAME);
@@ -288,12 +256,12 @@
 }
 
 /// Keeps the routes in sync until the process ends.
-pub async fn routes<D: Directory>(relay: Rc<Relay>, store: Rc<D::Store>, recovery: StoreRecovery) {
+pub async fn routes<D: Directory>(source: Rc<Source<D::Store>>, recovery: StoreRecovery) {
     let follower = Routes::<D> {
-        relay,
+        relay: source.relay().clone(),
         directory: std::marker::PhantomData,
     };
-    follow(store, D::ROUTES.0, recovery, follower).await;
+    follow(source, D::ROUTES.0, recovery, follower).await;
 }
 
 struct Routes<D> {
@@ -309,8 +277,8 @@
         true
     }
 
-    fn watch_timeout(&self) -> Duration {
-        watch_timeout(&self.relay)
+    fn limits(&self) -> Limits {
+        urgent_limits(&self.relay)
     }
 
     fn listed(&mut self, listing: Listing, now: Instant) {
@@ -332,12 +300,12 @@
 }
 
 /// Keeps the servers in sync until the process ends.
-pub async fn servers<D: Directory>(relay: Rc<Relay>, store: Rc<D::Store>, recovery: StoreRecovery) {
+pub async fn servers<D: Directory>(source: Rc<Source<D::Store>>, recovery: StoreRecovery) {
     let follower = Servers::<D> {
-        relay,
+        relay: source.relay().clone(),
         directory: std::marker::PhantomData,
     };
-    follow(store, D::SERVERS, recovery, follower).await;
+    follow(source, D::SERVERS, recovery, follower).await;
 }
 
 struct Servers<D> {
@@ -362,7 +330,7 @@
     const NAME: &'static str = "servers";
 
     fn pause(&self) -> Duration {
-        match self.relay.registry().answers_locally(Instant::now()) {
+        match is_urgent(&self.relay) {
             true => SERVERS_PAUSE,
             false => BATCH_PAUSE,
         }
@@ -372,8 +340,8 @@
         self.relay.registry().answers_locally(Instant::now())
     }
 
-    fn watch_timeout(&self) -> Duration {
-        watch_timeout(&self.relay)
+    fn limits(&self) -> Limits {
+        urgent_limits(&self.relay)
     }
 
     fn listed(&mut self, listing: Listing, now: Instant) {
@@ -407,88 +375,3 @@
         self.relay.registry().store_restored(now);
     }
 }
-
-/// Keeps the instances that share the servers in sync until the process ends.
-pub async fn instances<D: Directory>(
-    relay: Rc<Relay>,
-    store: Rc<D::Store>,
-    recovery: StoreRecovery,
-) {
-    let follower = Instances::<D> {
-        relay,
-        known: HashMap::new(),
-        directory: std::marker::PhantomData,
-    };
-    follow(store, D::INSTANCES, recovery, follower).await;
-}
-
-struct Instances<D> {
-    relay: Rc<Relay>,
-    known: HashMap<Arc<str>, Member>,
-    directory: std::marker::PhantomData<D>,
-}
-
-impl<D: Directory> Follower for Instances<D> {
-    const NAME: &'static str = "instances";
-
-    fn pause(&self) -> Duration {
-        BATCH_PAUSE
-    }
-
-    fn relists_after_failure(&self) -> bool {
-        false
-    }
-
-    fn watch_timeout(&self) -> Duration {
-        INSTANCES_WATCH_TIMEOUT
-    }
-
-    fn listed(&mut self, listing: Listing, now: Instant) {
-        self.known.clear();
-        self.changed(listing, now);
-    }
-
-    fn changed(&mut self, listing: Listing, _now: Instant) {
-        for name in &listing.deleted {
-            self.known.remove(name);
-        }
-        for object in &listing.objects {
-            match D::member(object) {
-                Ok(Some(member)) => drop(self.known.insert(object.name.clone(), member)),
-                Ok(None) => drop(self.known.remove(&object.name)),
-                Err(error) => {
-                    self.relay.meter().unreadable.add(1);
-                    warn!(entry = %object.name, revision = object.version, %error, "follow: entry names no instance.");
-                }
-            }
-        }
-        let members = self.known.values().cloned().collect();
-        self.relay.registry().set_members(members);
-    }
-}
-
-/// Writes the entry of this instance, with retries until the store has accepted it.
-pub async fn announce<D: Directory>(store: Rc<D::Store>, local: Member, draining: bool) {
-    let value = D::instance(&local, draining);
-    let mut backoff = Backoff::new(MIN_BACKOFF, MAX_BACKOFF);
-    let mut expected = 0;
-    loop {
-        match store
-            .write(D::INSTANCES, &local.name, expected, &value)
-            .await
-        {
-            Ok(revision) => {
-                info!(
-                    leaving = draining,
-                    revision, "follow: entry of this instance written."
-                );
-                return;
-            }
-            Err(Failure::Conflict { current }) => expected = current,
-            Err(error) => {
-                warn!(leaving = draining, %error, "follow: entry of this instance can't be written, retrying.");
-                sleep(backoff.next_wait()).await;
-            }
-        }
-    }
-}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,13 +7,16 @@
 //! From the caller inwards: [`caller`] reads requests, [`relay`] matches and refuses them,
 //! [`forward`] and [`gather`] make calls, a [`call`] sends sub-requests, and a [`connection`] runs one
 //! exchange at a time. [`peer`] passes requests on to instances with more processor time, and [`follow`]
-//! keeps routes, servers and instances in sync with the store.
+//! keeps routes, servers and instances in sync with the store, which it reads through a [`source`]: either
+//! itself, or through the [`feed`] of an instance that does.
 
 pub mod answer;
 pub mod call;
 pub mod caller;
 pub mod connection;
 mod description;
+mod directory;
+pub mod feed;
 pub mod follow;
 pub mod forward;
 pub mod gather;
@@ -24,13 +27,16 @@
 pub mod merge;
 pub mod meter;
 mod metered;
+pub mod mirror;
 pub mod peer;
 pub mod registry;
 pub mod relay;
 pub mod reply;
 pub mod request;
+pub mod roster;
 pub mod server;
 pub mod service;
+pub mod source;
 
 pub use headers::HeaderNames;
 pub use relay::Relay;
--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -82,6 +82,12 @@
     pub declined: Counter,
     /// Requests passed on to a peer that didn't reply.
     pub peer_failures: Counter,
+    /// Readings of the store that a watcher supplied.
+    pub supplied: Counter,
+    /// Reads of the store because no watcher supplied a reading.
+    pub unsupplied: Counter,
+    /// Polls of other instances for readings of the store.
+    pub feed_polls: Counter,
     #[serde(skip)]
     latency: Histogram<f64>,
 }
@@ -117,6 +123,9 @@
             delegated: Counter::default(),
             declined: Counter::default(),
             peer_failures: Counter::default(),
+            supplied: Counter::default(),
+            unsupplied: Counter::default(),
+            feed_polls: Counter::default(),
             latency,
         }
     }
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -37,7 +37,11 @@
         Bound,
         Budget, //
     },
-    subset, //
+    subset,
+    watchers::{
+        self,
+        Candidate, //
+    },
 };
 use route::{
     Table,
@@ -47,6 +51,7 @@
     debug,
     info, //
 };
+use web::Stop;
 
 use crate::{
     peer::{
@@ -79,6 +84,15 @@
     pub leaving_header: HeaderName,
 }
 
+/// How an instance learns of changes in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreRole {
+    /// It watches the store, and passes on what it learns.
+    Watcher,
+    /// It asks the watchers.
+    Reader,
+}
+
 /// The servers and services that an instance knows.
 #[derive(Debug)]
 pub struct Registry {
@@ -89,6 +103,8 @@
     members: RefCell<Vec<Member>>,
     plan: RefCell<Plan>,
     peers: Peers,
+    watchers: RefCell<Vec<Member>>,
+    instances_listed: Stop,
     shard_services: RefCell<HashSet<Arc<str>>>,
     knows_instances: Cell<bool>,
     outage: RefCell<Outage>,
@@ -114,6 +130,8 @@
             members: RefCell::new(vec![local]),
             plan: RefCell::new(Plan::Everyone),
             peers: Peers::new(peers),
+            watchers: RefCell::default(),
+            instances_listed: Stop::new(),
             shard_services: RefCell::default(),
             knows_instances: Cell::new(false),
             outage: RefCell::default(),
@@ -343,6 +361,10 @@
         members.push(local.clone());
         members.sort_by(|one, other| one.name.cmp(&other.name));
         self.knows_instances.set(true);
+        let watchers = choose_watchers(&members);
+        let watches = watchers.iter().any(|member| member.name == local.name);
+        let watcher_count = watchers.len();
+        *self.watchers.borrow_mut() = watchers;
         let cores: Vec<f64> = members.iter().map(|member| member.cores).collect();
         let plan = delegation::plan(&cores);
         let large = members.iter().filter(|member| plan.gathers(member.cores));
@@ -358,12 +380,52 @@
                 now,
                 ?plan,
                 peers = peers.len(),
+                watchers = watcher_count,
+                watches,
                 "registry: instances changed."
             );
         }
         self.peers.set_members(peers);
         *self.plan.borrow_mut() = plan;
         self.apply_shares();
+        self.instances_listed.set();
+    }
+
+    /// Waits until the instances were listed at least once.
+    pub(crate) fn wait_for_instances(&self) -> impl std::future::Future<Output = ()> {
+        self.instances_listed.wait()
+    }
+
+    /// Returns the name of this instance.
+    pub(crate) fn local_name(&self) -> Arc<str> {
+        self.settings.borrow().local.name.clone()
+    }
+
+    /// Returns how this instance learns of changes in the store.
+    pub fn store_role(&self) -> StoreRole {
+        let watchers = self.watchers.borrow();
+        let local = self.local_name();
+        match watchers.is_empty() || watchers.iter().any(|member| member.name == local) {
+            true => StoreRole::Watcher,
+            false => StoreRole::Reader,
+        }
+    }
+
+    /// Returns whether other instances rely on what this one reads of the store.
+    pub fn supplies_others(&self) -> bool {
+        let watches = self.store_role() == StoreRole::Watcher;
+        watches && self.watchers.borrow().len() < self.instances()
+    }
+
+    /// Returns the watchers to ask for the read number `turn` of this instance, in order.
+    pub(crate) fn watchers_to_ask(&self, turn: u64) -> Vec<Member> {
+        let watchers = self.watchers.borrow();
+        let settings = self.settings.borrow();
+        let candidates: Vec<Candidate<'_>> = watchers.iter().map(candidate).collect();
+        watchers::order(&candidate(&settings.local), &candidates, turn)
+            .into_iter()
+            .map(|index| watchers[index].clone())
+            .collect()
     }
 
     /// Returns the instances that answer requests for this one.
@@ -485,3 +547,19 @@
         members.iter().position(is_local).unwrap_or_default()
     }
 }
+
+fn candidate(member: &Member) -> Candidate<'_> {
+    Candidate {
+        name: &member.name,
+        zone: &member.zone,
+        cores: member.cores,
+    }
+}
+
+fn choose_watchers(members: &[Member]) -> Vec<Member> {
+    let candidates: Vec<Candidate<'_>> = members.iter().map(candidate).collect();
+    watchers::choose(&candidates)
+        .into_iter()
+        .map(|index| members[index].clone())
+        .collect()
+}
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -46,6 +46,7 @@
     headers::HeaderNames,
     latency::Statistics,
     meter::Meter,
+    mirror::Mirror,
     registry::Registry,
     request::CallerRequest,
     service::{
@@ -80,6 +81,7 @@
     route_latencies: RefCell<HashMap<Arc<str>, Rc<Statistics>>>,
     request_counters: RefCell<HashMap<Arc<str>, u64>>,
     meter: Meter,
+    mirror: Mirror,
     in_flight: Cell<usize>,
     draining: Cell<bool>,
 }
@@ -102,6 +104,7 @@
             route_latencies: RefCell::default(),
             request_counters: RefCell::default(),
             meter,
+            mirror: Mirror::default(),
             in_flight: Cell::new(0),
             draining: Cell::new(false),
         })
@@ -127,6 +130,11 @@
         &self.meter
     }
 
+    /// Returns what this instance has read of the store.
+    pub fn mirror(&self) -> &Mirror {
+        &self.mirror
+    }
+
     /// Returns the current routing table; none before the first configuration.
     pub fn table(&self) -> Option<Arc<Table>> {
         self.table.borrow().clone()
--- /dev/null
+++ b/crates/relay/src/source.rs
@@ -0,0 +1,293 @@
+//! Where a task reads the store's objects: from the store itself, or from an instance that watches it.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use bytes::Bytes;
+use http::Method;
+use monoio::time::timeout;
+use platform::{
+    Failure,
+    Store,
+    Transport, //
+};
+use policy::watchers;
+use tracing::{
+    debug,
+    info, //
+};
+
+use crate::{
+    feed::{
+        self,
+        Query, //
+    },
+    mirror::{
+        Position,
+        Reading, //
+    },
+    peer::Member,
+    registry::StoreRole,
+    relay::Relay,
+};
+
+/// Timeout for connecting to a watcher.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time that a watcher's reply may take in addition to the wait.
+const REPLY_MARGIN: Duration = Duration::from_millis(400);
+/// Timeout of a complete listing, which may be hundreds of kilobytes on a slow link.
+const LIST_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time for which a watcher that failed is asked only if no other one is left.
+const FAILED_PAUSE: Duration = Duration::from_millis(2_000);
+/// Maximum wait for the first list of instances before the store is asked anyway.
+const MAX_ROLE_WAIT: Duration = Duration::from_millis(8_000);
+
+/// Limits of the reads of one kind of objects.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Limits {
+    /// How long a watch of the store waits for a change.
+    pub(crate) store_wait: Duration,
+    /// How long a watcher waits for a change before it replies without one.
+    pub(crate) feed_wait: Duration,
+    /// Maximum age of a watcher's reading.
+    pub(crate) max_age: Duration,
+}
+
+/// Why a read failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ReadError {
+    /// The store or a watcher gave a definite answer, or the store couldn't be read.
+    Failed(Failure),
+    /// No watcher supplies this instance now, and it isn't time yet to ask the store.
+    Unsupplied,
+}
+
+/// Reads of one kind of objects.
+#[derive(Debug, Clone, Copy)]
+struct Reads {
+    /// Number of reads, by which watchers take turns.
+    turn: u64,
+    /// When a watcher supplied the last reading, or the store was asked instead.
+    supplied_at: Instant,
+    /// Latest position that was read.
+    latest: Position,
+}
+
+/// Reads from the store or from watchers, as the role of this instance requires.
+#[derive(Debug)]
+pub struct Source<S> {
+    store: Rc<S>,
+    relay: Rc<Relay>,
+    transports: RefCell<HashMap<SocketAddr, Rc<Transport>>>,
+    failed_at: RefCell<HashMap<SocketAddr, Instant>>,
+    reads: RefCell<HashMap<&'static str, Reads>>,
+    /// Latest era that a watcher stated.
+    era: Cell<u64>,
+    started_at: Instant,
+}
+
+impl<S: Store> Source<S> {
+    /// Creates a source that knows no watchers yet.
+    pub fn new(store: Rc<S>, relay: Rc<Relay>) -> Rc<Self> {
+        Rc::new(Self {
+            store,
+            relay,
+            transports: RefCell::default(),
+            failed_at: RefCell::default(),
+            reads: RefCell::default(),
+            era: Cell::new(0),
+            started_at: Instant::now(),
+        })
+    }
+
+    /// Returns the store.
+    pub(crate) fn store(&self) -> &Rc<S> {
+        &self.store
+    }
+
+    /// Returns the relay that the readings are for.
+    pub(crate) fn relay(&self) -> &Rc<Relay> {
+        &self.relay
+    }
+
+    /// Returns the latest era of the store that is known.
+    pub(crate) fn era(&self) -> u64 {
+        self.era.get().max(self.store.era())
+    }
+
+    /// Reads all objects of a kind, or waits for changes after the position `after`.
+    pub(crate) async fn read(
+        &self,
+        kind: &'static str,
+        after: Option<Position>,
+        limits: Limits,
+    ) -> Result<Reading, ReadError> {
+        let reading = match self.role().await {
+            StoreRole::Watcher => self.read_store(kind, after, limits.store_wait).await?,
+            StoreRole::Reader => match self.read_feed(kind, after, limits).await {
+                Ok(reading) => reading,
+                Err(ReadError::Unsupplied) if self.is_store_due(kind) => {
+                    info!(
+                        kind,
+                        "source: no watcher supplies this instance, the store is read."
+                    );
+                    self.relay.meter().unsupplied.add(1);
+                    self.read_store(kind, after, limits.store_wait).await?
+                }
+                Err(error) => return Err(error),
+            },
+        };
+        self.with_reads(kind, |reads| {
+            reads.latest = Position::of(&reading.listing);
+        });
+        match after.is_some_and(|after| after.era != reading.listing.era) {
+            true => Err(ReadError::Failed(Failure::Restored)),
+            false => Ok(reading),
+        }
+    }
+
+    /// Returns the role of this instance, once the instances are known.
+    async fn role(&self) -> StoreRole {
+        let registry = self.relay.registry();
+        if !registry.knows_instances() {
+            let left = MAX_ROLE_WAIT.saturating_sub(self.started_at.elapsed());
+            // Without the list of instances, the store is the only source.
+            let _ = timeout(left, registry.wait_for_instances()).await;
+        }
+        registry.store_role()
+    }
+
+    async fn read_store(
+        &self,
+        kind: &'static str,
+        after: Option<Position>,
+        wait: Duration,
+    ) -> Result<Reading, ReadError> {
+        let result = match after {
+            None => self.store.list(kind).await,
+            Some(position) => self.store.watch(kind, position.revision, wait).await,
+        };
+        let listing = result.map_err(ReadError::Failed)?;
+        Ok(Reading {
+            listing,
+            fresh_at: Instant::now(),
+        })
+    }
+
+    /// Asks watchers in turn until one supplies a reading.
+    async fn read_feed(
+        &self,
+        kind: &'static str,
+        after: Option<Position>,
+        limits: Limits,
+    ) -> Result<Reading, ReadError> {
+        let (turn, latest) = self.with_reads(kind, |reads| {
+            reads.turn += 1;
+            (reads.turn, reads.latest)
+        });
+        // A complete listing is long, and traffic between zones is billed.
+        let turn = match after {
+            None => turn * 2,
+            Some(_) => turn,
+        };
+        let registry = self.relay.registry();
+        for watcher in self.by_health(registry.watchers_to_ask(turn)) {
+            let wait = limits.feed_wait;
+            let query = Query { kind, after, wait };
+            let result = self.ask(&watcher, query, limits.max_age, latest).await;
+            match result {
+                Ok(reading) => {
+                    self.failed_at.borrow_mut().remove(&watcher.address);
+                    self.era.set(self.era.get().max(reading.listing.era));
+                    self.with_reads(kind, |reads| reads.supplied_at = Instant::now());
+                    self.relay.meter().supplied.add(1);
+                    return Ok(reading);
+                }
+                Err(failure @ (Failure::Compacted | Failure::Restored)) => {
+                    return Err(ReadError::Failed(failure));
+                }
+                Err(failure) => {
+                    debug!(watcher = %watcher.name, kind, %failure, "source: watcher doesn't supply.");
+                    let mut failed_at = self.failed_at.borrow_mut();
+                    failed_at.insert(watcher.address, Instant::now());
+                }
+            }
+        }
+        Err(ReadError::Unsupplied)
+    }
+
+    /// Puts the watchers that failed a short while ago last.
+    fn by_health(&self, mut watchers: Vec<Member>) -> Vec<Member> {
+        let failed_at = self.failed_at.borrow();
+        watchers.sort_by_key(|watcher| {
+            let failed_at = failed_at.get(&watcher.address);
+            failed_at.is_some_and(|at| at.elapsed() < FAILED_PAUSE)
+        });
+        watchers
+    }
+
+    /// Asks one watcher; `latest` is the latest position that was read.
+    async fn ask(
+        &self,
+        watcher: &Member,
+        query: Query<'_>,
+        max_age: Duration,
+        latest: Position,
+    ) -> Result<Reading, Failure> {
+        let transport = {
+            let mut transports = self.transports.borrow_mut();
+            let transport = transports
+                .entry(watcher.address)
+                .or_insert_with(|| Rc::new(Transport::new(watcher.address, CONNECT_TIMEOUT)));
+            transport.clone()
+        };
+        let request = transport
+            .request(Method::GET, &query.target())
+            .body(Bytes::new())
+            .map_err(|_| Failure::Invalid)?;
+        let wait = match query.after {
+            Some(_) => query.wait + REPLY_MARGIN,
+            None => LIST_TIMEOUT,
+        };
+        let response = transport.send(request, wait).await?;
+        let reading = feed::parse_reply(&response, max_age)?;
+        match Position::of(&reading.listing) < latest {
+            // It is behind what this instance has read elsewhere.
+            true => Err(Failure::Unavailable),
+            false => Ok(reading),
+        }
+    }
+
+    /// Returns whether the store is to be asked for a kind that no watcher supplies, and counts that as a supply, so
+    /// that it isn't asked again at once.
+    fn is_store_due(&self, kind: &'static str) -> bool {
+        let patience = watchers::patience(&self.relay.registry().local_name());
+        self.with_reads(kind, |reads| {
+            let is_due = reads.supplied_at.elapsed() >= patience;
+            if is_due {
+                reads.supplied_at = Instant::now();
+            }
+            is_due
+        })
+    }
+
+    fn with_reads<T>(&self, kind: &'static str, change: impl FnOnce(&mut Reads) -> T) -> T {
+        let mut reads = self.reads.borrow_mut();
+        change(reads.entry(kind).or_insert(Reads {
+            turn: 0,
+            supplied_at: self.started_at,
+            latest: Position::default(),
+        }))
+    }
+}
--- a/crates/tanageryoke/src/commands/relay.rs
+++ b/crates/tanageryoke/src/commands/relay.rs
@@ -37,6 +37,8 @@
         self,
         Registry, //
     },
+    roster,
+    source::Source,
     Relay, //
 };
 use tracing::{
@@ -187,17 +189,23 @@
 }
 
 fn follow_store(context: &Context) {
-    let clones = || (context.relay.clone(), context.store.clone());
+    let platform_settings = context.platform_settings.borrow();
+    let source = Source::new(context.store.clone(), context.relay.clone());
     let recovery = follow::StoreRecovery::default();
-    let (relay, store) = clones();
-    monoio::spawn(follow::routes::<Directory>(relay, store, recovery.clone()));
-    let (relay, store) = clones();
-    monoio::spawn(follow::servers::<Directory>(relay, store, recovery.clone()));
-    let (relay, store) = clones();
-    monoio::spawn(follow::instances::<Directory>(relay, store, recovery));
-    let local = member(&context.platform_settings.borrow());
-    let store = context.store.clone();
-    monoio::spawn(follow::announce::<Directory>(store, local, false));
+    monoio::spawn(follow::routes::<Directory>(
+        source.clone(),
+        recovery.clone(),
+    ));
+    monoio::spawn(follow::servers::<Directory>(
+        source.clone(),
+        recovery.clone(),
+    ));
+    monoio::spawn(roster::instances::<Directory>(
+        source,
+        recovery,
+        member(&platform_settings),
+        platform_settings.is_first_start,
+    ));
 }
 
 fn serve_admin(context: &Rc<Context>, readiness: TcpListener, admin: TcpListener) {
@@ -216,7 +224,7 @@
     info!(in_flight = relay.in_flight(), "relay: leaving.");
     relay.start_drain();
     let local = member(&context.platform_settings.borrow());
-    let announcement = follow::announce::<Directory>(context.store.clone(), local, true);
+    let announcement = roster::announce::<Directory>(context.store.clone(), local, true);
     if timeout(ANNOUNCE_TIMEOUT, announcement).await.is_err() {
         warn!("relay: the store didn't accept the announcement of the shutdown in time.");
     }
