feat(relay, policy): who gathers doesn't change while small instances join

Cause: large instances gathered only while they had a fifth of all cores.

Change: the share is 0.05; queries take a few hundredths of the cores, and a large instance that is full declines. Instances in zones with servers of the shards are preferred as gatherers. Test `small_instances_that_join_do_not_change_who_gathers` fails with the share of 0.2.

--- a/crates/bench/src/model/engine.rs
+++ b/crates/bench/src/model/engine.rs
@@ -256,7 +256,7 @@
                 latency_us: view.slowness.current(self.instant()).max(0.1) * 1_000.0,
                 slow_start_share: 1.0,
                 failures: 0,
-                same_zone: true,
+                zone_cost: 0.0,
                 last_assigned: view.last_sequence,
             };
             (server, candidate)
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -13,8 +13,8 @@
     pub slow_start_share: f64,
     /// Failures since the last success.
     pub failures: u32,
-    /// Whether the replica is in the same availability zone as the instance.
-    pub same_zone: bool,
+    /// Added cost of its availability zone, as a share of its other costs; 0 in the zone of the instance.
+    pub zone_cost: f64,
     /// Sequence number of the last sub-request sent to it.
     pub last_assigned: u64,
 }
@@ -29,6 +29,14 @@
 /// Costs that differ by no more than this share count as equal.
 const COST_TOLERANCE: f64 = 0.02;
 
+/// Returns the added cost of a replica in the same availability zone as the instance or in another one.
+pub fn zone_cost(is_same_zone: bool) -> f64 {
+    match is_same_zone {
+        true => 0.0,
+        false => OTHER_ZONE_COST,
+    }
+}
+
 impl Candidate {
     /// Returns whether a slot is free.
     pub fn is_free(&self) -> bool {
@@ -39,11 +47,7 @@
     fn cost(&self) -> f64 {
         let load = (self.in_flight + 1) as f64 / self.usable.max(1) as f64;
         let failures = f64::from(1 + self.failures.min(MAX_FAILURES));
-        let zone_factor = if self.same_zone {
-            1.0
-        } else {
-            1.0 + OTHER_ZONE_COST
-        };
+        let zone_factor = 1.0 + self.zone_cost;
         load * self.latency_us.max(1.0) * failures * zone_factor / self.slow_start_share.max(0.01)
     }
 }
--- a/crates/policy/src/delegation.rs
+++ b/crates/policy/src/delegation.rs
@@ -8,7 +8,10 @@
 /// Minimum number of cores of a large instance, as a share of the cores of the largest one.
 const MIN_LARGE_CORES_RATIO: f64 = 0.5;
 /// Minimum share of the fleet's cores that the large instances must have to gather all queries.
-const MIN_LARGE_SHARE: f64 = 0.2;
+///
+/// Queries take a few hundredths of a fleet's cores. The share falls while small instances join, which must not
+/// change who gathers: a large instance that is full declines, and the small one answers itself.
+const MIN_LARGE_SHARE: f64 = 0.05;
 /// Minimum number of large instances to gather all queries; with fewer, the loss of one or two leaves none.
 const MIN_LARGE_COUNT: usize = 3;
 /// Share of the capacity of servers that is reserved for small instances which can't reach a large one.
@@ -55,6 +58,24 @@
     }
 }
 
+/// Added cost of an instance that gathers in another zone, as a share of its other costs: an answer is short.
+const HOP_ZONE_COST: f64 = 0.1;
+/// Added cost of an instance in a zone without any server of the shards, as all replies cross zones.
+const NO_SERVERS_COST: f64 = 1.0;
+
+/// Returns the added cost of an instance that gathers, as a share of its other costs, given the share of the shards
+/// that have a server in its zone.
+///
+/// Servers are in some of the zones only. An instance in one of these finds a replica of each shard nearby,
+/// while one in another zone receives a hundred times as many bytes from other zones as its answer has.
+pub fn zone_cost(is_same_zone: bool, shard_share: f64) -> f64 {
+    let hop = match is_same_zone {
+        true => 0.0,
+        false => HOP_ZONE_COST,
+    };
+    hop + NO_SERVERS_COST * (1.0 - shard_share.clamp(0.0, 1.0))
+}
+
 impl Plan {
     /// Returns whether an instance with the given number of cores gathers queries.
     pub fn gathers(&self, own_cores: f64) -> bool {
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -149,7 +149,7 @@
     latency_us: 4_000.0,
     slow_start_share: 1.0,
     failures: 0,
-    same_zone: true,
+    zone_cost: 0.0,
     last_assigned: 0,
 };
 
@@ -180,7 +180,7 @@
         ..IDLE
     };
     let other_zone = Candidate {
-        same_zone: false,
+        zone_cost: choice::zone_cost(false),
         ..IDLE
     };
     let recently_used = Candidate {
--- a/crates/policy/tests/queries.rs
+++ b/crates/policy/tests/queries.rs
@@ -159,6 +159,31 @@
     ");
 }
 
+/// Small instances join while queries are running, as many as there were and more.
+#[test]
+fn small_instances_that_join_do_not_change_who_gathers() {
+    let before = delegation::plan(&fleet_cores(18, 277));
+    assert!(before.gathers(0.5) && !before.gathers(0.12));
+    for joined in [1, 43, 57, 277, 500] {
+        let plan = delegation::plan(&fleet_cores(18, 277 + joined));
+        assert_eq!(plan, before, "{joined} joined");
+    }
+}
+
+/// Servers are in three of six zones: the large instances there gather, those in the caller's zone first, and the
+/// others only if these have twice the load.
+#[test]
+fn instances_near_the_servers_gather() {
+    let costs = [
+        delegation::zone_cost(true, 1.0),
+        delegation::zone_cost(false, 1.0),
+        delegation::zone_cost(true, 0.0),
+        delegation::zone_cost(false, 0.0),
+    ];
+    assert!(costs.is_sorted() && costs[0] == 0.0, "{costs:?}");
+    assert!(1.0 + costs[2] > 1.5 * (1.0 + costs[1]), "{costs:?}");
+}
+
 #[test]
 fn equal_instances_or_too_few_large_ones_gather_for_themselves() {
     assert_eq!(delegation::plan(&fleet_cores(7, 0)), Plan::Everyone);
--- a/crates/pool/src/server.rs
+++ b/crates/pool/src/server.rs
@@ -153,7 +153,7 @@
             latency_us: inner.mean.get(now, median_us),
             slow_start_share: inner.concurrency.slow_start_share(now),
             failures: inner.failures,
-            same_zone: self.same_zone,
+            zone_cost: policy::choice::zone_cost(self.same_zone),
             last_assigned: inner.last_assigned,
         }
     }
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -25,6 +25,7 @@
 };
 use monoio::time::timeout;
 use policy::{
+    delegation,
     health::Transition,
     hop::Overhead, //
 };
@@ -111,6 +112,15 @@
         self.service.is_reachable(now)
     }
 
+    /// Sets what the zone of each peer costs, given the share of the shards that have a server in a zone.
+    pub(crate) fn set_zone_costs(&self, local_zone: &str, shard_share: impl Fn(&str) -> f64) {
+        for server in self.service.servers() {
+            let zone = &*server.description().zone;
+            let cost = delegation::zone_cost(zone == local_zone, shard_share(zone));
+            server.set_zone_cost(cost);
+        }
+    }
+
     /// Records the hop overhead: the time that a hop took less the time that the peer reports.
     fn record_hop_overhead(&self, reply: &Reply, took: Duration) {
         let peer_took = reply.headers().get(HOP_HEADER);
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -518,6 +518,29 @@
             service.share_budget(retry_budget, instances);
             self.share_connections(service, part);
         }
+        let shard_shares = self.shard_shares();
+        let shard_share = |zone: &str| shard_shares.get(zone).copied().unwrap_or_default();
+        self.peers.set_zone_costs(&settings.local.zone, shard_share);
+    }
+
+    /// Returns the share of the shards that have a ready server in each zone.
+    fn shard_shares(&self) -> HashMap<Arc<str>, f64> {
+        let shards = self.shard_services.borrow();
+        let services = self.services.borrow();
+        let mut counts: HashMap<Arc<str>, f64> = HashMap::new();
+        for service in shards.iter().filter_map(|name| services.get(name)) {
+            let servers = service.servers();
+            let ready = servers
+                .iter()
+                .filter(|one| one.standing() == Standing::Ready);
+            let zones: HashSet<&Arc<str>> = ready.map(|one| &one.description().zone).collect();
+            for zone in zones {
+                *counts.entry(zone.clone()).or_default() += 1.0;
+            }
+        }
+        let total = shards.len().max(1) as f64;
+        counts.values_mut().for_each(|count| *count /= total);
+        counts
     }
 
     fn share_connections(&self, service: &Service, part: Capacity) {
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -29,7 +29,10 @@
 };
 use http_body_util::Full;
 use policy::{
-    choice::Candidate,
+    choice::{
+        self,
+        Candidate, //
+    },
     health::{
         Health,
         Transition, //
@@ -111,6 +114,8 @@
     open: Cell<usize>,
     in_flight: Cell<usize>,
     last_exchange: Cell<u64>,
+    /// Cost of its zone; none if it is that of a server.
+    zone_cost: Cell<Option<f64>>,
     closed: Cell<bool>,
     misplaced: Cell<bool>,
     refused_at: Cell<Option<Instant>>,
@@ -185,6 +190,7 @@
             open: Cell::new(0),
             in_flight: Cell::new(0),
             last_exchange: Cell::new(0),
+            zone_cost: Cell::new(None),
             closed: Cell::new(false),
             misplaced: Cell::new(false),
             refused_at: Cell::new(None),
@@ -299,6 +305,10 @@
         self.max_connections.set(connections);
     }
 
+    pub(crate) fn set_zone_cost(&self, cost: f64) {
+        self.zone_cost.set(Some(cost));
+    }
+
     pub(crate) fn open(&self) -> usize {
         self.open.get()
     }
@@ -376,7 +386,10 @@
             latency_us: slowness * BASELINE_US,
             slow_start_share,
             failures: failures as u32,
-            same_zone: &*self.description.zone == zone,
+            zone_cost: self
+                .zone_cost
+                .get()
+                .unwrap_or_else(|| choice::zone_cost(&*self.description.zone == zone)),
             last_assigned: self.last_exchange.get(),
         }
     }
