feat(relay): watchers of other zones are only asked whether there is a change

Change: such a poll is a probe; where it finds a change, a watcher of the own zone is asked for it, and the other one only if that lacks it.

--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -55,6 +55,8 @@
     pub after: Option<Position>,
     /// How long to wait for a change.
     pub wait: Duration,
+    /// Whether only the existence of changes is of interest, not the changes themselves.
+    pub is_probe: bool,
 }
 
 impl<'a> Query<'a> {
@@ -65,6 +67,7 @@
             kind,
             after: None,
             wait: Duration::ZERO,
+            is_probe: false,
         };
         let pairs = uri.query().unwrap_or_default().split('&');
         for (name, value) in pairs.filter_map(|pair| pair.split_once('=')) {
@@ -73,6 +76,10 @@
             match name {
                 "era" => after.era = number,
                 "after" => after.revision = number,
+                "probe" => {
+                    query.is_probe = number > 0;
+                    continue;
+                }
                 "wait_ms" => {
                     query.wait = Duration::from_millis(number).min(MAX_WAIT);
                     continue;
@@ -86,12 +93,18 @@
 
     /// Returns the request target.
     pub fn target(&self) -> String {
-        let Self { kind, after, wait } = self;
+        let Self {
+            kind,
+            after,
+            wait,
+            is_probe,
+        } = self;
         match after {
             None => format!("{PATH}{kind}"),
             Some(Position { era, revision }) => {
                 let wait_ms = wait.as_millis();
-                format!("{PATH}{kind}?era={era}&after={revision}&wait_ms={wait_ms}")
+                let probe = u8::from(*is_probe);
+                format!("{PATH}{kind}?era={era}&after={revision}&wait_ms={wait_ms}&probe={probe}")
             }
         }
     }
@@ -104,22 +117,27 @@
     }
     relay.meter().feed_polls.add(1);
     let result = match query.after {
-        None => relay.mirror().list(query.kind).ok_or(Failure::Unavailable),
+        None => {
+            let reading = relay.mirror().list(query.kind);
+            reading.ok_or(Failure::Unavailable).map(Some)
+        }
         Some(position) => wait_for_changes(relay.mirror(), query, position).await,
     };
     match result {
-        Ok(reading) => to_reply(relay, query, &reading),
+        Ok(Some(reading)) => to_reply(relay, query, &reading),
+        Ok(None) => changed_reply(),
         Err(Failure::Restored) => answer::with_text(StatusCode::CONFLICT, "a later era"),
         Err(Failure::Compacted) => answer::with_text(StatusCode::GONE, "changes not kept"),
         Err(_) => answer::with_text(StatusCode::SERVICE_UNAVAILABLE, "nothing read yet"),
     }
 }
 
+/// Waits for changes; returns none if there are some and the query is a probe.
 async fn wait_for_changes(
     mirror: &Mirror,
     query: Query<'_>,
     position: Position,
-) -> Result<Reading, Failure> {
+) -> Result<Option<Reading>, Failure> {
     let until = Instant::now() + query.wait;
     loop {
         let reading = mirror.changes(query.kind, position)?;
@@ -127,8 +145,11 @@
             objects, deleted, ..
         } = &reading.listing;
         let has_changes = !objects.is_empty() || !deleted.is_empty();
+        if has_changes && query.is_probe {
+            return Ok(None);
+        }
         if has_changes || Instant::now() >= until {
-            return Ok(reading);
+            return Ok(Some(reading));
         }
         let timer = std::pin::pin!(sleep_until(until.into()));
         match select(mirror.wait_for_reading(), timer).await {
@@ -137,6 +158,13 @@
     }
 }
 
+/// Builds the reply to a probe that found changes.
+fn changed_reply() -> Response<Bytes> {
+    let mut answer = Response::new(Bytes::new());
+    *answer.status_mut() = StatusCode::NO_CONTENT;
+    answer
+}
+
 fn to_reply(relay: &Relay, query: Query<'_>, reading: &Reading) -> Response<Bytes> {
     match relay.mirror().encode(query.kind, query.after, reading) {
         Ok(body) => {
@@ -154,15 +182,19 @@
     }
 }
 
-/// Parses a watcher's reply.
+/// Parses a watcher's reply; none if a probe found changes.
 ///
 /// # Errors
 ///
 /// Fails with the failure that the status stands for, with [`Failure::Malformed`] if the reply can't be parsed, and
 /// with [`Failure::Unavailable`] if it is older than `max_age`.
-pub fn parse_reply(response: &Response<Bytes>, max_age: Duration) -> Result<Reading, Failure> {
+pub fn parse_reply(
+    response: &Response<Bytes>,
+    max_age: Duration,
+) -> Result<Option<Reading>, Failure> {
     match response.status() {
         StatusCode::OK => {}
+        StatusCode::NO_CONTENT => return Ok(None),
         StatusCode::CONFLICT => return Err(Failure::Restored),
         StatusCode::GONE => return Err(Failure::Compacted),
         _ => return Err(Failure::Unavailable),
@@ -172,7 +204,7 @@
     let age = Duration::from_millis(age.ok_or(Failure::Malformed)?);
     let listing = serde_json::from_slice(response.body()).map_err(|_| Failure::Malformed)?;
     match Instant::now().checked_sub(age) {
-        Some(fresh_at) if age <= max_age => Ok(Reading { listing, fresh_at }),
+        Some(fresh_at) if age <= max_age => Ok(Some(Reading { listing, fresh_at })),
         _ => Err(Failure::Unavailable),
     }
 }
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -401,6 +401,11 @@
         self.settings.borrow().local.name.clone()
     }
 
+    /// Returns the availability zone of this instance.
+    pub(crate) fn local_zone(&self) -> Arc<str> {
+        self.settings.borrow().local.zone.clone()
+    }
+
     /// Returns how this instance learns of changes in the store.
     pub fn store_role(&self) -> StoreRole {
         let watchers = self.watchers.borrow();
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -5,7 +5,10 @@
         Cell,
         RefCell, //
     },
-    collections::HashMap,
+    collections::{
+        HashMap,
+        VecDeque, //
+    },
     net::SocketAddr,
     rc::Rc,
     time::{
@@ -48,6 +51,8 @@
 const REPLY_MARGIN: Duration = Duration::from_millis(400);
 /// Timeout of a complete listing, which may be hundreds of kilobytes on a slow link.
 const LIST_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Wait for a change that another watcher has already read.
+const CHANGED_WAIT: Duration = Duration::from_millis(200);
 /// Time for which a watcher that failed is asked only if no other one is left.
 const FAILED_PAUSE: Duration = Duration::from_millis(2_000);
 /// Maximum wait for the first list of instances before the store is asked anyway.
@@ -202,12 +207,33 @@
             Some(_) => turn,
         };
         let registry = self.relay.registry();
-        for watcher in self.by_health(registry.watchers_to_ask(turn)) {
-            let wait = limits.feed_wait;
-            let query = Query { kind, after, wait };
-            let result = self.ask(&watcher, query, limits.max_age, latest).await;
-            match result {
-                Ok(reading) => {
+        let local_zone = registry.local_zone();
+        let watchers = self.by_health(registry.watchers_to_ask(turn));
+        let mut tries: VecDeque<(Member, bool)> = watchers
+            .into_iter()
+            .map(|watcher| {
+                // Changes may be long, and traffic between zones is billed.
+                let is_probe = after.is_some() && watcher.zone != local_zone;
+                (watcher, is_probe)
+            })
+            .collect();
+        let mut wait = limits.feed_wait;
+        while let Some((watcher, is_probe)) = tries.pop_front() {
+            let query = Query {
+                kind,
+                after,
+                wait,
+                is_probe,
+            };
+            match self.ask(&watcher, query, limits.max_age, latest).await {
+                Ok(None) => {
+                    wait = CHANGED_WAIT;
+                    tries.push_back((watcher, false));
+                }
+                // Another watcher has changes that this one lacks.
+                Ok(Some(reading))
+                    if wait < limits.feed_wait && is_empty(&reading) && !tries.is_empty() => {}
+                Ok(Some(reading)) => {
                     self.failed_at.borrow_mut().remove(&watcher.address);
                     self.era.set(self.era.get().max(reading.listing.era));
                     self.with_reads(kind, |reads| reads.supplied_at = Instant::now());
@@ -244,7 +270,7 @@
         query: Query<'_>,
         max_age: Duration,
         latest: Position,
-    ) -> Result<Reading, Failure> {
+    ) -> Result<Option<Reading>, Failure> {
         let transport = {
             let mut transports = self.transports.borrow_mut();
             let transport = transports
@@ -262,10 +288,10 @@
         };
         let response = transport.send(request, wait).await?;
         let reading = feed::parse_reply(&response, max_age)?;
-        match Position::of(&reading.listing) < latest {
+        match &reading {
             // It is behind what this instance has read elsewhere.
-            true => Err(Failure::Unavailable),
-            false => Ok(reading),
+            Some(reading) if Position::of(&reading.listing) < latest => Err(Failure::Unavailable),
+            _ => Ok(reading),
         }
     }
 
@@ -291,3 +317,7 @@
         }))
     }
 }
+
+fn is_empty(reading: &Reading) -> bool {
+    reading.listing.objects.is_empty() && reading.listing.deleted.is_empty()
+}
