fix(relay): a reader keeps its first list of instances until a watcher has caught up

Cause, found by tests/watchers.rs, which failed first: a reader's first list of instances came from the store and the next one from a watcher that batches changes for 3 s, so it took back instances and, in a fleet that starts, the watchers themselves: the reader then watched the store. A store restored before a task's first reading wasn't noticed by it, and the entry of the instance stayed lost.

Change: positions that were read past the source count as read; watchers batch for 1 s. Tests: changes reach a reader without calls to the store; half of the watchers cut off silently or shut down; all shut down; the store restored.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -177,7 +177,7 @@
     let mut backoff = Backoff::new(MIN_BACKOFF, MAX_BACKOFF);
     let mut position: Option<Position> = None;
     // Era of the last successful read.
-    let mut era = None;
+    let mut era = source.latest(kind).map(|position| position.era);
     let mut is_unavailable = false;
     loop {
         let result = read(&source, kind, position, follower.limits(), &recovery).await;
--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -31,6 +31,7 @@
         Follower,
         StoreRecovery, //
     },
+    mirror::Position,
     peer::Member,
     relay::Relay,
     source::{
@@ -46,6 +47,8 @@
 const MAX_AGE: Duration = Duration::from_millis(40_000);
 /// Pause after a change, as all instances write their entries within the same seconds.
 const BATCH_PAUSE: Duration = Duration::from_millis(3_000);
+/// The same for an instance that supplies others, which find it behind their first listing until then.
+const WATCHER_BATCH_PAUSE: Duration = Duration::from_millis(1_000);
 /// Initial and maximum backoff after a failed call to the store.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 const MAX_BACKOFF: Duration = Duration::from_millis(500);
@@ -68,7 +71,7 @@
 ) {
     let mut follower = Instances::<D> {
         relay: source.relay().clone(),
-        store: source.store().clone(),
+        source: source.clone(),
         local,
         known: HashMap::new(),
         written_at: None,
@@ -81,7 +84,7 @@
 
 struct Instances<D: Directory> {
     relay: Rc<Relay>,
-    store: Rc<D::Store>,
+    source: Rc<Source<D::Store>>,
     local: Member,
     known: HashMap<Arc<str>, Member>,
     /// When the entry of this instance was last written.
@@ -99,13 +102,15 @@
         let mut backoff = Backoff::new(MIN_BACKOFF, MAX_BACKOFF);
         let mut listings = 0;
         loop {
-            match self.store.list_stale(D::INSTANCES).await {
+            match self.source.store().list_stale(D::INSTANCES).await {
                 Ok(listing) => {
                     backoff.reset();
                     listings += 1;
                     let is_own = |object: &Object| object.name == self.local.name;
                     let has_own = listing.objects.iter().any(is_own);
                     let has_others = !listing.objects.is_empty() && !is_first_start;
+                    let position = Position::of(&listing);
+                    self.source.record_position(D::INSTANCES, position);
                     self.read(&listing);
                     self.correct_own_entry(Instant::now());
                     if has_own || has_others || listings >= MAX_FIRST_LISTINGS {
@@ -154,7 +159,7 @@
         }
         self.written_at = Some(now);
         self.is_writing.set(true);
-        let (store, local) = (self.store.clone(), self.local.clone());
+        let (store, local) = (self.source.store().clone(), self.local.clone());
         let is_writing = self.is_writing.clone();
         monoio::spawn(async move {
             announce::<D>(store, local, false).await;
@@ -167,7 +172,10 @@
     const NAME: &'static str = "instances";
 
     fn pause(&self) -> Duration {
-        BATCH_PAUSE
+        match self.relay.registry().supplies_others() {
+            true => WATCHER_BATCH_PAUSE,
+            false => BATCH_PAUSE,
+        }
     }
 
     fn relists_after_failure(&self) -> bool {
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -86,7 +86,7 @@
     /// When a watcher supplied the last reading, or the store was asked instead.
     supplied_at: Instant,
     /// Latest position that was read.
-    latest: Position,
+    latest: Option<Position>,
 }
 
 /// Reads from the store or from watchers, as the role of this instance requires.
@@ -126,6 +126,18 @@
         &self.relay
     }
 
+    /// Records a position that was read past this source, so that no earlier reading replaces it.
+    pub(crate) fn record_position(&self, kind: &'static str, position: Position) {
+        self.with_reads(kind, |reads| {
+            reads.latest = reads.latest.max(Some(position));
+        });
+    }
+
+    /// Returns the latest position of a kind that was read; none before the first reading.
+    pub(crate) fn latest(&self, kind: &'static str) -> Option<Position> {
+        self.with_reads(kind, |reads| reads.latest)
+    }
+
     /// Returns the latest era of the store that is known.
     pub(crate) fn era(&self) -> u64 {
         self.era.get().max(self.store.era())
@@ -154,7 +166,7 @@
             },
         };
         self.with_reads(kind, |reads| {
-            reads.latest = Position::of(&reading.listing);
+            reads.latest = Some(Position::of(&reading.listing));
         });
         match after.is_some_and(|after| after.era != reading.listing.era) {
             true => Err(ReadError::Failed(Failure::Restored)),
@@ -269,7 +281,7 @@
         watcher: &Member,
         query: Query<'_>,
         max_age: Duration,
-        latest: Position,
+        latest: Option<Position>,
     ) -> Result<Option<Reading>, Failure> {
         let transport = {
             let mut transports = self.transports.borrow_mut();
@@ -290,7 +302,9 @@
         let reading = feed::parse_reply(&response, max_age)?;
         match &reading {
             // It is behind what this instance has read elsewhere.
-            Some(reading) if Position::of(&reading.listing) < latest => Err(Failure::Unavailable),
+            Some(reading) if Some(Position::of(&reading.listing)) < latest => {
+                Err(Failure::Unavailable)
+            }
             _ => Ok(reading),
         }
     }
@@ -313,7 +327,7 @@
         change(reads.entry(kind).or_insert(Reads {
             turn: 0,
             supplied_at: self.started_at,
-            latest: Position::default(),
+            latest: None,
         }))
     }
 }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, unreachable_pub, unused_imports)]
 
 mod fake;
+pub mod store;
 
 use std::{
     future::Future,
@@ -157,6 +158,17 @@
 
 /// Starts an instance with the given processor time that counts as started at `started_at`.
 pub fn instance_started_at(name: &str, cores: f64, started_at: Instant) -> Instance {
+    let instance = start(name, "here", cores, started_at);
+    instance.relay.registry().set_members(Vec::new());
+    instance
+}
+
+/// Starts an instance of an availability zone that knows no other instances yet.
+pub fn instance_in_zone(name: &str, zone: &str, cores: f64) -> Instance {
+    start(name, zone, cores, Instant::now())
+}
+
+fn start(name: &str, zone: &str, cores: f64, started_at: Instant) -> Instance {
     let listeners = [(); 2].map(|()| TcpListener::bind("127.0.0.1:0").expect("a listener"));
     let addresses = listeners.each_ref().map(TcpListener::local_addr);
     let [address, peer_address] = addresses.map(|address| address.expect("an address"));
@@ -164,7 +176,7 @@
         local: Member {
             name: name.into(),
             address: peer_address,
-            zone: "here".into(),
+            zone: zone.into(),
             cores,
         },
         retry_budget: Bound {
@@ -176,7 +188,6 @@
         leaving_header: names().leaving,
     };
     let registry = Registry::new(settings, started_at);
-    registry.set_members(Vec::new());
     let provider = opentelemetry::metrics::noop::NoopMeterProvider::new();
     let source = opentelemetry::metrics::MeterProvider::meter(&provider, "test");
     let margin = Duration::from_millis(50);
--- /dev/null
+++ b/crates/relay/tests/watchers.rs
@@ -0,0 +1,244 @@
+//! Fleets of which a few instances watch the store and pass on what they learn.
+
+mod common;
+
+use std::{
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use common::{
+    instance_in_zone, run,
+    store::{
+        Config,
+        InstanceEntry,
+        Link,
+        Objects,
+        ServerEntry,
+        SharedStore, //
+    },
+    Instance,
+};
+use monoio::time::sleep;
+use relay::{
+    follow,
+    peer::Member,
+    registry::StoreRole,
+    roster,
+    source::Source, //
+};
+
+/// Time within which a change must be in force on a reader although a watcher that it asks is cut off, dead or
+/// silent: half of the shortest drain time of the large fleets.
+const MAX_DELAY: Duration = Duration::from_millis(2_500);
+/// Time within which an instance without any watcher must have read the store itself.
+const MAX_UNSUPPLIED: Duration = Duration::from_millis(9_000);
+
+/// Time within which an instance writes an entry again that the store has lost: others take larger shares of the retry
+/// budgets only after its window.
+const MAX_REWRITE: Duration = Duration::from_secs(10);
+
+/// One instance with its way to the store.
+struct Node {
+    instance: Instance,
+    link: Rc<Link>,
+}
+
+impl Node {
+    fn start(store: &Rc<SharedStore>, name: &str, zone: &str, cores: f64) -> Self {
+        let instance = instance_in_zone(name, zone, cores);
+        let link = Link::new(store);
+        let source = Source::new(link.clone(), instance.relay.clone());
+        let recovery = follow::StoreRecovery::default();
+        monoio::spawn(follow::routes::<Objects>(source.clone(), recovery.clone()));
+        monoio::spawn(follow::servers::<Objects>(source.clone(), recovery.clone()));
+        let member = Member {
+            zone: zone.into(),
+            ..instance.member(name, cores)
+        };
+        monoio::spawn(roster::instances::<Objects>(
+            source, recovery, member, false,
+        ));
+        Self { instance, link }
+    }
+
+    fn version(&self) -> u64 {
+        let table = self.instance.relay.table();
+        table.map_or(0, |table| table.version())
+    }
+
+    /// Returns how long it takes until the version is in force.
+    async fn time_until_version(&self, version: u64, limit: Duration) -> Duration {
+        let started_at = Instant::now();
+        while self.version() < version && started_at.elapsed() < limit {
+            sleep(Duration::from_millis(10)).await;
+        }
+        started_at.elapsed()
+    }
+}
+
+/// Four watchers in two zones, a small reader, and entries of further small instances that don't run.
+struct Fleet {
+    store: Rc<SharedStore>,
+    watchers: Vec<Node>,
+    reader: Node,
+}
+
+impl Fleet {
+    async fn start() -> Self {
+        let store = Rc::new(SharedStore::default());
+        store.put("config", "main", &Config { version: 1 });
+        let server = ServerEntry {
+            address: "127.0.0.1:9".parse().expect("an address"),
+        };
+        store.put("servers", "s1", &server);
+        for index in 0..12 {
+            let entry = InstanceEntry {
+                address: "127.0.0.1:9".parse().expect("an address"),
+                zone: ["a", "b"][index % 2].to_owned(),
+                cores: 0.05,
+                leaving: false,
+            };
+            store.put("instances", &format!("other-{index}"), &entry);
+        }
+        let start_watcher = |index: usize| {
+            let zone = ["a", "b"][index % 2];
+            Node::start(&store, &format!("watcher-{index}"), zone, 0.5)
+        };
+        let watchers: Vec<Node> = (0..4).map(start_watcher).collect();
+        // The reader's first list of instances holds the watchers.
+        sleep(Duration::from_millis(100)).await;
+        let reader = Node::start(&store, "reader", "a", 0.1);
+        reader.time_until_version(1, Duration::from_secs(3)).await;
+        assert_eq!(reader.version(), 1);
+        let registry = reader.instance.relay.registry();
+        assert_eq!(registry.store_role(), StoreRole::Reader);
+        Self {
+            store,
+            watchers,
+            reader,
+        }
+    }
+
+    fn change(&self, version: u64) {
+        self.store.put("config", "main", &Config { version });
+    }
+}
+
+#[test]
+fn reader_learns_of_changes_without_calls_to_the_store() {
+    run(async {
+        let fleet = Fleet::start().await;
+        let mut delays = Vec::new();
+        for version in 2..6 {
+            fleet.change(version);
+            delays.push(fleet.reader.time_until_version(version, MAX_DELAY).await);
+        }
+        let limit = Duration::from_millis(500);
+        assert!(delays.iter().all(|delay| *delay < limit), "{delays:?}");
+        let servers = fleet.reader.instance.relay.registry().servers();
+        assert_eq!(servers.len(), 1);
+        // It has written its entry.
+        assert!(
+            fleet.reader.link.calls.get() <= 2,
+            "{}",
+            fleet.reader.link.calls.get()
+        );
+        assert!(fleet.store.value("instances", "reader").is_some());
+    });
+}
+
+/// One watcher of each zone, those that the reader asks first among them, no longer hears anything of the store and
+/// doesn't know it yet.
+#[test]
+fn change_is_in_force_although_half_of_the_watchers_are_cut_off_silently() {
+    run(async {
+        let fleet = Fleet::start().await;
+        for half in [[0, 1], [2, 3]] {
+            half.iter()
+                .for_each(|index| fleet.watchers[*index].link.is_silent.set(true));
+            let version = fleet.reader.version() + 1;
+            fleet.change(version);
+            let delay = fleet.reader.time_until_version(version, MAX_DELAY).await;
+            assert!(delay < MAX_DELAY, "{delay:?}");
+            half.iter()
+                .for_each(|index| fleet.watchers[*index].link.is_silent.set(false));
+            sleep(Duration::from_millis(1_500)).await;
+        }
+    });
+}
+
+#[test]
+fn change_is_in_force_although_half_of_the_watchers_are_shut_down() {
+    run(async {
+        let fleet = Fleet::start().await;
+        for index in [0, 1] {
+            fleet.watchers[index].instance.relay.start_drain();
+            fleet.watchers[index].instance.stop.set();
+        }
+        fleet.change(2);
+        let delay = fleet.reader.time_until_version(2, MAX_DELAY).await;
+        assert!(delay < MAX_DELAY, "{delay:?}");
+    });
+}
+
+#[test]
+fn reader_without_any_watcher_reads_the_store() {
+    run(async {
+        let fleet = Fleet::start().await;
+        for watcher in &fleet.watchers {
+            watcher.instance.relay.start_drain();
+            watcher.instance.stop.set();
+        }
+        // Polls that they hold are still answered.
+        sleep(MAX_DELAY).await;
+        fleet.change(2);
+        let delay = fleet.reader.time_until_version(2, MAX_UNSUPPLIED).await;
+        assert!(delay < MAX_UNSUPPLIED, "{delay:?}");
+        assert!(fleet.reader.instance.relay.meter().unsupplied.get() > 0);
+    });
+}
+
+/// The restored copy has an older configuration and neither the reader's entry nor a new server.
+#[test]
+fn restored_store_takes_nothing_back_and_entries_are_written_again() {
+    run(async {
+        let fleet = Fleet::start().await;
+        let copied = {
+            let store = SharedStore::default();
+            store.put("config", "main", &Config { version: 1 });
+            store.copy()
+        };
+        let new = ServerEntry {
+            address: "127.0.0.1:10".parse().expect("an address"),
+        };
+        fleet.store.put("servers", "s2", &new);
+        fleet.change(7);
+        fleet.reader.time_until_version(7, MAX_DELAY).await;
+        copied(&fleet.store);
+        let restored_at = Instant::now();
+        let is_written = || fleet.store.value("instances", "reader").is_some();
+        while !is_written() && restored_at.elapsed() < MAX_REWRITE {
+            sleep(Duration::from_millis(50)).await;
+        }
+        assert!(is_written(), "the entry is written again");
+        assert_eq!(fleet.reader.version(), 7);
+        // Servers that the copy lacks are kept until they can have registered again; this one does.
+        fleet.store.put("servers", "s2", &new);
+        fleet.change(8);
+        let delay = fleet.reader.time_until_version(8, MAX_DELAY).await;
+        assert!(delay < MAX_DELAY, "{delay:?}");
+        sleep(MAX_DELAY).await;
+        let registry = fleet.reader.instance.relay.registry();
+        registry.sweep(Instant::now());
+        let ids: Vec<String> = registry
+            .servers()
+            .iter()
+            .map(|server| server.id().to_string())
+            .collect();
+        assert!(ids.contains(&"s2".to_owned()), "{ids:?}");
+    });
+}
