feat(relay): long readings of the store are compressed between instances

Change: readings of 2 KB and more are sent with deflate, encoded once for readers at the same position; decoding is limited to 16 MB.

--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -14,7 +14,10 @@
     Either, //
 };
 use http::{
-    header::CONTENT_TYPE,
+    header::{
+        CONTENT_ENCODING,
+        CONTENT_TYPE, //
+    },
     HeaderName,
     HeaderValue,
     Response,
@@ -29,7 +32,7 @@
 use tracing::warn;
 
 use crate::{
-    answer,
+    answer, compression,
     mirror::{
         Mirror,
         Position,
@@ -168,7 +171,11 @@
 fn to_reply(relay: &Relay, query: Query<'_>, reading: &Reading) -> Response<Bytes> {
     match relay.mirror().encode(query.kind, query.after, reading) {
         Ok(body) => {
-            let mut answer = Response::new(body);
+            let mut answer = Response::new(body.bytes);
+            if body.is_compressed {
+                let deflate = HeaderValue::from_static(compression::NAME);
+                answer.headers_mut().insert(CONTENT_ENCODING, deflate);
+            }
             let age = HeaderValue::from(reading.fresh_at.elapsed().as_millis() as u64);
             let json = HeaderValue::from_static("application/json");
             answer.headers_mut().insert(AGE_HEADER, age);
@@ -202,7 +209,12 @@
     let age = response.headers().get(AGE_HEADER);
     let age = age.and_then(|age| age.to_str().ok()?.parse().ok());
     let age = Duration::from_millis(age.ok_or(Failure::Malformed)?);
-    let listing = serde_json::from_slice(response.body()).map_err(|_| Failure::Malformed)?;
+    let is_compressed = response.headers().contains_key(CONTENT_ENCODING);
+    let body = match is_compressed {
+        true => compression::decode(response.body()).ok_or(Failure::Malformed)?,
+        false => response.body().clone(),
+    };
+    let listing = serde_json::from_slice(&body).map_err(|_| Failure::Malformed)?;
     match Instant::now().checked_sub(age) {
         Some(fresh_at) if age <= max_age => Ok(Some(Reading { listing, fresh_at })),
         _ => Err(Failure::Unavailable),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod answer;
 pub mod call;
 pub mod caller;
+mod compression;
 pub mod connection;
 mod description;
 mod directory;
--- a/crates/relay/src/mirror.rs
+++ b/crates/relay/src/mirror.rs
@@ -12,7 +12,6 @@
     time::Instant,
 };
 
-use bytes::Bytes;
 use platform::{
     Failure,
     Listing,
@@ -20,6 +19,8 @@
 };
 use web::Stop;
 
+use crate::compression;
+
 /// Maximum number of changes of one kind that are kept for readers to resume from.
 const MAX_CHANGES: usize = 4_000;
 
@@ -155,7 +156,7 @@
     kind: Arc<str>,
     after: Option<Position>,
     position: Position,
-    body: Bytes,
+    body: compression::Body,
 }
 
 impl Mirror {
@@ -203,7 +204,7 @@
         kind: &str,
         after: Option<Position>,
         reading: &Reading,
-    ) -> Result<Bytes, serde_json::Error> {
+    ) -> Result<compression::Body, serde_json::Error> {
         let position = Position::of(&reading.listing);
         let mut encoded = self.encoded.borrow_mut();
         let is_same =
@@ -211,7 +212,7 @@
         if let Some(known) = encoded.iter().find(is_same) {
             return Ok(known.body.clone());
         }
-        let body = Bytes::from(serde_json::to_vec(&reading.listing)?);
+        let body = compression::encode(serde_json::to_vec(&reading.listing)?);
         encoded.push_back(Encoded {
             kind: Arc::from(kind),
             after,
