test(pool): the check of the hedge budget no longer fails if the process is held up at its start

Cause: the assertion that some hedge was sent held only if the first 600 latencies weren't all above the later ones.

Change: rounds of 600 parts until a hedge is sent, at most for longer than the window of latencies; the budget of 2% and 4 is checked after each round, so it is checked as strictly and more often.

--- a/crates/pool/tests/replicas.rs
+++ b/crates/pool/tests/replicas.rs
@@ -155,12 +155,23 @@
             ..Preset::default()
         };
         let pool = pool(&[&a, &b], preset).await;
-        for number in 0..600 {
-            pool.run_part(part(number, 0, LONG_TIMEOUT)).await;
+        // If the process is held up while the first requests run, no hedge is due until their latencies have left the
+        // window of at most 20 s; a round takes some 2 s.
+        let mut hedges = 0;
+        let mut parts = 0;
+        while hedges == 0 && parts < 12 * 600 {
+            for number in parts..parts + 600 {
+                pool.run_part(part(number, 0, LONG_TIMEOUT)).await;
+            }
+            parts += 600;
+            hedges = pool.counters().hedges;
+            assert!(
+                u128::from(hedges) <= parts / 50 + 4,
+                "{:?}",
+                pool.counters()
+            );
         }
-        let counters = pool.counters();
-        assert!(counters.hedges > 0);
-        assert!(counters.hedges <= 12 + 4, "{counters:?}");
+        assert!(hedges > 0, "{:?}", pool.counters());
     });
 }
 
