test(bench): soak with a restored store, servers that say that they leave, pauses and endless heads

Restorations are drawn by a generator of their own, so that a kept seed draws the same other faults as before.

--- a/crates/bench/src/servers/handler.rs
+++ b/crates/bench/src/servers/handler.rs
@@ -9,7 +9,8 @@
 use http::{
     header::{
         HeaderName,
-        CONNECTION, //
+        CONNECTION,
+        RETRY_AFTER, //
     },
     HeaderValue,
     Method,
@@ -44,6 +45,14 @@
 /// Longest time that a request without a deadline waits for a slot.
 const DEFAULT_WAIT: Duration = Duration::from_secs(10);
 
+/// Requests that are rejected with a pause, as a share of those that get a faulty reply.
+const PAUSE_SHARE: f64 = 0.1;
+/// Range of the pauses that the server asks for, in seconds.
+const MIN_PAUSE_S: f64 = 0.1;
+const MAX_PAUSE_S: f64 = 2.0;
+/// Number of header lines of an endless head.
+const ENDLESS_LINES: usize = 40_000;
+
 /// Fault of a reply, injected at random.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ReplyFault {
@@ -61,10 +70,12 @@
     Unsigned,
     /// Replies late.
     Late,
+    /// Sends as many header lines as fit in the socket buffer, without an end.
+    Endless,
 }
 
 impl ReplyFault {
-    const ALL: [Self; 7] = [
+    const ALL: [Self; 8] = [
         Self::Foreign,
         Self::Truncate,
         Self::Close,
@@ -72,6 +83,7 @@
         Self::Fail,
         Self::Unsigned,
         Self::Late,
+        Self::Endless,
     ];
     /// Delay of a late reply.
     const LATE_DELAY: Duration = Duration::from_millis(700);
@@ -108,8 +120,10 @@
             }
         }
         if self.server.is_draining() {
-            let close = HeaderValue::from_static("close");
-            reply.headers_mut().insert(CONNECTION, close);
+            let leaving = &self.server.names.leaving;
+            let headers = reply.headers_mut();
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+            headers.insert(leaving, HeaderValue::from_static("1"));
         }
         reply
     }
@@ -153,6 +167,15 @@
             self.log_arrival(request, id, at_us, Disposition::Misplaced);
             return self.refuse(StatusCode::MISDIRECTED_REQUEST);
         }
+        if self.wants_pause() {
+            self.log_arrival(request, id, at_us, Disposition::Refused);
+            let mut reply = self.refuse(StatusCode::SERVICE_UNAVAILABLE);
+            let seconds = rand::rng().random_range(MIN_PAUSE_S..MAX_PAUSE_S);
+            if let Ok(seconds) = HeaderValue::from_str(&format!("{seconds:.2}")) {
+                reply.headers_mut().insert(RETRY_AFTER, seconds);
+            }
+            return reply;
+        }
         let deadline = header(&server.names.deadline).and_then(|wait| wait.parse().ok());
         let wait = deadline.map_or(DEFAULT_WAIT, Duration::from_millis);
         let permit = match server.slots.acquire() {
@@ -193,6 +216,12 @@
         reply
     }
 
+    /// Returns whether the server rejects the request and asks for a pause.
+    fn wants_pause(&self) -> bool {
+        let share = self.server.options.mischief * PAUSE_SHARE;
+        rand::rng().random_bool(share.clamp(0.0, 1.0))
+    }
+
     fn draw_fault(&self) -> Option<ReplyFault> {
         let mut rng = rand::rng();
         let is_faulty = rng.random_bool(self.server.options.mischief);
@@ -220,6 +249,13 @@
             }
             ReplyFault::Fail => *reply.status_mut() = StatusCode::INTERNAL_SERVER_ERROR,
             ReplyFault::Unsigned => drop(reply.headers_mut().remove(signature)),
+            ReplyFault::Endless => {
+                self.socket.write(b"HTTP/1.1 200 OK\r\n");
+                let lines = "name: value\r\n".repeat(ENDLESS_LINES);
+                self.socket.write(lines.as_bytes());
+                sleep(ReplyFault::LATE_DELAY).await;
+                self.socket.shutdown();
+            }
             ReplyFault::Late => sleep(ReplyFault::LATE_DELAY).await,
         }
     }
--- a/crates/bench/src/soak/inject.rs
+++ b/crates/bench/src/soak/inject.rs
@@ -240,6 +240,30 @@
     post_fault(harness, harness.topology.proxy, &clear).await;
 }
 
+/// Restores the store from an older copy, and writes the configuration again as the operator does.
+async fn restore_store(harness: &Harness, age_ms: u64, event: Event) {
+    let none = store::FaultChange::default;
+    let away = store::FaultChange {
+        down: Some(Outage::Dead),
+        ..none()
+    };
+    post_fault(harness, harness.topology.store, &away).await;
+    sleep(event.duration).await;
+    let restored = store::FaultChange {
+        clear: true,
+        restore_ms: Some(age_ms),
+        ..none()
+    };
+    post_fault(harness, harness.topology.store, &restored).await;
+    let versions = harness.history.borrow().versions.len();
+    if versions > 0 {
+        let table = harness.topology.table(versions - 1);
+        if let Ok(value) = RawValue::from_string(adapter::route::to_json(&table)) {
+            write_configuration(harness, &value).await;
+        }
+    }
+}
+
 async fn inject_store_fault(harness: &Harness, store_fault: StoreFault, event: Event) {
     let none = store::FaultChange::default;
     let fault = match store_fault {
@@ -263,6 +287,7 @@
             forget: true,
             ..none()
         },
+        StoreFault::Restore(age_ms) => return restore_store(harness, age_ms, event).await,
     };
     post_fault(harness, harness.topology.store, &fault).await;
     sleep(event.duration).await;
@@ -297,24 +322,32 @@
         acked_us: u64::MAX / 2,
         table: Arc::new(table),
     });
+    if write_configuration(harness, &value).await {
+        if let Some(version) = harness.history.borrow_mut().versions.get_mut(version) {
+            version.acked_us = now_us();
+        }
+        return;
+    }
+    harness.add_violation(
+        Promise::Exit,
+        "the store didn't accept a configuration".to_owned(),
+    );
+}
+
+/// Writes a configuration; returns whether the store has accepted it.
+async fn write_configuration(harness: &Harness, value: &RawValue) -> bool {
     let (kind, name) = Directory::ROUTES;
     for _ in 0..MAX_WRITE_ATTEMPTS {
         let current = harness.store.read(kind, name).await;
         let current = current.map(|object| object.map_or(0, |object| object.version));
         let written = match current {
-            Ok(current) => harness.store.write(kind, name, current, &value).await,
+            Ok(current) => harness.store.write(kind, name, current, value).await,
             Err(failure) => Err(failure),
         };
         if written.is_ok() {
-            if let Some(version) = harness.history.borrow_mut().versions.get_mut(version) {
-                version.acked_us = now_us();
-            }
-            return;
+            return true;
         }
         sleep(WRITE_RETRY_DELAY).await;
     }
-    harness.add_violation(
-        Promise::Exit,
-        "the store didn't accept a configuration".to_owned(),
-    );
+    false
 }
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -18,6 +18,12 @@
 const INTERVAL_MS: std::ops::Range<u64> = 100..1_400;
 /// Duration of a fault, in milliseconds.
 const DURATION_MS: std::ops::Range<u64> = 150..3_500;
+/// Part of the seed of the restorations' generator.
+const RESTORATIONS_SEED: u64 = 0x7265_7374_6f72_6564;
+/// Time between two restorations, time for which the store is away before one, and age of the copy.
+const RESTORATION_MS: std::ops::Range<u64> = 4_000..20_000;
+const AWAY_MS: std::ops::Range<u64> = 50..800;
+const COPY_AGE_MS: std::ops::Range<u64> = 200..6_000;
 /// Number of configurations that are published after the first one.
 const VERSION_CHANGES: usize = 2;
 
@@ -51,6 +57,8 @@
     LoseAnswers(u64),
     /// Discards the history that watches resume from.
     Forget,
+    /// Goes back to a copy that is this many milliseconds old, after a moment away.
+    Restore(u64),
 }
 
 /// A fault of a process.
@@ -127,6 +135,26 @@
         });
         offset += Duration::from_millis(rng.random_range(INTERVAL_MS));
     }
+    events.extend(draw_restorations(seed, end));
+    events.sort_by_key(|event| event.offset);
+    events
+}
+
+/// Draws the restorations of the store.
+///
+/// They have a generator of their own, so that a seed draws the same other faults as before there were restorations.
+fn draw_restorations(seed: u64, end: Duration) -> Vec<Event> {
+    let mut rng = StdRng::seed_from_u64(seed ^ RESTORATIONS_SEED);
+    let mut events = Vec::new();
+    let mut offset = FIRST_FAULT_DELAY + Duration::from_millis(rng.random_range(RESTORATION_MS));
+    while offset < end {
+        events.push(Event {
+            offset,
+            duration: Duration::from_millis(rng.random_range(AWAY_MS)),
+            fault: Fault::Store(StoreFault::Restore(rng.random_range(COPY_AGE_MS))),
+        });
+        offset += Duration::from_millis(rng.random_range(RESTORATION_MS));
+    }
     events
 }
 
