--- a/crates/relay/src/mirror.rs
+++ b/crates/relay/src/mirror.rs
@@ -17,6 +17,7 @@
     Listing,
     Object, //
 };
+use serde::Serialize;
 use web::Stop;
 
 use crate::compression;
@@ -55,6 +56,17 @@
     pub fresh_at: Instant,
 }
 
+/// What was read of one kind, in a dump.
+#[derive(Debug, Serialize)]
+pub struct State {
+    /// Era of the store.
+    pub era: u64,
+    /// Revision in that era.
+    pub revision: u64,
+    /// Time since the store confirmed it, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// Objects of one kind.
 #[derive(Debug)]
 struct Kind {
@@ -194,6 +206,20 @@
         self.changed.borrow().wait()
     }
 
+    /// Returns the era, the revision and the age in milliseconds of what was read of each kind, for a dump.
+    pub fn state(&self, now: Instant) -> BTreeMap<&'static str, State> {
+        let kinds = self.kinds.borrow();
+        let state = |known: &Kind| State {
+            era: known.position.era,
+            revision: known.position.revision,
+            age_ms: now.saturating_duration_since(known.fresh_at).as_millis() as u64,
+        };
+        kinds
+            .iter()
+            .map(|(kind, known)| (*kind, state(known)))
+            .collect()
+    }
+
     /// Encodes a reading that was asked for with `after`.
     ///
     /// # Errors
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -416,6 +416,12 @@
         }
     }
 
+    /// Returns the names of the instances that watch the store.
+    pub fn watcher_names(&self) -> Vec<Arc<str>> {
+        let watchers = self.watchers.borrow();
+        watchers.iter().map(|member| member.name.clone()).collect()
+    }
+
     /// Returns whether other instances rely on what this one reads of the store.
     pub fn supplies_others(&self) -> bool {
         let watches = self.store_role() == StoreRole::Watcher;
--- a/crates/tanageryoke/src/admin.rs
+++ b/crates/tanageryoke/src/admin.rs
@@ -11,6 +11,7 @@
     Response,
     StatusCode, //
 };
+use relay::registry::StoreRole;
 use serde_json::{
     json,
     Value, //
@@ -72,6 +73,13 @@
             "ready": relay.is_ready(),
             "in_flight": relay.in_flight(),
             "instances": relay.registry().instances(),
+            "gathers": relay.registry().gathers_queries(),
+            "store": {
+                "watches": relay.registry().store_role() == StoreRole::Watcher,
+                "watchers": relay.registry().watcher_names(),
+                "readings": relay.mirror().state(now),
+            },
+            "peak_buffered_reply_bytes": relay::connection::peak_buffered_bytes(),
             "services": services.collect::<Vec<_>>(),
             "counters": relay.meter(),
             "platform": self.context.store.counters(),
