--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod delegation;
 pub mod departure;
 pub mod expiry;
+pub mod hash;
 pub mod health;
 pub mod hedge;
 pub mod hop;
--- a/crates/policy/src/watchers.rs
+++ b/crates/policy/src/watchers.rs
@@ -7,6 +7,8 @@
 
 use std::time::Duration;
 
+use crate::hash::fnv1a;
+
 /// Largest fleet in which every instance watches the store itself.
 const MAX_DIRECT_FLEET: usize = 12;
 /// Minimum number of watchers, so that the loss of a zone leaves some.
@@ -72,7 +74,7 @@
             group.rotate_left(middle);
         }
     };
-    let offset = hash(local.name);
+    let offset = fnv1a(local.name.as_bytes());
     let round = match near.is_empty() {
         true => turn,
         false => turn / 2,
@@ -91,12 +93,6 @@
 
 /// Returns how long an instance is without a supply before it asks the store itself.
 pub fn patience(name: &str) -> Duration {
-    let share = (hash(name) % 1_000) as f64 / 1_000.0;
+    let share = (fnv1a(name.as_bytes()) % 1_000) as f64 / 1_000.0;
     MIN_UNSUPPLIED + UNSUPPLIED_SPREAD.mul_f64(share)
 }
-
-/// 64-bit FNV-1a with its standard offset basis and prime.
-fn hash(name: &str) -> u64 {
-    let fold = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    name.bytes().fold(0xcbf2_9ce4_8422_2325, fold)
-}
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -23,6 +23,7 @@
 use policy::{
     admission,
     completion,
+    hash::fnv1a,
     queue::Rank,
     refusal, //
 };
@@ -239,7 +240,7 @@
             wait_until,
             answer_by,
             deadline,
-            rank: Rank::new(hash_id(caller_request.id.as_bytes())),
+            rank: Rank::new(u128::from(fnv1a(caller_request.id.as_bytes()))),
             baseline: route_latency.baseline(),
         };
         let context = RequestContext {
@@ -546,10 +547,3 @@
         _ => Class::Bulk,
     }
 }
-
-/// Hashes a request id for [`Rank`].
-fn hash_id(id: &[u8]) -> u128 {
-    // 64-bit FNV-1a with its standard offset basis and prime.
-    let fold = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
-    u128::from(id.iter().fold(0xcbf2_9ce4_8422_2325, fold))
-}
