--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -229,8 +229,13 @@
                 (watcher, is_probe)
             })
             .collect();
-        let mut wait = limits.feed_wait;
+        // Whether a watcher is known to hold changes.
+        let mut is_changed = false;
         while let Some((watcher, is_probe)) = tries.pop_front() {
+            let wait = match is_changed {
+                true => CHANGED_WAIT,
+                false => limits.feed_wait,
+            };
             let query = Query {
                 kind,
                 after,
@@ -239,12 +244,11 @@
             };
             match self.ask(&watcher, query, limits.max_age, latest).await {
                 Ok(None) => {
-                    wait = CHANGED_WAIT;
+                    is_changed = true;
                     tries.push_back((watcher, false));
                 }
-                // Another watcher has changes that this one lacks.
-                Ok(Some(reading))
-                    if wait < limits.feed_wait && is_empty(&reading) && !tries.is_empty() => {}
+                // This watcher lacks the changes.
+                Ok(Some(reading)) if is_changed && is_empty(&reading) && !tries.is_empty() => {}
                 Ok(Some(reading)) => {
                     self.failed_at.borrow_mut().remove(&watcher.address);
                     self.era.set(self.era.get().max(reading.listing.era));
