fix(relay): changes that watches skipped reach readers

The store keeps changes from all watches for a moment, reports a revision that includes them, and drops its history. Watchers list again, but record what they find at a revision that readers were given already.

Change: a watcher's readings have a generation, which changes whenever a listing holds what wasn't reported before it, and with each process. A reader that knows another one lists again. Test `change_that_watches_did_not_report_reaches_readers_after_the_history_is_gone` failed first (9 s).

--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -43,6 +43,8 @@
 
 /// Path below which the kinds of objects are read.
 const PATH: &str = "/feed/";
+/// In a reply: the generation of the watcher's readings of the kind.
+const GENERATION_HEADER: HeaderName = HeaderName::from_static("tanageryoke-generation");
 /// Maximum time that a poll waits for a change.
 const MAX_WAIT: Duration = Duration::from_secs(10);
 
@@ -58,6 +60,8 @@
     pub after: Option<Position>,
     /// How long to wait for a change.
     pub wait: Duration,
+    /// Generation of the watcher's readings that the reader knows, if it has asked it before.
+    pub generation: Option<u64>,
     /// Whether only the existence of changes is of interest, not the changes themselves.
     pub is_probe: bool,
 }
@@ -70,6 +74,7 @@
             kind,
             after: None,
             wait: Duration::ZERO,
+            generation: None,
             is_probe: false,
         };
         let pairs = uri.query().unwrap_or_default().split('&');
@@ -79,6 +84,10 @@
             match name {
                 "era" => after.era = number,
                 "after" => after.revision = number,
+                "generation" => {
+                    query.generation = Some(number);
+                    continue;
+                }
                 "probe" => {
                     query.is_probe = number > 0;
                     continue;
@@ -100,6 +109,7 @@
             kind,
             after,
             wait,
+            generation,
             is_probe,
         } = self;
         match after {
@@ -107,7 +117,13 @@
             Some(Position { era, revision }) => {
                 let wait_ms = wait.as_millis();
                 let probe = u8::from(*is_probe);
-                format!("{PATH}{kind}?era={era}&after={revision}&wait_ms={wait_ms}&probe={probe}")
+                let target = format!(
+                    "{PATH}{kind}?era={era}&after={revision}&wait_ms={wait_ms}&probe={probe}"
+                );
+                match generation {
+                    Some(generation) => format!("{target}&generation={generation}"),
+                    None => target,
+                }
             }
         }
     }
@@ -126,13 +142,18 @@
         }
         Some(position) => wait_for_changes(relay.mirror(), query, position).await,
     };
-    match result {
+    let mut answer = match result {
         Ok(Some(reading)) => to_reply(relay, query, &reading),
         Ok(None) => changed_reply(),
         Err(Failure::Restored) => answer::with_text(StatusCode::CONFLICT, "a later era"),
         Err(Failure::Compacted) => answer::with_text(StatusCode::GONE, "changes not kept"),
         Err(_) => answer::with_text(StatusCode::SERVICE_UNAVAILABLE, "nothing read yet"),
-    }
+    };
+    let generation = relay.mirror().generation(query.kind);
+    answer
+        .headers_mut()
+        .insert(GENERATION_HEADER, HeaderValue::from(generation));
+    answer
 }
 
 /// Waits for changes; returns none if there are some and the query is a probe.
@@ -143,6 +164,10 @@
 ) -> Result<Option<Reading>, Failure> {
     let until = Instant::now() + query.wait;
     loop {
+        let generation = mirror.generation(query.kind);
+        if query.generation.is_some_and(|known| known != generation) {
+            return Err(Failure::Compacted);
+        }
         let reading = mirror.changes(query.kind, position)?;
         let Listing {
             objects, deleted, ..
@@ -189,6 +214,12 @@
     }
 }
 
+/// Returns the generation that a reply states, whatever its status.
+pub fn stated_generation(response: &Response<Bytes>) -> Option<u64> {
+    let stated = response.headers().get(GENERATION_HEADER)?;
+    stated.to_str().ok()?.parse().ok()
+}
+
 /// Parses a watcher's reply; none if a probe found changes.
 ///
 /// # Errors
--- a/crates/relay/src/mirror.rs
+++ b/crates/relay/src/mirror.rs
@@ -77,6 +77,9 @@
     changes: VecDeque<(u64, Arc<str>)>,
     /// Revision before the oldest change that is kept.
     floor: u64,
+    /// Changes whenever a listing holds changes that weren't reported before it; random at first, so that those of
+    /// two processes differ.
+    generation: u64,
 }
 
 impl Kind {
@@ -90,6 +93,7 @@
                 .collect(),
             changes: VecDeque::new(),
             floor: listing.revision,
+            generation: rand::random(),
         }
     }
 
@@ -112,7 +116,11 @@
             let known = self.objects.get(&object.name);
             known.is_none_or(|known| known.version < object.version)
         };
-        let objects = listing.objects.iter().filter(is_new).cloned().collect();
+        let objects: Vec<Object> = listing.objects.iter().filter(is_new).cloned().collect();
+        // A revision that was passed on already may include these changes.
+        if !objects.is_empty() || !deleted.is_empty() {
+            self.generation = self.generation.wrapping_add(1);
+        }
         self.update(Listing {
             objects,
             deleted,
@@ -251,6 +259,12 @@
         Ok(body)
     }
 
+    /// Returns the generation of a kind; 0 before the first reading. A reader that knows another one lists again.
+    pub fn generation(&self, kind: &str) -> u64 {
+        let kinds = self.kinds.borrow();
+        kinds.get(kind).map_or(0, |known| known.generation)
+    }
+
     /// Returns all objects of a kind; none before the first reading.
     pub fn list(&self, kind: &str) -> Option<Reading> {
         let kinds = self.kinds.borrow();
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -96,6 +96,8 @@
     relay: Rc<Relay>,
     transports: RefCell<HashMap<SocketAddr, Rc<Transport>>>,
     failed_at: RefCell<HashMap<SocketAddr, Instant>>,
+    /// Generation of each watcher's readings of a kind, as it last stated it.
+    generations: RefCell<HashMap<(SocketAddr, &'static str), u64>>,
     reads: RefCell<HashMap<&'static str, Reads>>,
     /// Latest era that a watcher stated.
     era: Cell<u64>,
@@ -110,6 +112,7 @@
             relay,
             transports: RefCell::default(),
             failed_at: RefCell::default(),
+            generations: RefCell::default(),
             reads: RefCell::default(),
             era: Cell::new(0),
             started_at: Instant::now(),
@@ -236,13 +239,18 @@
                 true => CHANGED_WAIT,
                 false => limits.feed_wait,
             };
+            let known = (watcher.address, kind);
             let query = Query {
                 kind,
                 after,
                 wait,
+                generation: self.generations.borrow().get(&known).copied(),
                 is_probe,
             };
-            match self.ask(&watcher, query, limits.max_age, latest).await {
+            match self
+                .ask(&watcher, known, query, limits.max_age, latest)
+                .await
+            {
                 Ok(None) => {
                     is_changed = true;
                     tries.push_back((watcher, false));
@@ -283,6 +291,7 @@
     async fn ask(
         &self,
         watcher: &Member,
+        known: (SocketAddr, &'static str),
         query: Query<'_>,
         max_age: Duration,
         latest: Option<Position>,
@@ -303,6 +312,9 @@
             None => LIST_TIMEOUT,
         };
         let response = transport.send(request, wait).await?;
+        if let Some(generation) = feed::stated_generation(&response) {
+            self.generations.borrow_mut().insert(known, generation);
+        }
         let reading = feed::parse_reply(&response, max_age)?;
         match &reading {
             // It is behind what this instance has read elsewhere.
--- a/crates/relay/tests/common/store.rs
+++ b/crates/relay/tests/common/store.rs
@@ -5,7 +5,10 @@
         Cell,
         RefCell, //
     },
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -84,6 +87,11 @@
         revision
     }
 
+    /// Wakes all watches without a change.
+    pub fn wake_watches(&self) {
+        self.changed.replace(Stop::new()).set();
+    }
+
     /// Returns a copy to restore later.
     pub fn copy(&self) -> impl FnOnce(&Self) {
         let copy = self.state.borrow().clone();
@@ -109,6 +117,10 @@
     era: Cell<u64>,
     /// Whether the store sends nothing to the instance any more.
     pub is_silent: Cell<bool>,
+    /// Whether watches report the current revision without the changes before it.
+    pub is_deaf: Cell<bool>,
+    /// Kinds whose next watch finds that the history is gone.
+    pub forgotten: RefCell<BTreeSet<String>>,
     /// Calls that the instance has made, stale reads excluded.
     pub calls: Cell<usize>,
 }
@@ -149,6 +161,16 @@
         if after > state.revision {
             return Err(Failure::Compacted);
         }
+        if self.is_deaf.get() && after < state.revision {
+            return Ok(Listing {
+                era: state.era,
+                revision: state.revision,
+                ..Listing::default()
+            });
+        }
+        if self.forgotten.borrow_mut().remove(kind) {
+            return Err(Failure::Compacted);
+        }
         let newer = state.changes.iter();
         let newer = newer.filter(|(of, _, revision)| of == kind && *revision > after);
         let mut listing = Listing {
@@ -210,7 +232,7 @@
         loop {
             let listing = self.changes(kind, after)?;
             let left = until.saturating_duration_since(std::time::Instant::now());
-            if !listing.objects.is_empty() || left.is_zero() {
+            if !listing.objects.is_empty() || left.is_zero() || listing.revision > after {
                 return Ok(listing);
             }
             let changed = self.shared.changed.borrow().wait();
--- a/crates/relay/tests/feed.rs
+++ b/crates/relay/tests/feed.rs
@@ -88,6 +88,7 @@
             kind: "servers",
             after,
             wait: Duration::from_millis(wait_ms),
+            generation: after.map(|after| after.revision),
             is_probe,
         };
         let uri: Uri = query.target().parse().expect("a target");
--- a/crates/relay/tests/watchers.rs
+++ b/crates/relay/tests/watchers.rs
@@ -202,6 +202,32 @@
     });
 }
 
+/// The store keeps a change from all watches, reports a revision that includes it, and then drops its history. The
+/// watchers list again, at the revision that readers are at already.
+#[test]
+fn change_that_watches_did_not_report_reaches_readers_after_the_history_is_gone() {
+    run(async {
+        let fleet = Fleet::start().await;
+        fleet.change(2);
+        fleet.reader.time_until_version(2, MAX_DELAY).await;
+        sleep(Duration::from_millis(1_500)).await;
+        for watcher in &fleet.watchers {
+            watcher.link.is_deaf.set(true);
+        }
+        fleet.change(3);
+        // Longer than a poll of a reader.
+        sleep(Duration::from_millis(2_000)).await;
+        for watcher in &fleet.watchers {
+            let kinds = ["config", "servers", "instances"].map(str::to_owned);
+            *watcher.link.forgotten.borrow_mut() = kinds.into();
+            watcher.link.is_deaf.set(false);
+        }
+        fleet.store.wake_watches();
+        let delay = fleet.reader.time_until_version(3, MAX_UNSUPPLIED).await;
+        assert!(delay < MAX_UNSUPPLIED, "{delay:?}");
+    });
+}
+
 /// The restored copy has an older configuration and neither the reader's entry nor a new server.
 #[test]
 fn restored_store_takes_nothing_back_and_entries_are_written_again() {
