--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod latency;
 pub mod pause;
 pub mod queue;
+pub mod rate_limit;
 pub mod refusal;
 pub mod retry;
 pub mod retry_budget;
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -363,6 +363,7 @@
             is_abandoned: false,
         };
         self.allowance.start_head();
+        let sent_at = Instant::now();
         let response = self.sender.try_send_request(request);
         let mut result = self.receive_reply(response, &mut watch, &mut reply).await;
         result = result.map_err(|failure| match failure.kind {
@@ -376,7 +377,8 @@
         match &result {
             Ok(reply) => {
                 server.record_reply();
-                server.record_notices(reply.status(), reply.headers(), Instant::now());
+                let (status, headers) = (reply.status(), reply.headers());
+                server.record_notices(status, headers, sent_at, Instant::now());
             }
             Err(failure) if failure.kind == FailureKind::Timeout => server.record_timeout(),
             Err(_) => {}
--- a/crates/relay/src/headers.rs
+++ b/crates/relay/src/headers.rs
@@ -21,6 +21,8 @@
     pub not_run: HeaderName,
     /// Present in all replies of a server that is leaving.
     pub leaving: HeaderName,
+    /// Requests a second that the server takes from all instances together, while it names a limit.
+    pub limit: HeaderName,
     /// Signatures of the parts in a query's answer.
     pub parts: HeaderName,
     /// Number of shards missing from a query's answer.
--- a/crates/relay/src/maintenance.rs
+++ b/crates/relay/src/maintenance.rs
@@ -100,13 +100,14 @@
             return;
         }
     };
+    let sent_at = Instant::now();
     match connection.exchange(request, CHECK_TIMEOUT).await {
         Ok(exchange) => {
             let id = exchange.response.headers().get(&relay.names().server);
             let is_it = id.is_none_or(|id| id.as_bytes() == server.id().as_bytes());
             let status = exchange.response.status();
             if is_it {
-                server.record_notices(status, exchange.response.headers(), Instant::now());
+                server.record_notices(status, exchange.response.headers(), sent_at, Instant::now());
             }
             info!(server = %server.id(), %service, %status, is_it, "maintenance: health checked.");
             match is_it {
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -17,7 +17,6 @@
     },
 };
 
-use http::HeaderName;
 use policy::{
     delegation::{
         self,
@@ -54,6 +53,7 @@
 use web::Stop;
 
 use crate::{
+    headers::HeaderNames,
     peer::{
         Member,
         Peers, //
@@ -80,8 +80,8 @@
     pub retry_budget: Bound,
     /// Time for which a draining server keeps serving.
     pub drain_time: Duration,
-    /// Header of all replies of a server that is leaving.
-    pub leaving_header: HeaderName,
+    /// Names of the headers in servers' replies.
+    pub names: Rc<HeaderNames>,
 }
 
 /// How an instance learns of changes in the store.
@@ -284,7 +284,7 @@
         let notices = {
             let settings = self.settings.borrow();
             Notices {
-                leaving: settings.leaving_header.clone(),
+                names: settings.names.clone(),
                 last_resort: settings.drain_time / 2,
                 announced: self.leaving.clone(),
             }
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -20,12 +20,8 @@
 use bytes::Bytes;
 use futures_channel::oneshot;
 use http::{
-    header::RETRY_AFTER,
-    HeaderMap,
-    HeaderName,
     HeaderValue,
-    Request,
-    StatusCode, //
+    Request, //
 };
 use http_body_util::Full;
 use policy::{
@@ -38,14 +34,15 @@
         Transition, //
     },
     pause::Pause,
+    rate_limit::Limit,
     slowness::Tracker,
 };
 use serde::Serialize;
-use tracing::{
-    info,
-    warn, //
-};
+use tracing::info;
+
+mod notices;
 
+pub(crate) use self::notices::Notices;
 pub use crate::description::{
     Description,
     Standing, //
@@ -86,17 +83,6 @@
 /// Ratio of recent failures that weighs as much as one consecutive failure when servers are compared.
 const FAILURE_RATIO: f64 = 0.1;
 
-/// What a backend server may state about itself in its replies.
-#[derive(Debug, Clone)]
-pub(crate) struct Notices {
-    /// Header of a server that is leaving.
-    pub(crate) leaving: HeaderName,
-    /// Time for which a leaving server is a last resort.
-    pub(crate) last_resort: Duration,
-    /// Ids of the servers that said that they are leaving.
-    pub(crate) announced: Rc<RefCell<Vec<Arc<str>>>>,
-}
-
 /// A backend server, or a peer.
 #[derive(Debug)]
 pub struct Server {
@@ -109,6 +95,7 @@
     standing: Cell<Standing>,
     said_leaving_at: Cell<Option<Instant>>,
     pause: Cell<Pause>,
+    limit: Cell<Limit>,
     warm_at: Cell<Instant>,
     max_connections: Cell<usize>,
     open: Cell<usize>,
@@ -145,6 +132,8 @@
     pub out: bool,
     /// How much longer it wants no requests, in milliseconds.
     pub pause_ms: u64,
+    /// Requests a second that it takes from all instances together, if it names a limit.
+    pub limit_per_s: Option<f64>,
     /// Latency as a multiple of the baseline.
     pub slowness: f64,
 }
@@ -185,6 +174,7 @@
             standing: Cell::new(Standing::Ready),
             said_leaving_at: Cell::new(None),
             pause: Cell::default(),
+            limit: Cell::default(),
             warm_at: Cell::new(warm_at),
             max_connections: Cell::new(1),
             open: Cell::new(0),
@@ -241,62 +231,6 @@
         }
     }
 
-    /// Returns when it first said in a reply that it is leaving.
-    pub(crate) fn said_leaving_at(&self) -> Option<Instant> {
-        self.said_leaving_at.get()
-    }
-
-    /// Records that it said in a reply that it is leaving.
-    pub(crate) fn mark_leaving(&self, now: Instant) {
-        let Some(notices) = self.notices.as_ref() else {
-            return;
-        };
-        if self.said_leaving_at.get().is_none() {
-            info!(server = %self.id(), service = %self.description.service, "server: it says that it is leaving.");
-            self.said_leaving_at.set(Some(now));
-            notices.announced.borrow_mut().push(self.id().clone());
-        }
-    }
-
-    /// Returns how much longer it wants no requests; none if it has asked for no pause.
-    pub(crate) fn pause_left(&self, now: Instant) -> Option<Duration> {
-        self.pause.get().left(now)
-    }
-
-    /// Records what the status and the headers of a reply state about the server itself.
-    pub(crate) fn record_notices(&self, status: StatusCode, headers: &HeaderMap, now: Instant) {
-        let Some(notices) = &self.notices else {
-            return;
-        };
-        if headers.contains_key(&notices.leaving) {
-            self.mark_leaving(now);
-        }
-        match headers.get(RETRY_AFTER) {
-            Some(value) if status == StatusCode::SERVICE_UNAVAILABLE => {
-                self.request_pause(value, now)
-            }
-            _ => {}
-        }
-    }
-
-    fn request_pause(&self, value: &HeaderValue, now: Instant) {
-        let seconds = value
-            .to_str()
-            .ok()
-            .and_then(|text| text.trim().parse().ok());
-        let mut pause = self.pause.get();
-        match seconds.and_then(|seconds: f64| pause.request(now, seconds)) {
-            Some(granted) => {
-                self.pause.set(pause);
-                let ms = granted.as_millis() as u64;
-                info!(server = %self.id(), service = %self.description.service, ms, "server: it wants no requests for a while.");
-            }
-            None => {
-                warn!(server = %self.id(), ?value, "server: time of a pause can't be read, ignored.");
-            }
-        }
-    }
-
     pub(crate) fn set_standing(&self, standing: Standing) {
         self.standing.set(standing);
     }
@@ -425,6 +359,7 @@
         let now = Instant::now();
         self.in_flight.set(self.in_flight.get() + 1);
         self.last_exchange.set(number);
+        self.count_sent();
         self.pending.borrow_mut().push((number, now, baseline));
         let mut job = Job {
             request,
@@ -574,6 +509,7 @@
             connections: self.max_connections.get(),
             out: self.is_ejected(now),
             pause_ms: self.pause_left(now).unwrap_or_default().as_millis() as u64,
+            limit_per_s: self.limit.get().per_s(),
             slowness: self.slowness.borrow().current(now),
         }
     }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -85,6 +85,7 @@
         signature: HeaderName::from_static("signed"),
         not_run: HeaderName::from_static("not-run"),
         leaving: HeaderName::from_static("going"),
+        limit: HeaderName::from_static("at-most-per-s"),
         parts: HeaderName::from_static("parts"),
         missing: HeaderName::from_static("missing"),
     }
@@ -185,7 +186,7 @@
             span: Duration::from_secs(10),
         },
         drain_time: Duration::from_secs(3),
-        leaving_header: names().leaving,
+        names: Rc::new(names()),
     };
     let registry = Registry::new(settings, started_at);
     let provider = opentelemetry::metrics::noop::NoopMeterProvider::new();
--- a/crates/tanageryoke/src/commands/relay.rs
+++ b/crates/tanageryoke/src/commands/relay.rs
@@ -136,7 +136,7 @@
         local: member(platform_settings),
         retry_budget: platform_settings.retry_budget,
         drain_time: platform_settings.server_drain_time,
-        leaving_header: adapter::names::headers().leaving,
+        names: Rc::new(adapter::names::headers()),
     }
 }
 
