--- a/crates/bench/src/model/engine.rs
+++ b/crates/bench/src/model/engine.rs
@@ -13,7 +13,11 @@
 };
 
 use policy::{
-    admission, choice,
+    admission::{
+        self,
+        Throughput, //
+    },
+    choice,
     choice::Candidate,
     completion,
     completion::{
@@ -292,7 +296,13 @@
                 .map(|(_, candidate)| candidate.usable)
                 .sum(),
         };
-        admission::estimate_wait_at_rate(state.queues[shard].len(), concurrency, rates.sum())
+        let per_s = rates.sum();
+        let throughput = Throughput {
+            slots: concurrency,
+            by_slots_per_s: per_s,
+            allowed_per_s: per_s,
+        };
+        admission::estimate_wait_at_rate(state.queues[shard].len(), throughput)
     }
 
     /// Sends a part to a free server. If none is free, queues it, or fails it if it would miss the objective.
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -114,13 +114,34 @@
 /// Maximum estimate, also returned if no server serves any item.
 const MAX_ESTIMATE: Duration = Duration::from_secs(3_600);
 
+/// What the servers of one service can serve together.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Throughput {
+    /// Items that they serve at the same time.
+    pub slots: usize,
+    /// Items a second that their slots can serve.
+    pub by_slots_per_s: f64,
+    /// Items a second that they may be sent, which rate limits can make fewer.
+    pub allowed_per_s: f64,
+}
+
+impl std::iter::Sum for Throughput {
+    fn sum<I: Iterator<Item = Self>>(each: I) -> Self {
+        each.fold(Self::default(), |sum, one| Self {
+            slots: sum.slots + one.slots,
+            by_slots_per_s: sum.by_slots_per_s + one.by_slots_per_s,
+            allowed_per_s: sum.allowed_per_s + one.allowed_per_s,
+        })
+    }
+}
+
 /// Returns the estimated time until an item that is queued now has been served by servers of different speed.
 ///
-/// Together they serve `slots` items at the same time and `rate_per_s` items a second. The item waits until
-/// the `ahead` items before it have been taken and one more slot is free, and is then served for the mean
-/// service time of `slots / rate_per_s`.
-pub fn estimate_wait_at_rate(ahead: usize, slots: usize, rate_per_s: f64) -> Duration {
-    let seconds = (ahead + 1 + slots) as f64 / rate_per_s.max(0.0);
+/// The item waits until the `ahead` items before it have been taken and it may be sent, and is then served for
+/// the mean service time of the slots.
+pub fn estimate_wait_at_rate(ahead: usize, throughput: Throughput) -> Duration {
+    let wait = (ahead + 1) as f64 / throughput.allowed_per_s.max(0.0);
+    let seconds = wait + throughput.slots as f64 / throughput.by_slots_per_s.max(0.0);
     match seconds.is_finite() {
         true => Duration::from_secs_f64(seconds.min(MAX_ESTIMATE.as_secs_f64())),
         false => MAX_ESTIMATE,
--- a/crates/policy/src/rate_limit.rs
+++ b/crates/policy/src/rate_limit.rs
@@ -1,16 +1,30 @@
 //! Rate limits that backend servers name.
 //!
 //! A server in need states in its replies how many requests a second it takes from all instances together, and
-//! goes on stating so for as long as the limit holds.
+//! goes on stating so for as long as the limit holds. Each instance uses its part of the limit and no more. It
+//! earns tokens at that rate, one for each request, and keeps those of a short time, as callers arrive
+//! unevenly.
 
 use std::time::{
     Duration,
     Instant, //
 };
 
-/// The limit that one server has named.
-#[derive(Debug, Clone, Copy, Default)]
+/// Time whose tokens an instance may keep.
+const BURST_TIME: Duration = Duration::from_secs(1);
+/// Minimum number of tokens that an instance may keep.
+const MIN_BURST: f64 = 1.0;
+/// Requests a second of all instances together that learn whether a limit still holds, whatever the limit.
+const PROBES_PER_S: f64 = 0.5;
+/// Longest wait for a token that is returned.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+/// Tolerance for the rounding errors of repeated additions, which must not cost a token.
+const ROUNDING_TOLERANCE: f64 = 1e-9;
+
+/// One instance's part of the limit of one server.
+#[derive(Debug, Clone, Copy)]
 pub struct Limit {
+    share: f64,
     named: Option<Named>,
 }
 
@@ -19,6 +33,8 @@
     per_s: f64,
     since: Instant,
     confirmed_at: Instant,
+    tokens: f64,
+    earned_at: Instant,
     /// Requests that this instance has sent since the limit was named.
     sent: u64,
 }
@@ -41,8 +57,50 @@
     },
 }
 
+impl Default for Limit {
+    /// Returns the part of an instance that doesn't know yet how many share the limit: it only probes.
+    fn default() -> Self {
+        Self {
+            share: 0.0,
+            named: None,
+        }
+    }
+}
+
+impl Named {
+    fn rate(&self, share: f64) -> f64 {
+        self.per_s.max(PROBES_PER_S) * share
+    }
+
+    fn burst(&self, share: f64) -> f64 {
+        (self.rate(share) * BURST_TIME.as_secs_f64()).max(MIN_BURST)
+    }
+
+    fn tokens_at(&self, share: f64, now: Instant) -> f64 {
+        let earning_time = now.saturating_duration_since(self.earned_at);
+        let earned = self.rate(share) * earning_time.as_secs_f64();
+        (self.tokens + earned).min(self.burst(share))
+    }
+
+    /// Adds the tokens that were earned until `now`.
+    fn earn(&mut self, share: f64, now: Instant) {
+        self.tokens = self.tokens_at(share, now);
+        self.earned_at = now.max(self.earned_at);
+    }
+}
+
 impl Limit {
+    /// Sets the share of the limit, from 0 to 1, that this instance may use.
+    pub fn set_share(&mut self, share: f64, now: Instant) {
+        if let Some(named) = &mut self.named {
+            named.earn(self.share, now);
+        }
+        self.share = share;
+    }
+
     /// Records that the server named a limit of `per_s` requests a second.
+    ///
+    /// The tokens start at 0: the server has just served requests of this instance.
     pub fn name(&mut self, now: Instant, per_s: f64) -> Change {
         if !per_s.is_finite() || per_s < 0.0 {
             return Change::Unusable;
@@ -52,9 +110,12 @@
             per_s,
             since: now,
             confirmed_at: now,
+            tokens: 0.0,
+            earned_at: now,
             sent: 0,
         };
-        let named = known.unwrap_or(fresh);
+        let mut named = known.unwrap_or(fresh);
+        named.earn(self.share, now);
         self.named = Some(Named {
             per_s,
             confirmed_at: now,
@@ -83,13 +144,33 @@
         }
     }
 
-    /// Counts a request that is sent to the server.
-    pub fn count_sent(&mut self) {
+    /// Takes a token for a request that is sent at `now`.
+    pub fn record_sent(&mut self, now: Instant) {
         if let Some(named) = &mut self.named {
+            named.earn(self.share, now);
+            named.tokens -= 1.0;
             named.sent += 1;
         }
     }
 
+    /// Returns the time until this instance may send the server a request; zero if it may now.
+    pub fn wait(&self, now: Instant) -> Duration {
+        let Some(named) = self.named else {
+            return Duration::ZERO;
+        };
+        let lacking = 1.0 - named.tokens_at(self.share, now);
+        if lacking <= ROUNDING_TOLERANCE {
+            return Duration::ZERO;
+        }
+        let seconds = lacking / named.rate(self.share);
+        Duration::from_secs_f64(seconds.min(MAX_WAIT.as_secs_f64()))
+    }
+
+    /// Returns how many requests a second this instance may send; none if the server names no limit.
+    pub fn own_rate(&self) -> Option<f64> {
+        self.named.map(|named| named.rate(self.share))
+    }
+
     /// Returns the limit in requests a second; none if the server names none.
     pub fn per_s(&self) -> Option<f64> {
         self.named.map(|named| named.per_s)
--- a/crates/policy/tests/queries.rs
+++ b/crates/policy/tests/queries.rs
@@ -6,7 +6,10 @@
 };
 
 use policy::{
-    admission,
+    admission::{
+        self,
+        Throughput, //
+    },
     completion::{
         self,
         Deadlines,
@@ -287,12 +290,29 @@
 
 #[test]
 fn wait_estimate_accounts_for_lost_server() {
+    let throughput = |slots: usize, per_s: f64| Throughput {
+        slots,
+        by_slots_per_s: per_s,
+        allowed_per_s: per_s,
+    };
+    let estimate = admission::estimate_wait_at_rate;
     // Three items are served first, each takes 20 ms, and the item's own 20 ms are added to the wait.
-    let two = admission::estimate_wait_at_rate(3, 4, 4.0 / 0.020);
-    let one = admission::estimate_wait_at_rate(3, 2, 2.0 / 0.020);
+    let two = estimate(3, throughput(4, 4.0 / 0.020));
+    let one = estimate(3, throughput(2, 2.0 / 0.020));
     assert_eq!((two.as_millis(), one.as_millis()), (40, 60));
-    assert!(admission::estimate_wait_at_rate(0, 1, 0.0) > Duration::from_secs(60));
-    assert!(admission::estimate_wait_at_rate(0, 1, f64::NAN) > Duration::from_secs(60));
+    assert!(estimate(0, throughput(1, 0.0)) > Duration::from_secs(60));
+    assert!(estimate(0, throughput(1, f64::NAN)) > Duration::from_secs(60));
+}
+
+#[test]
+fn wait_estimate_accounts_for_rate_limit() {
+    let limited = Throughput {
+        slots: 4,
+        by_slots_per_s: 4.0 / 0.020,
+        allowed_per_s: 10.0,
+    };
+    let wait = admission::estimate_wait_at_rate(0, limited);
+    assert_eq!(wait.as_millis(), 120);
 }
 
 /// An instance with a tenth of a core passes queries on to peers; now and then its processor time is used up,
--- a/crates/relay/src/maintenance.rs
+++ b/crates/relay/src/maintenance.rs
@@ -101,6 +101,7 @@
         }
     };
     let sent_at = Instant::now();
+    server.record_sent(sent_at);
     match connection.exchange(request, CHECK_TIMEOUT).await {
         Ok(exchange) => {
             let id = exchange.response.headers().get(&relay.names().server);
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -53,6 +53,8 @@
 const HOP_HEADER: HeaderName = HeaderName::from_static("tanageryoke-hop");
 /// In a reply: ids of servers that said that they are leaving, separated by commas.
 const LEAVING_HEADER: HeaderName = HeaderName::from_static("tanageryoke-leaving");
+/// In a reply: ids of servers that name a limit, each with `=` and the limit, separated by commas.
+const LIMITS_HEADER: HeaderName = HeaderName::from_static("tanageryoke-limits");
 /// Present if a peer declined the request.
 const DECLINED_HEADER: HeaderName = HeaderName::from_static("tanageryoke-declined");
 
@@ -70,6 +72,8 @@
 const MAX_PEERS_PER_REQUEST: usize = 3;
 /// Maximum number of leaving servers that a reply names: the latest ones.
 const MAX_LEAVING: usize = 64;
+/// Maximum number of limits that a reply names; the next replies name others.
+const MAX_LIMITS: usize = 32;
 /// Minimum timeout of a peer; also the `Retry-After` of a declined request.
 const MIN_WAIT: Duration = Duration::from_millis(150);
 /// Baseline latency of a peer as a share of the latency objective.
@@ -255,6 +259,7 @@
                     .record_hop_overhead(&reply, now.elapsed());
                 relay.meter().delegated.add(1);
                 record_leaving(relay, &reply);
+                record_limits(relay, &reply);
                 info!(request = id, peer = %peer.id(), status = reply.status().as_u16(), ms, "peer: answered.");
                 Some(Delegation::Answered(into_answer(reply)))
             }
@@ -335,6 +340,7 @@
 fn into_answer(mut reply: Reply) -> Response<Bytes> {
     reply.headers_mut().remove(HOP_HEADER);
     reply.headers_mut().remove(LEAVING_HEADER);
+    reply.headers_mut().remove(LIMITS_HEADER);
     answer::from_reply(reply)
 }
 
@@ -349,6 +355,20 @@
     }
 }
 
+/// Records the limits that servers named to the peer, as this instance passes on the replies that did.
+fn record_limits(relay: &Relay, reply: &Reply) {
+    let limits = reply.headers().get(LIMITS_HEADER);
+    let limits = limits
+        .and_then(|limits| limits.to_str().ok())
+        .unwrap_or_default();
+    let now = Instant::now();
+    for (id, per_s) in limits.split(',').filter_map(|limit| limit.rsplit_once('=')) {
+        if let Ok(per_s) = per_s.parse() {
+            relay.registry().name_limit(id, per_s, now);
+        }
+    }
+}
+
 /// State of the peer that sent a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HopInfo {
@@ -411,7 +431,8 @@
     }
 }
 
-/// Marks an answer as coming from an instance, with the time that it took and the servers that are leaving.
+/// Marks an answer as coming from an instance, with the time that it took and what servers state about
+/// themselves.
 pub(crate) fn mark_as_peer_answer(relay: &Relay, answer: &mut Response<Bytes>, took: Duration) {
     let took_us = HeaderValue::from(took.as_micros() as u64);
     answer.headers_mut().insert(HOP_HEADER, took_us);
@@ -421,6 +442,14 @@
         Ok(ids) if !ids.is_empty() => drop(answer.headers_mut().insert(LEAVING_HEADER, ids)),
         _ => {}
     }
+    let limits = relay.registry().next_limits(MAX_LIMITS);
+    let limits = limits.iter().map(|(id, per_s)| format!("{id}={per_s}"));
+    match HeaderValue::from_str(&limits.collect::<Vec<_>>().join(",")) {
+        Ok(limits) if !limits.is_empty() => {
+            drop(answer.headers_mut().insert(LIMITS_HEADER, limits))
+        }
+        _ => {}
+    }
 }
 
 /// Builds the answer to a declined request.
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -111,6 +111,10 @@
     departures: RefCell<Departures>,
     /// Servers that said in a reply that they are leaving and that aren't dropped yet.
     leaving: Rc<RefCell<Vec<Arc<str>>>>,
+    /// Servers that name a limit, in requests a second.
+    limits: RefCell<Vec<(Arc<str>, f64)>>,
+    /// Index in `limits` of the first one that the next reply to a peer names.
+    next_limit: Cell<usize>,
     is_listed: Cell<bool>,
     started_at: Instant,
     is_starting: Cell<bool>,
@@ -137,6 +141,8 @@
             outage: RefCell::default(),
             departures: RefCell::default(),
             leaving: Rc::default(),
+            limits: RefCell::default(),
+            next_limit: Cell::new(0),
             is_listed: Cell::new(false),
             started_at,
             is_starting: Cell::new(true),
@@ -307,6 +313,30 @@
         self.leaving.borrow().clone()
     }
 
+    /// Records that a peer has had a reply of the server `id` that names a limit.
+    pub(crate) fn name_limit(&self, id: &str, per_s: f64, now: Instant) {
+        if let Some(server) = self.servers.borrow().get(id) {
+            server.name_limit(per_s, now);
+        }
+    }
+
+    /// Returns the ids and the limits of servers that name one, `max` at most and others each time.
+    pub(crate) fn next_limits(&self, max: usize) -> Vec<(Arc<str>, f64)> {
+        let limits = self.limits.borrow();
+        let count = max.min(limits.len());
+        let first = self.next_limit.get();
+        self.next_limit.set((first + count) % limits.len().max(1));
+        let picked = limits.iter().cycle().skip(first).take(count);
+        picked.cloned().collect()
+    }
+
+    /// Remembers the servers that name a limit.
+    fn record_limits(&self) {
+        let servers = self.servers.borrow();
+        let limit = |server: &Rc<Server>| Some((server.id().clone(), server.named_limit()?));
+        *self.limits.borrow_mut() = servers.values().filter_map(limit).collect();
+    }
+
     /// Remembers the servers that said in a reply that they are leaving.
     fn record_departures(&self, now: Instant) {
         let mut departures = self.departures.borrow_mut();
@@ -494,6 +524,7 @@
             self.apply_shares();
         }
         self.record_departures(now);
+        self.record_limits();
         let removable = |server: &Rc<Server>| server.is_removable(now);
         let removable: Vec<Rc<Server>> = self.servers().into_iter().filter(removable).collect();
         for server in &removable {
@@ -505,8 +536,9 @@
         }
     }
 
-    /// Recomputes this instance's share of connections and retry budgets.
+    /// Recomputes this instance's share of connections, retry budgets and rate limits.
     fn apply_shares(&self) {
+        let now = Instant::now();
         let settings = self.settings.borrow();
         let whole = Capacity {
             share: 1.0,
@@ -528,6 +560,13 @@
             let instances = part.instances.min(self.known_instance_count());
             service.share_budget(retry_budget, instances);
             self.share_connections(service, part);
+            let limit_share = match self.knows_instances.get() {
+                true => part.share / part.instances.max(1) as f64,
+                false => 0.0,
+            };
+            for server in service.servers() {
+                server.set_limit_share(limit_share, now);
+            }
         }
         let shard_shares = self.shard_shares();
         let shard_share = |zone: &str| shard_shares.get(zone).copied().unwrap_or_default();
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -314,7 +314,7 @@
             Outcome::Served(reply) | Outcome::Failed(reply) => answer::from_reply(reply),
             Outcome::NotRun(cause) => {
                 let expected_wait = service
-                    .pause_left(Instant::now())
+                    .room_after(Instant::now(), context.scheduling)
                     .unwrap_or_else(|| expected_wait(cause, context.scheduling.baseline));
                 self.refusal(context, "no server took the request", expected_wait)
             }
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -25,6 +25,7 @@
 };
 use http_body_util::Full;
 use policy::{
+    admission::Throughput,
     choice::{
         self,
         Candidate, //
@@ -316,7 +317,10 @@
         };
         Candidate {
             in_flight: self.in_flight.get(),
-            usable: self.usable_connections(now).max(1),
+            usable: match self.limit_wait(now).is_zero() {
+                true => self.usable_connections(now).max(1),
+                false => 0,
+            },
             latency_us: slowness * BASELINE_US,
             slow_start_share,
             failures: failures as u32,
@@ -328,10 +332,17 @@
         }
     }
 
-    /// Returns how many requests it can serve per second for this instance.
-    pub(crate) fn requests_per_second(&self, now: Instant, baseline: Duration) -> f64 {
+    /// Returns what it can serve for this instance.
+    pub(crate) fn throughput(&self, now: Instant, baseline: Duration) -> Throughput {
         let slowness = self.slowness.borrow().current(now).max(0.1);
-        self.usable_connections(now) as f64 / (slowness * baseline.as_secs_f64()).max(1e-6)
+        let slots = self.usable_connections(now);
+        let by_slots_per_s = slots as f64 / (slowness * baseline.as_secs_f64()).max(1e-6);
+        let own_rate = self.limit.get().own_rate();
+        Throughput {
+            slots,
+            by_slots_per_s,
+            allowed_per_s: own_rate.map_or(by_slots_per_s, |rate| rate.min(by_slots_per_s)),
+        }
     }
 
     /// Returns the longest wait of a pending exchange as a multiple of its baseline.
@@ -359,7 +370,7 @@
         let now = Instant::now();
         self.in_flight.set(self.in_flight.get() + 1);
         self.last_exchange.set(number);
-        self.count_sent();
+        self.record_sent(now);
         self.pending.borrow_mut().push((number, now, baseline));
         let mut job = Job {
             request,
--- a/crates/relay/src/server/notices.rs
+++ b/crates/relay/src/server/notices.rs
@@ -131,10 +131,37 @@
         }
     }
 
-    /// Counts a request that is sent.
-    pub(super) fn count_sent(&self) {
+    /// Records the limit that a peer says this server names.
+    pub(crate) fn name_limit(&self, per_s: f64, now: Instant) {
         let mut limit = self.limit.get();
-        limit.count_sent();
+        let change = limit.name(now, per_s);
+        self.limit.set(limit);
+        if let Change::Named(per_s) = change {
+            info!(server = %self.id(), service = %self.description.service, per_s, "server: a peer says that it names a limit.");
+        }
+    }
+
+    /// Returns the limit that it names, in requests a second.
+    pub(crate) fn named_limit(&self) -> Option<f64> {
+        self.limit.get().per_s()
+    }
+
+    /// Sets the share of its limit, from 0 to 1, that this instance may use.
+    pub(crate) fn set_limit_share(&self, share: f64, now: Instant) {
+        let mut limit = self.limit.get();
+        limit.set_share(share, now);
+        self.limit.set(limit);
+    }
+
+    /// Returns the time until its limit allows a request of this instance; zero if it does now.
+    pub(crate) fn limit_wait(&self, now: Instant) -> Duration {
+        self.limit.get().wait(now)
+    }
+
+    /// Counts a request that is sent, a health check too, towards its limit.
+    pub(crate) fn record_sent(&self, now: Instant) {
+        let mut limit = self.limit.get();
+        limit.record_sent(now);
         self.limit.set(limit);
     }
 }
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -158,6 +158,14 @@
             .min()
     }
 
+    /// Returns the time until there is room again, if servers want no requests for a while or rate limits are used
+    /// up; none otherwise.
+    pub(crate) fn room_after(&self, now: Instant, scheduling: Scheduling) -> Option<Duration> {
+        let is_limited = self.limit_wait(now).is_some();
+        let queue_wait = || is_limited.then(|| self.expected_wait(now, scheduling));
+        self.pause_left(now).or_else(queue_wait)
+    }
+
     /// Returns a free server that isn't among `tried`, if there is one now.
     pub(crate) fn try_choose(
         &self,
@@ -208,12 +216,17 @@
             .ahead(scheduling.class, scheduling.deadline);
         let servers = self.servers.borrow();
         let available = servers.iter().filter(|server| server.is_available(now));
-        let (mut usable, mut rate) = (0, 0.0);
-        for server in available {
-            usable += server.usable_connections(now);
-            rate += server.requests_per_second(now, scheduling.baseline);
-        }
-        admission::estimate_wait_at_rate(ahead, usable, rate)
+        let each = available.map(|server| server.throughput(now, scheduling.baseline));
+        admission::estimate_wait_at_rate(ahead, each.sum())
+    }
+
+    /// Returns the time until the rate limit of a server allows a request again; none if no server that is
+    /// available waits for that.
+    fn limit_wait(&self, now: Instant) -> Option<Duration> {
+        let servers = self.servers.borrow();
+        let available = servers.iter().filter(|server| server.is_available(now));
+        let waits = available.map(|server| server.limit_wait(now));
+        waits.filter(|wait| !wait.is_zero()).min()
     }
 
     async fn wait(&self, now: Instant, scheduling: Scheduling) -> Result<(), Refusal> {
@@ -233,10 +246,26 @@
             Push::Full(_) => return Err(Refusal::Busy),
         };
         let _guard = QueueGuard { service: self, key };
-        match timeout(time_left, receiver).await {
-            Ok(Ok(())) => Ok(()),
-            Ok(Err(_)) => Err(Refusal::Busy),
-            Err(_) => Err(Refusal::Late),
+        self.wait_for_turn(receiver, scheduling.wait_until).await
+    }
+
+    /// Waits until a request at the head of the queue is woken, as an exchange has ended or a rate limit allows
+    /// a request.
+    async fn wait_for_turn(
+        &self,
+        mut receiver: oneshot::Receiver<()>,
+        wait_until: Instant,
+    ) -> Result<(), Refusal> {
+        loop {
+            let now = Instant::now();
+            let time_left = wait_until.saturating_duration_since(now);
+            let limit_wait = self.limit_wait(now).filter(|wait| *wait < time_left);
+            match timeout(limit_wait.unwrap_or(time_left), &mut receiver).await {
+                Ok(Ok(())) => return Ok(()),
+                Ok(Err(_)) => return Err(Refusal::Busy),
+                Err(_) if limit_wait.is_some() => self.wake_next(),
+                Err(_) => return Err(Refusal::Late),
+            }
         }
     }
 
--- a/crates/relay/tests/limits.rs
+++ b/crates/relay/tests/limits.rs
@@ -66,3 +66,107 @@
         );
     });
 }
+
+/// Each caller is refused at once, with the time until there is some.
+#[test]
+fn callers_beyond_the_limit_of_the_only_server_are_refused_at_once() {
+    run(async {
+        let limited = FakeServer::start("s1", |_| serve_limited("0.1"));
+        let fleet = fleet(&["a", "b"], &[&limited]);
+        assert_eq!(fleet[0].get("/read/a").await.status(), 200);
+        for _ in 0..5 {
+            let asked_at = Instant::now();
+            let answer = fleet[0].get("/read/a").await;
+            assert_eq!(answer.status(), 503);
+            assert!(asked_at.elapsed() < Duration::from_millis(500));
+            // The instance may probe every 4 s; a caller is told at most 0.3 of its time.
+            let wait = answer.header("retry-after").unwrap_or_default();
+            let wait: f64 = wait.parse().unwrap_or_default();
+            assert!((0.4..=0.46).contains(&wait), "{wait}");
+        }
+        assert_eq!(limited.arrivals(), 1);
+    });
+}
+
+/// A request that can wait for its turn isn't refused.
+#[test]
+fn request_waits_for_its_turn_under_a_limit() {
+    run(async {
+        let limited = FakeServer::start("s1", |_| serve_limited("10"));
+        let fleet = fleet(&["a"], &[&limited]);
+        assert_eq!(fleet[0].get("/read/a").await.status(), 200);
+        let started_at = Instant::now();
+        for _ in 0..5 {
+            assert_eq!(fleet[0].get("/read/a").await.status(), 200);
+        }
+        assert!(started_at.elapsed() >= Duration::from_millis(450));
+        assert_eq!(limited.arrivals(), 6);
+    });
+}
+
+#[test]
+fn limit_ends_when_the_server_names_none() {
+    run(async {
+        let limited = FakeServer::start("s1", |number| match number {
+            0 => serve_limited("5"),
+            _ => serve("free"),
+        });
+        let fleet = fleet(&["a"], &[&limited]);
+        assert_eq!(fleet[0].get("/read/a").await.status(), 200);
+        assert_eq!(fleet[0].get("/read/a").await.text(), "free");
+        let started_at = Instant::now();
+        for _ in 0..30 {
+            assert_eq!(fleet[0].get("/read/a").await.text(), "free");
+        }
+        // Under the limit, they would take 6 s.
+        assert!(started_at.elapsed() < Duration::from_secs(4));
+    });
+}
+
+#[test]
+fn unreadable_limit_is_ignored() {
+    for value in ["-1", "soon", "NaN", "inf", ""] {
+        run(async move {
+            let server = FakeServer::start("s1", move |_| serve_limited(value));
+            let fleet = fleet(&["a"], &[&server]);
+            for _ in 0..10 {
+                assert_eq!(fleet[0].get("/read/a").await.status(), 200, "{value:?}");
+            }
+        });
+    }
+}
+
+/// A small instance passes on answers of a large one, and answers itself when the large ones shut down.
+#[test]
+fn instance_learns_a_limit_from_its_peer() {
+    run(async {
+        let limited = FakeServer::start("s1", |_| serve_limited("1"));
+        let names = ["l1", "l2", "l3"];
+        let large: Vec<Instance> = names.map(|name| instance(name, 0.5)).into();
+        let small = instance("small", 0.1);
+        let members = names.iter().zip(&large);
+        let members: Vec<_> = members
+            .map(|(name, instance)| instance.member(name, 0.5))
+            .collect();
+        for instance in large.iter().chain([&small]) {
+            let registry = instance.relay.registry();
+            registry.replace(vec![limited.description("one")], Instant::now());
+            registry.set_members(members.clone());
+            let routes = table(1, read_and_write_routes());
+            instance.relay.set_table(Arc::new(routes));
+        }
+        while small.relay.meter().delegated.get() < 2 {
+            small.get("/read/a").await;
+            let now = Instant::now();
+            large.iter().for_each(|one| one.relay.registry().sweep(now));
+        }
+        for instance in &large {
+            instance.relay.start_drain();
+        }
+        let arrivals = limited.arrivals();
+        for _ in 0..4 {
+            assert_eq!(small.get("/read/a").await.status(), 503);
+        }
+        assert_eq!(limited.arrivals(), arrivals);
+    });
+}
