--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -368,9 +368,24 @@
             connection::FailureKind::Refused => {}
             _ => self.record_server_failure(server, now),
         }
+        if failure.is_without_reply() {
+            self.log_lost_exchange(server, failure);
+        }
         self.keep_failure(PendingFailure::Cause(Cause::Broken(failure.kind)));
     }
 
+    /// Logs an exchange that ended without a reply, and whether the server has ended as well.
+    fn log_lost_exchange(&self, server: &Rc<Server>, failure: Failure) {
+        let request = &self.call.caller_request;
+        let id = request.id.to_str().unwrap_or("unprintable").to_owned();
+        let fingerprint = request.fingerprint();
+        let server = server.clone();
+        monoio::spawn(async move {
+            let is_up = connection::probe(&server).await;
+            info!(request = id, %fingerprint, server = %server.id(), service = %server.description().service, cause = ?failure.kind, is_up, "call: connection ended without a reply.");
+        });
+    }
+
     fn record_server_failure(&self, server: &Rc<Server>, now: Instant) {
         // A server that asks for a pause is overloaded, not faulty.
         if server.pause_left(now).is_some() {
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -80,6 +80,8 @@
 const MIN_FRAME_COST_BYTES: usize = 1024;
 /// Time within which a server at its connection limit closes a new connection: a few round trips.
 const ACCEPT_GRACE: Duration = Duration::from_millis(4);
+/// Time in which a host whose process has ended resets a new connection: a few round trips.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
 /// Maximum age at which the end of an unused connection means that the server refused it.
 const MAX_NEW_CONNECTION_AGE: Duration = Duration::from_millis(100);
 /// Maximum time for which a connection stays idle.
@@ -114,6 +116,14 @@
     pub sent: bool,
 }
 
+impl Failure {
+    /// Returns whether the connection ended after the request was sent and before any reply to it: the server may
+    /// have crashed.
+    pub(crate) fn is_without_reply(&self) -> bool {
+        self.sent && matches!(self.kind, FailureKind::Closed | FailureKind::Refused)
+    }
+}
+
 impl std::fmt::Display for Failure {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(f, "{:?}, sent: {}", self.kind, self.sent)
@@ -182,6 +192,12 @@
     monoio::spawn(run(server, first_job));
 }
 
+/// Returns whether a server accepts a connection, which is closed at once; none if that isn't known in time.
+pub(crate) async fn probe(server: &Server) -> Option<bool> {
+    let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(server.address())).await;
+    connected.ok().map(|stream| stream.is_ok())
+}
+
 async fn run(server: Rc<Server>, first_job: Option<Job>) {
     let (sender, mut jobs) = mpsc::unbounded();
     match connect(&server).await {
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -18,6 +18,7 @@
     Uri, //
 };
 use http_body_util::Full;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::headers::HeaderNames;
 
@@ -61,6 +62,16 @@
 
 impl std::error::Error for Fault {}
 
+/// Identity of a request across its repetitions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Fingerprint(pub u128);
+
+impl std::fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
 /// A complete request of a caller.
 #[derive(Debug)]
 pub struct CallerRequest {
@@ -118,6 +129,33 @@
         })
     }
 
+    /// Returns what identifies the request when it comes again with another id: a hash of its method, host, target,
+    /// authorization and body.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let mut hasher = Xxh3::new();
+        let header = |name: &HeaderName| {
+            self.headers
+                .get(name)
+                .map_or(&[][..], HeaderValue::as_bytes)
+        };
+        let target = self
+            .uri
+            .path_and_query()
+            .map_or("", |target| target.as_str());
+        let fields = [
+            self.method.as_str().as_bytes(),
+            header(&header::HOST),
+            target.as_bytes(),
+            header(&header::AUTHORIZATION),
+            &self.body,
+        ];
+        for field in fields {
+            hasher.update(&field.len().to_le_bytes());
+            hasher.update(field);
+        }
+        Fingerprint(hasher.digest128())
+    }
+
     /// Returns how much longer the caller waits, if it stated a deadline.
     pub fn time_left(&self, now: Instant) -> Option<Duration> {
         self.deadline
