--- a/crates/relay/tests/common/fake.rs
+++ b/crates/relay/tests/common/fake.rs
@@ -6,6 +6,7 @@
         RefCell, //
     },
     net::SocketAddr,
+    pin::pin,
     rc::Rc,
     sync::Arc,
     time::{
@@ -14,6 +15,10 @@
     },
 };
 
+use futures_util::future::{
+    select,
+    Either, //
+};
 use monoio::{
     io::{
         AsyncReadRent,
@@ -26,6 +31,7 @@
     time::sleep,
 };
 use relay::server::Description;
+use web::Stop;
 
 /// A request or reply as it was received.
 #[derive(Debug, Clone, Default)]
@@ -148,6 +154,8 @@
     Fail,
     /// Closes the connection without a reply.
     Close,
+    /// Ends the server: all of its connections are closed, and new ones are refused.
+    Crash(Duration),
     /// Sends nothing until the other end closes.
     Silent,
     /// Replies with this status, these additional header lines and this body, signed and with the id.
@@ -182,12 +190,22 @@
     pub endless_bytes: Cell<usize>,
     /// When the other end closed a connection whose request got no reply.
     pub abandoned_at: Cell<Option<Instant>>,
-    behaviors: Box<dyn Fn(usize) -> Behavior>,
+    /// Set when the server has ended.
+    pub crashed: Stop,
+    behaviors: Box<dyn Fn(usize, &Message) -> Behavior>,
 }
 
 impl FakeServer {
     /// Starts a server that handles its `n`th request, counted from 0, by `behaviors(n)`.
     pub fn start(id: &str, behaviors: impl Fn(usize) -> Behavior + 'static) -> Rc<Self> {
+        Self::start_by_request(id, move |number, _| behaviors(number))
+    }
+
+    /// Starts a server that handles its `n`th request, counted from 0, by `behaviors(n, request)`.
+    pub fn start_by_request(
+        id: &str,
+        behaviors: impl Fn(usize, &Message) -> Behavior + 'static,
+    ) -> Rc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
         let fake = Rc::new(Self {
             id: id.to_owned(),
@@ -198,11 +216,18 @@
             endless_bytes: Cell::new(0),
             max_connections: Cell::new(usize::MAX),
             connections: Cell::new(0),
+            crashed: Stop::new(),
             behaviors: Box::new(behaviors),
         });
         let server = fake.clone();
         monoio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            loop {
+                let accept = pin!(listener.accept());
+                let Either::Left((Ok((stream, _)), _)) =
+                    select(accept, server.crashed.wait()).await
+                else {
+                    return;
+                };
                 if server.connections.get() >= server.max_connections.get() {
                     continue;
                 }
@@ -210,7 +235,8 @@
                 server.connections.set(server.connections.get() + 1);
                 let server = server.clone();
                 monoio::spawn(async move {
-                    server.serve_connection(stream).await;
+                    let connection = pin!(server.serve_connection(stream));
+                    select(connection, server.crashed.wait()).await;
                     server.connections.set(server.connections.get() - 1);
                 });
             }
@@ -231,8 +257,8 @@
         while let Some(request) = connection.read().await {
             let number = self.arrivals();
             let id = request.header("id").unwrap_or_default().to_owned();
+            let behavior = (self.behaviors)(number, &request);
             self.requests.borrow_mut().push(request);
-            let behavior = (self.behaviors)(number);
             if !self.respond(&mut connection, behavior, &id, number).await {
                 return;
             }
@@ -321,6 +347,11 @@
                 false
             }
             Behavior::Close => false,
+            Behavior::Crash(after) => {
+                sleep(after).await;
+                self.crashed.set();
+                false
+            }
             Behavior::Silent => {
                 connection.closed().await;
                 self.abandoned_at.set(Some(Instant::now()));
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, unreachable_pub, unused_imports)]
 
 mod fake;
+pub mod node;
 pub mod store;
 
 use std::{
--- a/crates/relay/tests/watchers.rs
+++ b/crates/relay/tests/watchers.rs
@@ -11,25 +11,17 @@
 };
 
 use common::{
-    instance_in_zone, run,
+    node::Node,
+    run,
     store::{
         Config,
         InstanceEntry,
-        Link,
-        Objects,
         ServerEntry,
         SharedStore, //
-    },
-    Instance,
+    }, //
 };
 use monoio::time::sleep;
-use relay::{
-    follow,
-    peer::Member,
-    registry::StoreRole,
-    roster,
-    source::Source, //
-};
+use relay::registry::StoreRole;
 
 /// Time within which a change must be in force on a reader although a watcher that it asks is cut off, dead or
 /// silent: half of the shortest drain time of the large fleets.
@@ -41,45 +33,6 @@
 /// budgets only after its window.
 const MAX_REWRITE: Duration = Duration::from_secs(10);
 
-/// One instance with its way to the store.
-struct Node {
-    instance: Instance,
-    link: Rc<Link>,
-}
-
-impl Node {
-    fn start(store: &Rc<SharedStore>, name: &str, zone: &str, cores: f64) -> Self {
-        let instance = instance_in_zone(name, zone, cores);
-        let link = Link::new(store);
-        let source = Source::new(link.clone(), instance.relay.clone());
-        let recovery = follow::StoreRecovery::default();
-        monoio::spawn(follow::routes::<Objects>(source.clone(), recovery.clone()));
-        monoio::spawn(follow::servers::<Objects>(source.clone(), recovery.clone()));
-        let member = Member {
-            zone: zone.into(),
-            ..instance.member(name, cores)
-        };
-        monoio::spawn(roster::instances::<Objects>(
-            source, recovery, member, false,
-        ));
-        Self { instance, link }
-    }
-
-    fn version(&self) -> u64 {
-        let table = self.instance.relay.table();
-        table.map_or(0, |table| table.version())
-    }
-
-    /// Returns how long it takes until the version is in force.
-    async fn time_until_version(&self, version: u64, limit: Duration) -> Duration {
-        let started_at = Instant::now();
-        while self.version() < version && started_at.elapsed() < limit {
-            sleep(Duration::from_millis(10)).await;
-        }
-        started_at.elapsed()
-    }
-}
-
 /// Four watchers in two zones, a small reader, and entries of further small instances that don't run.
 struct Fleet {
     store: Rc<SharedStore>,
