--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod hop;
 pub mod latency;
 pub mod pause;
+pub mod quarantine;
 pub mod queue;
 pub mod rate_limit;
 pub mod refusal;
--- /dev/null
+++ b/crates/policy/src/quarantine.rs
@@ -0,0 +1,267 @@
+//! Requests under which servers crash, and when they are refused.
+//!
+//! A request that crashes each server that runs it comes again, with another id and at any instance. Every crash
+//! looks like a fault of one server, whose successor starts with a clean record, until a service has no server left.
+//! Instances therefore share which servers crashed under which request.
+//!
+//! Servers also crash by themselves, and all requests that they run are lost with them. One crash therefore proves
+//! nothing, and neither do many at the same moment: the request is refused after crashes of several servers that
+//! began to run it one after the other, and a success clears it.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet,
+        VecDeque, //
+    },
+    sync::Arc,
+    time::Duration,
+};
+
+/// Crashes, one after the other, after which a request is refused.
+pub const MAX_CRASHES: usize = 3;
+/// Crashes under one attempt of a caller at one service after which the attempt ends.
+const MAX_CRASHES_PER_CALL: usize = 2;
+/// Time for which a crash counts.
+const MEMORY: Duration = Duration::from_secs(600);
+/// Maximum number of requests that are remembered; those whose last crash is oldest are forgotten first.
+const MAX_CASES: usize = 256;
+/// Maximum number of own reports that are kept to be written again after the store was restored.
+const MAX_OWN: usize = 64;
+
+/// Identity of a request across its repetitions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Fingerprint(pub u128);
+
+impl std::fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+/// A crash of a server while it ran a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Crash {
+    /// Id of the server, with its start.
+    pub server: Arc<str>,
+    /// Time of day, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+}
+
+/// Crashes by request.
+pub type Cases = BTreeMap<Fingerprint, Vec<Crash>>;
+
+/// What the store should hold, by one instance.
+#[derive(Debug, Clone)]
+pub struct Proposal {
+    /// The crashes.
+    pub cases: Cases,
+    /// Requests whose crashes it leaves out, as they were served since.
+    cleared: BTreeSet<Fingerprint>,
+}
+
+/// What one instance knows of requests under which servers crashed.
+#[derive(Debug, Default)]
+pub struct State {
+    /// What all instances agree on, as the store holds it.
+    agreed: Cases,
+    /// Crashes that this instance has seen and that the store doesn't hold yet.
+    pending: Cases,
+    /// Requests that were served after a crash, of which the store still holds crashes.
+    cleared: BTreeSet<Fingerprint>,
+    /// Latest reports of this instance.
+    own: VecDeque<(Fingerprint, Crash)>,
+}
+
+fn age(crash: &Crash, now_ms: u64) -> Duration {
+    Duration::from_millis(now_ms.saturating_sub(crash.at_ms))
+}
+
+fn add(crashes: &mut Vec<Crash>, crash: Crash) {
+    // A server crashes once, however many instances have seen it.
+    if !crashes.iter().any(|known| known.server == crash.server) {
+        crashes.push(crash);
+    }
+}
+
+impl State {
+    /// Returns whether nothing is known of any request.
+    pub fn is_empty(&self) -> bool {
+        self.agreed.is_empty() && self.pending.is_empty()
+    }
+
+    fn recent(&self, fingerprint: Fingerprint, now_ms: u64) -> Vec<&Crash> {
+        let agreed = self.agreed.get(&fingerprint).into_iter().flatten();
+        let agreed = agreed.filter(|_| !self.cleared.contains(&fingerprint));
+        let pending = self.pending.get(&fingerprint).into_iter().flatten();
+        let mut crashes: Vec<&Crash> = Vec::new();
+        for crash in agreed.chain(pending) {
+            let is_known = crashes.iter().any(|known| known.server == crash.server);
+            if !is_known && age(crash, now_ms) < MEMORY {
+                crashes.push(crash);
+            }
+        }
+        crashes
+    }
+
+    /// Returns the number of crashes under the request that count.
+    pub fn crashes(&self, fingerprint: Fingerprint, now_ms: u64) -> usize {
+        self.recent(fingerprint, now_ms).len()
+    }
+
+    /// Returns for how much longer the request is refused; none if it isn't.
+    pub fn refused_for(&self, fingerprint: Fingerprint, now_ms: u64) -> Option<Duration> {
+        let mut crashes = self.recent(fingerprint, now_ms);
+        crashes.sort_by_key(|crash| std::cmp::Reverse(crash.at_ms));
+        let decisive = crashes.get(MAX_CRASHES - 1)?;
+        Some(MEMORY.saturating_sub(age(decisive, now_ms)))
+    }
+
+    /// Records crashes under a request that this instance has seen.
+    pub fn report(&mut self, fingerprint: Fingerprint, crashes: Vec<Crash>) {
+        for crash in crashes {
+            self.own.push_back((fingerprint, crash.clone()));
+            add(self.pending.entry(fingerprint).or_default(), crash);
+        }
+        while self.own.len() > MAX_OWN {
+            self.own.pop_front();
+        }
+    }
+
+    /// Records that a server served the request; returns whether this cleared it.
+    pub fn clear(&mut self, fingerprint: Fingerprint) -> bool {
+        self.own.retain(|(reported, _)| *reported != fingerprint);
+        let was_pending = self.pending.remove(&fingerprint).is_some();
+        let is_agreed = self.agreed.contains_key(&fingerprint);
+        was_pending | (is_agreed && self.cleared.insert(fingerprint))
+    }
+
+    /// Replaces what the store holds.
+    pub fn set_agreed(&mut self, cases: Cases) {
+        self.cleared.retain(|cleared| cases.contains_key(cleared));
+        self.agreed = cases;
+    }
+
+    /// Records that the store was restored from an older copy, which may lack reports of this instance.
+    pub fn store_restored(&mut self) {
+        for (fingerprint, crash) in &self.own {
+            add(self.pending.entry(*fingerprint).or_default(), crash.clone());
+        }
+    }
+
+    /// Returns whether the store lacks something that this instance knows.
+    pub fn has_changes(&self) -> bool {
+        !self.pending.is_empty() || !self.cleared.is_empty()
+    }
+
+    /// Returns what the store should hold.
+    pub fn proposal(&self, now_ms: u64) -> Proposal {
+        let mut cases = self.agreed.clone();
+        cases.retain(|fingerprint, _| !self.cleared.contains(fingerprint));
+        for (fingerprint, crashes) in &self.pending {
+            let known = cases.entry(*fingerprint).or_default();
+            crashes.iter().for_each(|crash| add(known, crash.clone()));
+        }
+        for crashes in cases.values_mut() {
+            crashes.retain(|crash| age(crash, now_ms) < MEMORY);
+        }
+        cases.retain(|_, crashes| !crashes.is_empty());
+        let last_at = |crashes: &Vec<Crash>| crashes.iter().map(|crash| crash.at_ms).max();
+        let mut by_age: Vec<_> = cases
+            .iter()
+            .map(|(fingerprint, crashes)| (last_at(crashes), *fingerprint))
+            .collect();
+        by_age.sort_unstable();
+        let surplus = cases.len().saturating_sub(MAX_CASES);
+        for (_, oldest) in by_age.iter().take(surplus) {
+            cases.remove(oldest);
+        }
+        Proposal {
+            cases,
+            cleared: self.cleared.clone(),
+        }
+    }
+
+    /// Records that the store has accepted a proposal.
+    ///
+    /// What was reported or cleared since the proposal was made is still to be written.
+    pub fn accepted(&mut self, proposal: Proposal) {
+        let Proposal { cases, cleared } = proposal;
+        let is_full = cases.len() >= MAX_CASES;
+        self.pending.retain(|fingerprint, crashes| {
+            let held = cases.get(fingerprint);
+            let is_held = |crash: &Crash| {
+                held.is_some_and(|held| held.iter().any(|one| one.server == crash.server))
+            };
+            crashes.retain(|crash| !is_held(crash));
+            // A full proposal has left out what is oldest.
+            !crashes.is_empty() && !is_full
+        });
+        self.cleared.retain(|one| !cleared.contains(one));
+        self.set_agreed(cases);
+    }
+}
+
+/// Crashes under one attempt of a caller, which may have sent sub-requests to many services.
+#[derive(Debug, Default)]
+pub struct Attempt {
+    /// Crashes under the request that were known when the attempt began.
+    known: usize,
+    /// Servers that crashed under this attempt.
+    servers: usize,
+    /// Crashes of servers that began to run the request one after the other.
+    in_turn: Vec<Crash>,
+}
+
+/// Place of a sub-request among the crashes of its attempt.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Turn(usize);
+
+impl Attempt {
+    /// Begins an attempt of a request under which `known` crashes are known.
+    pub fn new(known: usize) -> Self {
+        Self {
+            known,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the turn of a sub-request that is sent now.
+    pub fn turn(&self) -> Turn {
+        Turn(self.in_turn.len())
+    }
+
+    /// Records that a server crashed under the sub-request of a turn.
+    ///
+    /// Crashes under sub-requests of the same turn count as one: they may have one cause other than the request,
+    /// such as the loss of a rack.
+    pub fn record(&mut self, turn: Turn, crash: Crash) {
+        self.servers += 1;
+        if turn == self.turn() {
+            self.in_turn.push(crash);
+        }
+    }
+
+    /// Returns whether a retry may be sent to a service of which `crashed` servers crashed under this attempt.
+    pub fn may_retry(&self, crashed: usize) -> bool {
+        crashed < MAX_CRASHES_PER_CALL && self.known + self.servers < MAX_CRASHES
+    }
+
+    /// Returns whether hedges may be sent.
+    pub fn may_hedge(&self) -> bool {
+        self.known == 0 && self.servers < MAX_CRASHES
+    }
+
+    /// Returns whether any server crashed under this attempt.
+    pub fn has_crashes(&self) -> bool {
+        self.servers > 0
+    }
+
+    /// Returns the crashes to report at the end of the attempt; none if it was served and the request isn't to blame.
+    pub fn into_report(self, was_served: bool) -> Vec<Crash> {
+        match was_served && self.in_turn.len() < MAX_CRASHES_PER_CALL {
+            true => Vec::new(),
+            false => self.in_turn,
+        }
+    }
+}
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -32,6 +32,7 @@
 use policy::{
     health::Transition,
     hedge,
+    quarantine::Turn,
     retry_budget::Purpose, //
 };
 use route::Kind;
@@ -46,6 +47,7 @@
     headers::HeaderNames,
     latency::Statistics,
     meter::Meter,
+    quarantine::Tracker,
     reply::{
         classify,
         Fault,
@@ -117,6 +119,8 @@
     pub max_attempts: usize,
     /// Queue order, deadlines and baseline latency.
     pub scheduling: Scheduling,
+    /// Crashes under the caller's attempt.
+    pub(crate) crashes: &'a Tracker<'a>,
     /// Latency statistics of the route.
     pub route_latency: &'a Statistics,
     /// Header names.
@@ -135,6 +139,8 @@
             may_have_run: false,
             hedged: false,
             hedge_not_before: None,
+            unconfirmed: Vec::new(),
+            crashed: 0,
             call: self,
         };
         let outcome = execution.run_attempts().await;
@@ -162,6 +168,17 @@
     hedged: bool,
     /// Earliest time of the next hedge, after one that couldn't be sent.
     hedge_not_before: Option<Instant>,
+    /// Exchanges that ended without a reply, of which it isn't known whether the server has crashed.
+    unconfirmed: Vec<LostExchange>,
+    /// Servers that crashed under this call.
+    crashed: usize,
+}
+
+/// An exchange that ended without a reply.
+struct LostExchange {
+    server: Rc<Server>,
+    turn: Turn,
+    cause: connection::FailureKind,
 }
 
 enum Event {
@@ -184,8 +201,12 @@
                 Event::AttemptEnded(ended) => match self.handle_ended(*ended) {
                     Some(reply) => return Outcome::Served(reply),
                     None if !self.running.is_empty() => {}
-                    None if self.start_attempt(Some(Purpose::Retry)).await.is_ok() => {}
-                    None => return self.failed_outcome(),
+                    None => {
+                        self.confirm_crashes().await;
+                        if self.start_attempt(Some(Purpose::Retry)).await.is_err() {
+                            return self.failed_outcome();
+                        }
+                    }
                 },
             }
         }
@@ -204,8 +225,10 @@
 
     /// Returns when to send a hedge; none if there is to be none.
     fn hedge_at(&self) -> Option<Instant> {
-        let may_hedge =
-            self.call.kind == Kind::Idempotent && !self.hedged && self.has_attempts_left();
+        let may_hedge = self.call.kind == Kind::Idempotent
+            && !self.hedged
+            && self.has_attempts_left()
+            && self.call.crashes.may_hedge();
         let initial = self.running.iter().next().filter(|_| may_hedge)?;
         let scheduling = &self.call.scheduling;
         let hedge_delay = self.call.route_latency.hedge_delay();
@@ -229,8 +252,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if no server is available, the attempts or the retry budget are used up, or the request
-    /// must not run again.
+    /// Fails if no server is available, the attempts or the retry budget are used up, the request must not run
+    /// again, or it may be what crashes servers.
     async fn start_attempt(&mut self, purpose: Option<Purpose>) -> Result<(), Refusal> {
         let now = Instant::now();
         let Some(purpose) = purpose else {
@@ -241,7 +264,8 @@
             self.send(server);
             return Ok(());
         };
-        let may_rerun = self.call.kind == Kind::Idempotent || !self.may_have_run;
+        let is_repeatable = self.call.kind == Kind::Idempotent || !self.may_have_run;
+        let may_rerun = is_repeatable && self.call.crashes.may_retry(self.crashed);
         if !may_rerun || !self.has_attempts_left() || !self.call.service.take_budget(now, purpose) {
             return Err(Refusal::Busy);
         }
@@ -297,6 +321,7 @@
         self.tried.push(server.clone());
         self.running.push(Attempt {
             server,
+            turn: self.call.crashes.turn(),
             number,
             sent_at: now,
             baseline,
@@ -310,6 +335,7 @@
         let now = Instant::now();
         let EndedAttempt {
             server,
+            turn,
             sent_at,
             result,
         } = ended;
@@ -317,7 +343,7 @@
         let reply = match result {
             Ok(reply) => reply,
             Err(failure) => {
-                self.handle_failed_exchange(&server, failure, now);
+                self.handle_failed_exchange(&server, turn, failure, now);
                 return None;
             }
         };
@@ -358,7 +384,13 @@
         None
     }
 
-    fn handle_failed_exchange(&mut self, server: &Rc<Server>, failure: Failure, now: Instant) {
+    fn handle_failed_exchange(
+        &mut self,
+        server: &Rc<Server>,
+        turn: Turn,
+        failure: Failure,
+        now: Instant,
+    ) {
         self.call.meter.broken.add(1);
         self.may_have_run |= failure.sent;
         match failure.kind {
@@ -369,21 +401,40 @@
             _ => self.record_server_failure(server, now),
         }
         if failure.is_without_reply() {
-            self.log_lost_exchange(server, failure);
+            self.unconfirmed.push(LostExchange {
+                server: server.clone(),
+                turn,
+                cause: failure.kind,
+            });
         }
         self.keep_failure(PendingFailure::Cause(Cause::Broken(failure.kind)));
     }
 
-    /// Logs an exchange that ended without a reply, and whether the server has ended as well.
-    fn log_lost_exchange(&self, server: &Rc<Server>, failure: Failure) {
-        let request = &self.call.caller_request;
-        let id = request.id.to_str().unwrap_or("unprintable").to_owned();
-        let fingerprint = request.fingerprint();
-        let server = server.clone();
-        monoio::spawn(async move {
+    /// Finds out which servers have crashed, of those whose exchange ended without a reply.
+    async fn confirm_crashes(&mut self) {
+        let request = self.call.caller_request;
+        for lost in std::mem::take(&mut self.unconfirmed) {
+            let LostExchange {
+                server,
+                turn,
+                cause,
+            } = lost;
             let is_up = connection::probe(&server).await;
-            info!(request = id, %fingerprint, server = %server.id(), service = %server.description().service, cause = ?failure.kind, is_up, "call: connection ended without a reply.");
-        });
+            if is_up == Some(false) {
+                self.crashed += 1;
+                self.call.meter.crashes.add(1);
+                self.call.crashes.record(turn, &server);
+            }
+            info!(
+                request = %request.id.to_str().unwrap_or("unprintable"),
+                fingerprint = %request.fingerprint(),
+                server = %server.id(),
+                service = %self.call.service.name(),
+                ?cause,
+                is_up,
+                "call: connection ended without a reply."
+            );
+        }
     }
 
     fn record_server_failure(&self, server: &Rc<Server>, now: Instant) {
@@ -430,6 +481,7 @@
 #[derive(Debug)]
 struct Attempt {
     server: Rc<Server>,
+    turn: Turn,
     number: u64,
     sent_at: Instant,
     baseline: Duration,
@@ -441,6 +493,7 @@
 #[derive(Debug)]
 struct EndedAttempt {
     server: Rc<Server>,
+    turn: Turn,
     sent_at: Instant,
     result: Result<Reply, Failure>,
 }
@@ -461,6 +514,7 @@
         self.has_ended = true;
         Poll::Ready(EndedAttempt {
             server: self.server.clone(),
+            turn: self.turn,
             sent_at: self.sent_at,
             result,
         })
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -327,6 +327,9 @@
         },
         Err(fault) => return refuse(StatusCode::BAD_REQUEST, fault.text()),
     };
+    if let Some(refusal) = relay.refuse_quarantined(&caller_request) {
+        return refusal;
+    }
     if delegates {
         match peer::delegate(relay, &caller_request, route.as_deref()).await {
             Delegation::Answered(answer) => return answer,
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -4,6 +4,7 @@
     Object,
     Store, //
 };
+use policy::quarantine::Cases;
 use route::Table;
 
 use crate::{
@@ -38,6 +39,9 @@
     /// Kind of the instances' entries.
     const INSTANCES: &'static str;
 
+    /// Kind and name of the object with the requests under which servers crashed.
+    const QUARANTINE: (&'static str, &'static str);
+
     /// Parses the routes.
     ///
     /// # Errors
@@ -61,4 +65,14 @@
     ///
     /// Fails if the object isn't the entry of an instance.
     fn member(object: &Object) -> Result<Option<Member>, ParseError>;
+
+    /// Encodes the requests under which servers crashed.
+    fn quarantine(cases: &Cases) -> Box<serde_json::value::RawValue>;
+
+    /// Parses the requests under which servers crashed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the object doesn't hold them.
+    fn cases(object: &Object) -> Result<Cases, ParseError>;
 }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -10,6 +10,7 @@
         Report, //
     },
     latency::Statistics,
+    quarantine::Tracker,
     relay::Relay,
     request::CallerRequest,
     service::{
@@ -25,6 +26,7 @@
     service: Rc<Service>,
     caller_request: &CallerRequest,
     scheduling: Scheduling,
+    crashes: &Tracker<'_>,
     route_latency: &Statistics,
 ) -> Report {
     let call = Call {
@@ -33,6 +35,7 @@
         kind: route.kind,
         max_attempts: route.max_attempts,
         scheduling,
+        crashes,
         route_latency,
         names: relay.names(),
         meter: relay.meter(),
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -43,6 +43,7 @@
     headers::HeaderNames,
     latency::Statistics,
     merge,
+    quarantine::Tracker,
     relay::Relay,
     request::CallerRequest,
     service::Scheduling,
@@ -163,6 +164,7 @@
     gather: &Gather,
     caller_request: &CallerRequest,
     scheduling: Scheduling,
+    crashes: &Tracker<'_>,
     route_latency: &Statistics,
 ) -> (Query, bool) {
     let mut query = Query {
@@ -175,6 +177,7 @@
         kind: Kind::Idempotent,
         max_attempts: route.max_attempts,
         scheduling,
+        crashes,
         route_latency,
         names: relay.names(),
         meter: relay.meter(),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -30,6 +30,7 @@
 mod metered;
 pub mod mirror;
 pub mod peer;
+pub mod quarantine;
 pub mod registry;
 pub mod relay;
 pub mod reply;
--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -50,6 +50,10 @@
     pub partial: Counter,
     /// Requests answered with 503, and those refused before they were routed.
     pub refused: Counter,
+    /// Requests refused because servers crashed under them.
+    pub quarantined: Counter,
+    /// Sub-requests under which the server crashed.
+    pub crashes: Counter,
     /// Requests that ended with another error.
     pub failures: Counter,
     /// Requests whose caller disconnected before the answer.
@@ -107,6 +111,8 @@
             served: Counter::default(),
             partial: Counter::default(),
             refused: Counter::default(),
+            quarantined: Counter::default(),
+            crashes: Counter::default(),
             failures: Counter::default(),
             abandoned: Counter::default(),
             exchanges: Counter::default(),
--- /dev/null
+++ b/crates/relay/src/quarantine.rs
@@ -0,0 +1,346 @@
+//! Finds requests that crash the servers that run them, and shares them with the other instances through the store.
+//!
+//! `policy::quarantine` decides; this module observes, and keeps one object of the store up to date.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    rc::Rc,
+    sync::Arc,
+    time::{
+        Duration,
+        Instant,
+        SystemTime,
+        UNIX_EPOCH, //
+    },
+};
+
+use monoio::time::sleep;
+use platform::{
+    backoff::Backoff,
+    Failure,
+    Listing,
+    Object,
+    Store, //
+};
+use policy::quarantine::{
+    Attempt,
+    Cases,
+    Crash,
+    Fingerprint,
+    State,
+    Turn, //
+};
+use tracing::{
+    info,
+    warn, //
+};
+use web::Stop;
+
+use crate::{
+    directory::Directory,
+    follow::{
+        follow,
+        Follower,
+        StoreRecovery, //
+    },
+    relay::Relay,
+    request::CallerRequest,
+    server::Server,
+    source::{
+        Limits,
+        Source, //
+    },
+};
+
+/// Timeout of one watch, shorter than the history that a store keeps. An instance whose watch the store has lost learns
+/// of crashes when it writes its own.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(12_000);
+/// How long a watcher holds a read, and the maximum age of its reading.
+const FEED_WAIT: Duration = Duration::from_millis(5_000);
+const MAX_AGE: Duration = Duration::from_millis(40_000);
+/// Initial and maximum backoff after a write that wasn't accepted.
+const MIN_BACKOFF: Duration = Duration::from_millis(20);
+const MAX_BACKOFF: Duration = Duration::from_millis(500);
+
+fn now_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
+
+/// What this instance knows of requests under which servers crashed.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    state: RefCell<State>,
+    /// Version of the store's object that was last read or written; 0 if there is none.
+    version: Cell<u64>,
+    /// Set when there is something to write.
+    changed: RefCell<Stop>,
+}
+
+impl Quarantine {
+    /// Returns for how much longer a request is refused; none if it isn't.
+    pub(crate) fn refused_for(&self, request: &CallerRequest) -> Option<Duration> {
+        let state = self.state.borrow();
+        match state.is_empty() {
+            true => None,
+            false => state.refused_for(request.fingerprint(), now_ms()),
+        }
+    }
+
+    /// Begins to track the crashes under one attempt of a caller.
+    pub(crate) fn track<'a>(&'a self, request: &'a CallerRequest) -> Tracker<'a> {
+        let state = self.state.borrow();
+        let known = match state.is_empty() {
+            true => 0,
+            false => state.crashes(request.fingerprint(), now_ms()),
+        };
+        Tracker {
+            quarantine: self,
+            request,
+            known,
+            attempt: RefCell::new(Some(Attempt::new(known))),
+        }
+    }
+
+    fn report(&self, fingerprint: Fingerprint, crashes: Vec<Crash>) {
+        let mut state = self.state.borrow_mut();
+        state.report(fingerprint, crashes);
+        let now = now_ms();
+        let refused_for = state.refused_for(fingerprint, now);
+        info!(%fingerprint, crashes = state.crashes(fingerprint, now), refused_s = refused_for.map(|left| left.as_secs()), "quarantine: servers crashed under a request.");
+        drop(state);
+        self.notify();
+    }
+
+    fn clear(&self, fingerprint: Fingerprint) {
+        if self.state.borrow_mut().clear(fingerprint) {
+            info!(%fingerprint, "quarantine: request cleared, a server served it.");
+            self.notify();
+        }
+    }
+
+    fn notify(&self) {
+        self.changed.replace(Stop::new()).set();
+    }
+
+    /// Waits until there is something to write.
+    async fn wait_for_changes(&self) {
+        while !self.state.borrow().has_changes() {
+            let changed = self.changed.borrow().wait();
+            changed.await;
+        }
+    }
+
+    /// Records that the store held no object at `revision`: there is none yet, or an operator has deleted it.
+    fn set_deleted(&self, revision: u64) {
+        if revision >= self.version.get() {
+            self.version.set(0);
+            self.state.borrow_mut().set_agreed(Cases::new());
+        }
+    }
+
+    /// Replaces what the store holds by a version of its object, unless a later one is known.
+    fn set_agreed(&self, version: u64, cases: Cases) {
+        if version < self.version.get() {
+            return;
+        }
+        self.version.set(version);
+        let mut state = self.state.borrow_mut();
+        let now = now_ms();
+        let is_refused = |state: &State, fingerprint: &Fingerprint| {
+            state.refused_for(*fingerprint, now).is_some()
+        };
+        let fingerprints: Vec<Fingerprint> = cases.keys().copied().collect();
+        let before: Vec<Fingerprint> = fingerprints
+            .iter()
+            .copied()
+            .filter(|fingerprint| is_refused(&state, fingerprint))
+            .collect();
+        state.set_agreed(cases);
+        for fingerprint in fingerprints {
+            if is_refused(&state, &fingerprint) && !before.contains(&fingerprint) {
+                info!(%fingerprint, revision = version, "quarantine: request refused from now on.");
+            }
+        }
+    }
+}
+
+/// Crashes under one attempt of a caller; dropping it reports them.
+#[derive(Debug)]
+pub(crate) struct Tracker<'a> {
+    quarantine: &'a Quarantine,
+    request: &'a CallerRequest,
+    known: usize,
+    /// None once it is concluded.
+    attempt: RefCell<Option<Attempt>>,
+}
+
+impl Tracker<'_> {
+    /// Returns the turn of a sub-request that is sent now.
+    pub(crate) fn turn(&self) -> Turn {
+        self.attempt
+            .borrow()
+            .as_ref()
+            .map_or(Turn::default(), Attempt::turn)
+    }
+
+    /// Records that a server crashed under the sub-request of a turn.
+    pub(crate) fn record(&self, turn: Turn, server: &Server) {
+        let description = server.description();
+        let id = match description.started_at_ms {
+            Some(started_at_ms) => Arc::from(format!("{}@{started_at_ms}", description.id)),
+            None => description.id.clone(),
+        };
+        let crash = Crash {
+            server: id,
+            at_ms: now_ms(),
+        };
+        if let Some(attempt) = self.attempt.borrow_mut().as_mut() {
+            attempt.record(turn, crash);
+        }
+    }
+
+    /// Returns whether a retry may be sent to a service of which `crashed` servers crashed under this attempt.
+    pub(crate) fn may_retry(&self, crashed: usize) -> bool {
+        let attempt = self.attempt.borrow();
+        attempt
+            .as_ref()
+            .is_some_and(|attempt| attempt.may_retry(crashed))
+    }
+
+    /// Returns whether hedges may be sent.
+    pub(crate) fn may_hedge(&self) -> bool {
+        self.attempt
+            .borrow()
+            .as_ref()
+            .is_some_and(Attempt::may_hedge)
+    }
+
+    /// Reports the crashes at the end of the attempt, or clears the request if it was served without any.
+    pub(crate) fn conclude(&self, was_served: bool) {
+        let Some(attempt) = self.attempt.take() else {
+            return;
+        };
+        let has_crashes = attempt.has_crashes();
+        let report = attempt.into_report(was_served);
+        match report.is_empty() {
+            false => self.quarantine.report(self.request.fingerprint(), report),
+            true if was_served && !has_crashes && self.known > 0 => {
+                self.quarantine.clear(self.request.fingerprint());
+            }
+            true => {}
+        }
+    }
+}
+
+impl Drop for Tracker<'_> {
+    fn drop(&mut self) {
+        self.conclude(false);
+    }
+}
+
+/// Learns of other instances' reports until the process ends.
+pub async fn watch<D: Directory>(source: Rc<Source<D::Store>>, recovery: StoreRecovery) {
+    let follower = Watch::<D> {
+        relay: source.relay().clone(),
+        directory: std::marker::PhantomData,
+    };
+    follow(source, D::QUARANTINE.0, recovery, follower).await;
+}
+
+struct Watch<D> {
+    relay: Rc<Relay>,
+    directory: std::marker::PhantomData<D>,
+}
+
+impl<D: Directory> Follower for Watch<D> {
+    const NAME: &'static str = "crashes";
+
+    fn relists_after_failure(&self) -> bool {
+        true
+    }
+
+    fn limits(&self) -> Limits {
+        Limits {
+            store_wait: WATCH_TIMEOUT,
+            feed_wait: FEED_WAIT,
+            max_age: MAX_AGE,
+        }
+    }
+
+    fn listed(&mut self, listing: Listing, _now: Instant) {
+        let named = |object: &&Object| &*object.name == D::QUARANTINE.1;
+        match listing.objects.iter().find(named) {
+            Some(object) => read_cases::<D>(&self.relay, object),
+            None => self.relay.quarantine().set_deleted(listing.revision),
+        }
+    }
+
+    fn changed(&mut self, listing: Listing, now: Instant) {
+        let is_named = |name: &str| name == D::QUARANTINE.1;
+        let is_changed = listing.objects.iter().any(|object| is_named(&object.name));
+        if is_changed || listing.deleted.iter().any(|name| is_named(name)) {
+            self.listed(listing, now);
+        }
+    }
+
+    fn store_restored(&mut self, _now: Instant) {
+        let quarantine = self.relay.quarantine();
+        quarantine.version.set(0);
+        quarantine.state.borrow_mut().store_restored();
+        quarantine.notify();
+    }
+}
+
+fn read_cases<D: Directory>(relay: &Relay, object: &Object) {
+    let cases = D::cases(object).unwrap_or_else(|error| {
+        relay.meter().unreadable.add(1);
+        warn!(revision = object.version, %error, "quarantine: reports can't be parsed, they are written anew.");
+        Cases::new()
+    });
+    relay.quarantine().set_agreed(object.version, cases);
+}
+
+/// Writes this instance's reports until the process ends.
+pub async fn report<D: Directory>(source: Rc<Source<D::Store>>) {
+    let (relay, store) = (source.relay().clone(), source.store().clone());
+    let quarantine = relay.quarantine();
+    let (kind, name) = D::QUARANTINE;
+    let mut backoff = Backoff::new(MIN_BACKOFF, MAX_BACKOFF);
+    loop {
+        quarantine.wait_for_changes().await;
+        let proposal = quarantine.state.borrow().proposal(now_ms());
+        let value = D::quarantine(&proposal.cases);
+        match store
+            .write(kind, name, quarantine.version.get(), &value)
+            .await
+        {
+            Ok(revision) => {
+                backoff.reset();
+                quarantine.version.set(revision);
+                info!(
+                    revision,
+                    requests = proposal.cases.len(),
+                    "quarantine: reports written."
+                );
+                quarantine.state.borrow_mut().accepted(proposal);
+            }
+            Err(Failure::Conflict { .. }) => {
+                // Several instances see the same crash, and write at the same moment.
+                sleep(backoff.next_wait()).await;
+                match store.read(kind, name).await {
+                    Ok(Some(object)) => read_cases::<D>(&relay, &object),
+                    Ok(None) => quarantine.version.set(0),
+                    Err(error) => warn!(%error, "quarantine: reports can't be read, retrying."),
+                }
+            }
+            Err(error) => {
+                warn!(%error, "quarantine: reports can't be written, retrying.");
+                sleep(backoff.next_wait()).await;
+            }
+        }
+    }
+}
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -48,6 +48,10 @@
     latency::Statistics,
     meter::Meter,
     mirror::Mirror,
+    quarantine::{
+        Quarantine,
+        Tracker, //
+    },
     registry::Registry,
     request::CallerRequest,
     service::{
@@ -83,6 +87,7 @@
     request_counters: RefCell<HashMap<Arc<str>, u64>>,
     meter: Meter,
     mirror: Mirror,
+    quarantine: Quarantine,
     in_flight: Cell<usize>,
     draining: Cell<bool>,
 }
@@ -106,6 +111,7 @@
             request_counters: RefCell::default(),
             meter,
             mirror: Mirror::default(),
+            quarantine: Quarantine::default(),
             in_flight: Cell::new(0),
             draining: Cell::new(false),
         })
@@ -136,6 +142,11 @@
         &self.mirror
     }
 
+    /// Returns the requests under which servers crashed.
+    pub fn quarantine(&self) -> &Quarantine {
+        &self.quarantine
+    }
+
     /// Returns the current routing table; none before the first configuration.
     pub fn table(&self) -> Option<Arc<Table>> {
         self.table.borrow().clone()
@@ -243,13 +254,15 @@
             rank: Rank::new(u128::from(fnv1a(caller_request.id.as_bytes()))),
             baseline: route_latency.baseline(),
         };
+        let crashes = self.quarantine.track(caller_request);
         let context = RequestContext {
             table,
             route,
             caller_request,
             scheduling,
+            crashes: &crashes,
         };
-        match &route.target {
+        let answer = match &route.target {
             Target::Gather(gather) => self.query(&context, gather, &route_latency).await,
             Target::Service(service) => self.forward(&context, service, &route_latency).await,
             Target::Split(split) => match split.pick(self.next_request_number(route)) {
@@ -259,7 +272,9 @@
                     self.refuse(&context, text, 0, Refusal::NoServer, NO_SERVER_RETRY)
                 }
             },
-        }
+        };
+        crashes.conclude(answer.status().is_success());
+        answer
     }
 
     /// Returns the next sequence number of a route's requests, which a traffic split picks a service by.
@@ -288,6 +303,7 @@
             service.clone(),
             context.caller_request,
             context.scheduling,
+            context.crashes,
             route_latency,
         )
         .await;
@@ -359,6 +375,7 @@
             gather,
             context.caller_request,
             context.scheduling,
+            context.crashes,
             route_latency,
         )
         .await;
@@ -499,6 +516,23 @@
         );
     }
 
+    /// Refuses a request under which servers crashed; returns none if it may be sent.
+    pub(crate) fn refuse_quarantined(
+        &self,
+        caller_request: &CallerRequest,
+    ) -> Option<Response<Bytes>> {
+        let left = self.quarantine.refused_for(caller_request)?;
+        self.meter.refused.add(1);
+        self.meter.quarantined.add(1);
+        info!(
+            request = %caller_request.id.to_str().unwrap_or("unprintable"),
+            fingerprint = %caller_request.fingerprint(),
+            refused_s = left.as_secs(),
+            "relay: refused, servers crashed under the request."
+        );
+        Some(answer::refusal("servers crashed under this request", left))
+    }
+
     /// Returns the refusal of requests that arrive before the first configuration is loaded.
     pub(crate) fn unconfigured_answer(&self) -> Response<Bytes> {
         answer::refusal("no configuration yet", NO_CONFIGURATION_RETRY)
@@ -511,6 +545,7 @@
     route: &'a Route,
     caller_request: &'a CallerRequest,
     scheduling: Scheduling,
+    crashes: &'a Tracker<'a>,
 }
 
 /// Details of an answer for its log line.
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -18,6 +18,7 @@
     Uri, //
 };
 use http_body_util::Full;
+use policy::quarantine::Fingerprint;
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::headers::HeaderNames;
@@ -62,16 +63,6 @@
 
 impl std::error::Error for Fault {}
 
-/// Identity of a request across its repetitions.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct Fingerprint(pub u128);
-
-impl std::fmt::Display for Fingerprint {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{:032x}", self.0)
-    }
-}
-
 /// A complete request of a caller.
 #[derive(Debug)]
 pub struct CallerRequest {
--- a/crates/relay/tests/common/fake.rs
+++ b/crates/relay/tests/common/fake.rs
@@ -172,6 +172,9 @@
 /// Length of one write of an endless reply.
 const ENDLESS_BLOCK_BYTES: usize = 64 * 1024;
 
+/// Behavior on the `n`th request.
+type Script = Box<dyn Fn(usize, &Message) -> Behavior>;
+
 /// A backend server.
 pub struct FakeServer {
     /// Id.
@@ -190,9 +193,11 @@
     pub endless_bytes: Cell<usize>,
     /// When the other end closed a connection whose request got no reply.
     pub abandoned_at: Cell<Option<Instant>>,
+    /// Whether it is running a request.
+    pub is_busy: Cell<bool>,
     /// Set when the server has ended.
     pub crashed: Stop,
-    behaviors: Box<dyn Fn(usize, &Message) -> Behavior>,
+    behaviors: Script,
 }
 
 impl FakeServer {
@@ -216,6 +221,7 @@
             endless_bytes: Cell::new(0),
             max_connections: Cell::new(usize::MAX),
             connections: Cell::new(0),
+            is_busy: Cell::new(false),
             crashed: Stop::new(),
             behaviors: Box::new(behaviors),
         });
@@ -259,7 +265,10 @@
             let id = request.header("id").unwrap_or_default().to_owned();
             let behavior = (self.behaviors)(number, &request);
             self.requests.borrow_mut().push(request);
-            if !self.respond(&mut connection, behavior, &id, number).await {
+            self.is_busy.set(true);
+            let is_open = self.respond(&mut connection, behavior, &id, number).await;
+            self.is_busy.set(false);
+            if !is_open {
                 return;
             }
         }
--- a/crates/relay/tests/common/node.rs
+++ b/crates/relay/tests/common/node.rs
@@ -12,6 +12,7 @@
 use relay::{
     follow,
     peer::Member,
+    quarantine,
     roster,
     source::Source, //
 };
@@ -43,6 +44,11 @@
         let recovery = follow::StoreRecovery::default();
         monoio::spawn(follow::routes::<Objects>(source.clone(), recovery.clone()));
         monoio::spawn(follow::servers::<Objects>(source.clone(), recovery.clone()));
+        monoio::spawn(quarantine::watch::<Objects>(
+            source.clone(),
+            recovery.clone(),
+        ));
+        monoio::spawn(quarantine::report::<Objects>(source.clone()));
         let member = Member {
             zone: zone.into(),
             ..instance.member(name, cores)
--- a/crates/relay/tests/common/store.rs
+++ b/crates/relay/tests/common/store.rs
@@ -23,6 +23,11 @@
     Object,
     Store, //
 };
+use policy::quarantine::{
+    Cases,
+    Crash,
+    Fingerprint, //
+};
 use relay::{
     follow::{
         Directory,
@@ -281,6 +286,15 @@
     pub leaving: bool,
 }
 
+/// Crashes under one request.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct CaseEntry {
+    /// Fingerprint, in hexadecimal.
+    pub fingerprint: String,
+    /// Servers and times.
+    pub crashes: Vec<(Arc<str>, u64)>,
+}
+
 /// Encoding of the tests' objects.
 #[derive(Debug)]
 pub struct Objects;
@@ -297,6 +311,7 @@
     const ROUTES: (&'static str, &'static str) = ("config", "main");
     const SERVERS: &'static str = "servers";
     const INSTANCES: &'static str = "instances";
+    const QUARANTINE: (&'static str, &'static str) = ("quarantine", "main");
 
     fn table(object: &Object) -> Result<Table, ParseError> {
         let config: Config = parse(object)?;
@@ -337,4 +352,27 @@
         };
         Ok(Some(member).filter(|_| !entry.leaving))
     }
+
+    fn quarantine(cases: &Cases) -> Box<RawValue> {
+        let crash = |crash: &Crash| (crash.server.clone(), crash.at_ms);
+        let entries: Vec<CaseEntry> = cases
+            .iter()
+            .map(|(fingerprint, crashes)| CaseEntry {
+                fingerprint: fingerprint.to_string(),
+                crashes: crashes.iter().map(crash).collect(),
+            })
+            .collect();
+        to_raw_value(&entries).expect("JSON")
+    }
+
+    fn cases(object: &Object) -> Result<Cases, ParseError> {
+        let entries: Vec<CaseEntry> = parse(object)?;
+        let read = |entry: CaseEntry| {
+            let fingerprint = u128::from_str_radix(&entry.fingerprint, 16).expect("a number");
+            let crashes = entry.crashes.into_iter();
+            let crashes = crashes.map(|(server, at_ms)| Crash { server, at_ms });
+            (Fingerprint(fingerprint), crashes.collect())
+        };
+        Ok(entries.into_iter().map(read).collect())
+    }
 }
--- a/crates/relay/tests/quarantine.rs
+++ b/crates/relay/tests/quarantine.rs
@@ -11,11 +11,16 @@
 };
 
 use common::{
+    get,
+    instance_with,
     node::Node,
     post,
+    query_route,
+    read_and_write_routes,
     run,
     serve,
     store::{
+        CaseEntry,
         Config,
         ServerEntry,
         SharedStore, //
@@ -39,11 +44,12 @@
 
 /// Starts a server that crashes while it runs a deadly request.
 fn start_server(index: usize) -> Rc<FakeServer> {
-    FakeServer::start_by_request(&format!("s{index:02}"), |_, request| {
-        match request.start.contains("deadly") {
-            true => Behavior::Crash(Duration::from_millis(20)),
-            false => serve("ok"),
+    FakeServer::start_by_request(&format!("s{index:02}"), |_, request| match () {
+        () if request.start.contains("deadly") => Behavior::Crash(Duration::from_millis(20)),
+        () if request.start.contains("slow") => {
+            Behavior::Serve(Duration::from_millis(150), b"ok".to_vec())
         }
+        () => serve("ok"),
     })
 }
 
@@ -85,23 +91,229 @@
     }
 }
 
+/// Sends a deadly request `times` times, each time with another id and to the next instance.
+async fn send_deadly(fleet: &Fleet, times: usize) -> Vec<u16> {
+    let mut statuses = Vec::new();
+    for number in 0..times {
+        let request = post("/write/deadly", "x").replace("q1", &format!("q{number}"));
+        let node = &fleet.nodes[number % fleet.nodes.len()];
+        statuses.push(node.instance.ask(&request).await.status());
+        fleet.remove_crashed();
+        sleep(PAUSE).await;
+    }
+    statuses
+}
+
 /// The same request comes again and again with another id, each time at the next instance, and its route doesn't allow
 /// a second run.
 #[test]
 fn request_under_which_servers_crashed_is_no_longer_sent() {
     run(async {
         let fleet = Fleet::start(3, 16).await;
-        for number in 0..12 {
-            let request = post("/write/deadly", "x").replace("q1", &format!("q{number}"));
-            let node = &fleet.nodes[number % fleet.nodes.len()];
-            node.instance.ask(&request).await;
-            fleet.remove_crashed();
-            sleep(PAUSE).await;
-        }
+        let statuses = send_deadly(&fleet, 12).await;
         assert!(fleet.crashed() <= MAX_CRASHED, "{}", fleet.crashed());
+        assert_eq!(statuses.last(), Some(&503), "{statuses:?}");
         let harmless = post("/write/harmless", "x");
         for node in &fleet.nodes {
             assert_eq!(node.instance.ask(&harmless).await.status(), 200);
         }
     });
 }
+
+#[test]
+fn instance_that_starts_later_knows_the_request() {
+    run(async {
+        let mut fleet = Fleet::start(2, 12).await;
+        send_deadly(&fleet, 6).await;
+        let crashed = fleet.crashed();
+        let node = Node::start(&fleet.store, "later", "a", 1.0);
+        sleep(PAUSE * 3).await;
+        fleet.nodes = vec![node];
+        assert_eq!(send_deadly(&fleet, 2).await, [503, 503]);
+        assert_eq!(fleet.crashed(), crashed);
+    });
+}
+
+/// The operator has found the cause, and the servers no longer crash.
+#[test]
+fn operator_lifts_the_quarantine() {
+    run(async {
+        let fleet = Fleet::start(2, 12).await;
+        send_deadly(&fleet, 6).await;
+        let crashed = fleet.crashed();
+        assert_eq!(send_deadly(&fleet, 2).await, [503, 503]);
+        let no_cases: [CaseEntry; 0] = [];
+        fleet.store.put("quarantine", "main", &no_cases);
+        sleep(PAUSE).await;
+        assert_eq!(send_deadly(&fleet, 1).await, [502]);
+        assert_eq!(fleet.crashed(), crashed + 1);
+    });
+}
+
+/// The copy was made before the first crash. An instance that has reported nothing is the one that gets the request.
+#[test]
+fn reports_are_written_again_after_the_store_was_restored() {
+    run(async {
+        let mut fleet = Fleet::start(4, 12).await;
+        let restore = fleet.store.copy();
+        let last = fleet.nodes.pop().expect("an instance");
+        send_deadly(&fleet, 6).await;
+        let crashed = fleet.crashed();
+        restore(&fleet.store);
+        fleet.remove_crashed();
+        sleep(Duration::from_secs(1)).await;
+        fleet.nodes = vec![last];
+        assert_eq!(send_deadly(&fleet, 1).await, [503]);
+        assert_eq!(fleet.crashed(), crashed);
+    });
+}
+
+/// The store is silent to all instances, so that each knows its own crashes only.
+#[test]
+fn instance_without_the_store_refuses_what_crashed_servers_here() {
+    run(async {
+        let fleet = Fleet::start(1, 12).await;
+        let node = &fleet.nodes[0];
+        node.link.is_silent.set(true);
+        fleet.store.wake_watches();
+        for number in 0..8 {
+            let request = post("/write/deadly", "x").replace("q1", &format!("q{number}"));
+            node.instance.ask(&request).await;
+        }
+        assert!(fleet.crashed() <= MAX_CRASHED, "{}", fleet.crashed());
+        let refused = node.instance.ask(&post("/write/deadly", "x")).await;
+        assert_eq!(refused.status(), 503);
+        let wait = refused.header("retry-after").unwrap_or_default();
+        assert!(wait.parse::<f64>().is_ok_and(|wait| wait > 500.0), "{wait}");
+    });
+}
+
+/// Servers crash by themselves, each time while they run the same request, which is served in between.
+#[test]
+fn request_that_crashes_have_hit_by_chance_goes_on_being_sent() {
+    run(async {
+        let fleet = Fleet::start(1, 8).await;
+        let node = &fleet.nodes[0];
+        let request = post("/write/slow", "x");
+        for _ in 0..5 {
+            let hit = node.instance.ask(&request);
+            let crash = async {
+                sleep(Duration::from_millis(50)).await;
+                for server in fleet.servers.iter().filter(|server| server.is_busy.get()) {
+                    server.crashed.set();
+                }
+            };
+            let (hit, ()) = futures_util::join!(hit, crash);
+            assert_eq!(hit.status(), 502);
+            fleet.remove_crashed();
+            assert_eq!(node.instance.ask(&request).await.status(), 200);
+        }
+        assert_eq!(node.instance.relay.meter().crashes.get(), 5);
+    });
+}
+
+/// A connection that ends is no crash: the server accepts the next one.
+#[test]
+fn request_whose_connections_are_reset_goes_on_being_sent() {
+    run(async {
+        let server = FakeServer::start("s1", |number| match number % 2 {
+            0 => Behavior::Close,
+            _ => serve("ok"),
+        });
+        let instance = instance_with(read_and_write_routes(), &[("one", &server)]);
+        let mut served = 0;
+        for _ in 0..12 {
+            let answer = instance.ask(&post("/write/a", "x")).await;
+            served += usize::from(answer.status() == 200);
+        }
+        assert_eq!((server.arrivals(), served), (12, 6));
+        assert_eq!(instance.relay.meter().crashes.get(), 0);
+    });
+}
+
+/// Starts two replicas of each of `count` shards.
+fn shards(count: usize) -> Vec<(String, Rc<FakeServer>)> {
+    let replica = |index: usize| (format!("shard{}", index / 2), start_server(index));
+    (0..count * 2).map(replica).collect()
+}
+
+fn instance(shards: &[(String, Rc<FakeServer>)], min_share: f64) -> common::Instance {
+    let mut names: Vec<&str> = shards.iter().map(|(name, _)| name.as_str()).collect();
+    names.dedup();
+    let servers: Vec<_> = shards.iter().map(|(name, fake)| (&**name, fake)).collect();
+    instance_with(vec![query_route(&names, 5, min_share)], &servers)
+}
+
+/// A query crashes a server of each shard. Its retries must not take the other replicas, too.
+#[test]
+fn query_that_crashes_servers_leaves_a_replica_of_most_shards() {
+    run(async {
+        let shards = shards(20);
+        let instance = instance(&shards, 0.8);
+        assert_eq!(instance.get("/all/deadly").await.status(), 502);
+        let crashed = shards.iter().filter(|(_, fake)| fake.crashed.is_set());
+        let crashed = crashed.count();
+        assert!(crashed <= 20 + 2, "{crashed}");
+        assert_eq!(instance.get("/all/a").await.status(), 200);
+    });
+}
+
+/// A rack is lost with a server of several shards while a query runs on them. The query isn't to blame.
+#[test]
+fn query_that_ran_while_a_rack_was_lost_is_served_when_it_comes_again() {
+    run(async {
+        let shards: Vec<(String, Rc<FakeServer>)> = (0..12)
+            .map(|index| {
+                let start = |id: &str| {
+                    FakeServer::start(id, |_| {
+                        Behavior::Serve(Duration::from_millis(60), b"ok".to_vec())
+                    })
+                };
+                (
+                    format!("shard{}", index / 2),
+                    start(&format!("s{index:02}")),
+                )
+            })
+            .collect();
+        let instance = instance(&shards, 0.5);
+        let query = instance.get("/all/a");
+        let loss = async {
+            sleep(Duration::from_millis(30)).await;
+            for (_, fake) in shards.iter().filter(|(_, fake)| fake.arrivals() > 0) {
+                fake.crashed.set();
+            }
+        };
+        futures_util::join!(query, loss);
+        for _ in 0..4 {
+            assert_eq!(instance.get("/all/a").await.status(), 200);
+        }
+        assert_eq!(instance.relay.meter().quarantined.get(), 0);
+    });
+}
+
+#[test]
+fn deadly_request_is_known_whatever_its_id_and_deadline() {
+    run(async {
+        let fleet = Fleet::start(1, 8).await;
+        let node = &fleet.nodes[0];
+        let request = |id: &str, deadline: &str| {
+            let request = post("/write/deadly", "x").replace("q1", id);
+            request.replace("2000", deadline)
+        };
+        for number in 0..4 {
+            let deadline = (1_000 + number * 100).to_string();
+            node.instance
+                .ask(&request(&format!("q{number}"), &deadline))
+                .await;
+        }
+        let other = [
+            post("/write/harmless", "x"),
+            post("/write/deadly?b", "x").replace("deadly", "harmless"),
+            get("/read/a"),
+        ];
+        assert_eq!(node.instance.ask(&request("q9", "900")).await.status(), 503);
+        for other in &other {
+            assert_eq!(node.instance.ask(other).await.status(), 200);
+        }
+    });
+}
--- a/crates/tanageryoke/src/commands/relay.rs
+++ b/crates/tanageryoke/src/commands/relay.rs
@@ -33,6 +33,7 @@
     maintenance,
     meter::Meter,
     peer::Member,
+    quarantine,
     registry::{
         self,
         Registry, //
@@ -200,6 +201,11 @@
         source.clone(),
         recovery.clone(),
     ));
+    monoio::spawn(quarantine::watch::<Directory>(
+        source.clone(),
+        recovery.clone(),
+    ));
+    monoio::spawn(quarantine::report::<Directory>(source.clone()));
     monoio::spawn(roster::instances::<Directory>(
         source,
         recovery,
