--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -141,6 +141,7 @@
             hedge_not_before: None,
             unconfirmed: Vec::new(),
             crashed: 0,
+            unsent: 0,
             call: self,
         };
         let outcome = execution.run_attempts().await;
@@ -172,6 +173,8 @@
     unconfirmed: Vec<LostExchange>,
     /// Servers that crashed under this call.
     crashed: usize,
+    /// Sub-requests of which no byte was sent, as the server couldn't be reached.
+    unsent: usize,
 }
 
 /// An exchange that ended without a reply.
@@ -245,7 +248,7 @@
     }
 
     fn has_attempts_left(&self) -> bool {
-        self.tried.len() < self.call.max_attempts.max(1)
+        self.tried.len() - self.unsent < self.call.max_attempts.max(1)
     }
 
     /// Sends the initial sub-request (no purpose) or a retry, once a server is free.
@@ -261,26 +264,31 @@
             let server = service
                 .choose_or_wait(self.call.scheduling, &self.tried)
                 .await?;
-            self.send(server);
+            self.send(server, false);
             return Ok(());
         };
         let is_repeatable = self.call.kind == Kind::Idempotent || !self.may_have_run;
         let may_rerun = is_repeatable && self.call.crashes.may_retry(self.crashed);
-        if !may_rerun || !self.has_attempts_left() || !self.call.service.take_budget(now, purpose) {
+        let service = self.call.service.clone();
+        // The first sub-request that reaches a server is no repetition.
+        let needs_budget = self.unsent < self.tried.len();
+        let is_allowed = may_rerun && self.has_attempts_left();
+        if !is_allowed || (needs_budget && !service.take_budget(now, purpose)) {
             return Err(Refusal::Busy);
         }
-        let service = self.call.service.clone();
         match service
             .choose_or_wait(self.call.scheduling, &self.tried)
             .await
         {
             Ok(server) => {
                 self.call.meter.retries.add(1);
-                self.send(server);
+                self.send(server, needs_budget);
                 Ok(())
             }
             Err(refusal) => {
-                service.refund_budget(Instant::now());
+                if needs_budget {
+                    service.refund_budget(Instant::now());
+                }
                 Err(refusal)
             }
         }
@@ -297,13 +305,14 @@
             true => {
                 self.hedged = true;
                 self.call.meter.hedges.add(1);
-                self.send(server);
+                self.send(server, true);
             }
             false => self.call.meter.unhedged.add(1),
         }
     }
 
-    fn send(&mut self, server: Rc<Server>) {
+    /// Sends a sub-request; `has_budget` tells that it was counted in the retry budget.
+    fn send(&mut self, server: Rc<Server>, has_budget: bool) {
         let now = Instant::now();
         let time_left = self.call.scheduling.deadline.saturating_duration_since(now);
         let caller_request = self.call.caller_request;
@@ -323,6 +332,7 @@
             server,
             turn: self.call.crashes.turn(),
             number,
+            has_budget,
             sent_at: now,
             baseline,
             has_ended: false,
@@ -336,6 +346,7 @@
         let EndedAttempt {
             server,
             turn,
+            has_budget,
             sent_at,
             result,
         } = ended;
@@ -343,6 +354,12 @@
         let reply = match result {
             Ok(reply) => reply,
             Err(failure) => {
+                if !failure.sent {
+                    self.unsent += 1;
+                    if has_budget {
+                        self.call.service.refund_budget(now);
+                    }
+                }
                 self.handle_failed_exchange(&server, turn, failure, now);
                 return None;
             }
@@ -483,6 +500,7 @@
     server: Rc<Server>,
     turn: Turn,
     number: u64,
+    has_budget: bool,
     sent_at: Instant,
     baseline: Duration,
     has_ended: bool,
@@ -494,6 +512,7 @@
 struct EndedAttempt {
     server: Rc<Server>,
     turn: Turn,
+    has_budget: bool,
     sent_at: Instant,
     result: Result<Reply, Failure>,
 }
@@ -515,6 +534,7 @@
         Poll::Ready(EndedAttempt {
             server: self.server.clone(),
             turn: self.turn,
+            has_budget: self.has_budget,
             sent_at: self.sent_at,
             result,
         })
--- a/crates/relay/tests/forward.rs
+++ b/crates/relay/tests/forward.rs
@@ -390,3 +390,22 @@
         );
     });
 }
+
+/// Three of four servers have ended a moment ago and are still listed. A request that can't be sent to a server isn't an
+/// attempt at it.
+#[test]
+fn request_reaches_the_last_server_that_is_up() {
+    for request in [get("/read/a"), post("/write/a", "x")] {
+        run(async move {
+            let ids = ["s1", "s2", "s3", "s4"];
+            let servers = ids.map(|id| FakeServer::start(id, |_| serve("ok")));
+            servers[..3].iter().for_each(|server| server.crashed.set());
+            sleep(Duration::from_millis(10)).await;
+            let listed = servers.each_ref().map(|server| ("one", server));
+            let instance = instance_with(read_and_write_routes(), &listed);
+            for _ in 0..3 {
+                assert_eq!(instance.ask(&request).await.text(), "ok");
+            }
+        });
+    }
+}
