--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -244,7 +244,8 @@
 
     /// Returns whether a retry may be sent to a service of which `crashed` servers crashed under this attempt.
     pub fn may_retry(&self, crashed: usize) -> bool {
-        crashed < MAX_CRASHES_PER_CALL && self.known + self.servers < MAX_CRASHES
+        let is_suspected = self.known > 0 && self.servers > 0;
+        !is_suspected && crashed < MAX_CRASHES_PER_CALL && self.servers < MAX_CRASHES
     }
 
     /// Returns whether hedges may be sent.
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -182,7 +182,14 @@
         names: relay.names(),
         meter: relay.meter(),
     };
-    let services = gather.services.iter().enumerate();
+    let mut services = gather.services.iter().enumerate().peekable();
+    // A query that has crashed servers before may crash one of each shard.
+    if let Some((shard, name)) = services.next_if(|_| crashes.is_suspected()) {
+        query.record_report(shard, call(name).run().await, relay.names());
+        if crashes.has_crashes() {
+            return (query, false);
+        }
+    }
     let mut calls: FuturesUnordered<_> = services
         .map(|(shard, name)| call(name).run().map(move |report| (shard, report)))
         .collect();
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -211,6 +211,19 @@
             .is_some_and(|attempt| attempt.may_retry(crashed))
     }
 
+    /// Returns whether crashes under the request were known before this attempt.
+    pub(crate) fn is_suspected(&self) -> bool {
+        self.known > 0
+    }
+
+    /// Returns whether any server crashed under this attempt.
+    pub(crate) fn has_crashes(&self) -> bool {
+        self.attempt
+            .borrow()
+            .as_ref()
+            .is_some_and(Attempt::has_crashes)
+    }
+
     /// Returns whether hedges may be sent.
     pub(crate) fn may_hedge(&self) -> bool {
         self.attempt
--- a/crates/relay/tests/quarantine.rs
+++ b/crates/relay/tests/quarantine.rs
@@ -29,6 +29,7 @@
     FakeServer, //
 };
 use monoio::time::sleep;
+use relay::server::Description;
 
 /// Servers that a request may crash: three, and three further times until every instance knows.
 const MAX_CRASHED: usize = 6;
@@ -258,6 +259,34 @@
     });
 }
 
+/// The deadly query comes again, although it has crashed servers of all shards before. The servers have restarted.
+#[test]
+fn query_with_known_crashes_is_tried_at_one_shard_first() {
+    run(async {
+        let first = shards(20);
+        let instance = instance(&first, 0.8);
+        instance.get("/all/deadly").await;
+        let restarted = shards(20);
+        let descriptions = restarted.iter().enumerate().map(|(index, (name, fake))| {
+            let id = format!("restarted{index:02}").into();
+            Description {
+                id,
+                ..fake.description(name)
+            }
+        });
+        let registry = instance.relay.registry();
+        registry.replace(descriptions.collect(), Instant::now());
+        assert!([502, 503].contains(&instance.get("/all/deadly").await.status()));
+        let crashed = restarted.iter().filter(|(_, fake)| fake.crashed.is_set());
+        assert!(crashed.count() <= 2);
+        let answer = instance.get("/all/a").await;
+        assert_eq!(
+            (answer.status(), answer.header("missing")),
+            (200, Some("0"))
+        );
+    });
+}
+
 /// A rack is lost with a server of several shards while a query runs on them. The query isn't to blame.
 #[test]
 fn query_that_ran_while_a_rack_was_lost_is_served_when_it_comes_again() {
