--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -211,6 +211,8 @@
     servers: usize,
     /// Crashes of servers that began to run the request one after the other.
     in_turn: Vec<Crash>,
+    /// How many of these were reported.
+    reported: usize,
 }
 
 /// Place of a sub-request among the crashes of its attempt.
@@ -258,11 +260,15 @@
         self.servers > 0
     }
 
-    /// Returns the crashes to report at the end of the attempt; none if it was served and the request isn't to blame.
-    pub fn into_report(self, was_served: bool) -> Vec<Crash> {
-        match was_served && self.in_turn.len() < MAX_CRASHES_PER_CALL {
-            true => Vec::new(),
-            false => self.in_turn,
+    /// Returns the crashes to report that weren't returned before, at the end of the attempt or after it.
+    ///
+    /// There are none if it was served and the request isn't to blame.
+    pub fn report(&mut self, was_served: bool) -> Vec<Crash> {
+        if was_served && self.in_turn.len() < MAX_CRASHES_PER_CALL {
+            return Vec::new();
         }
+        let report = self.in_turn[self.reported..].to_vec();
+        self.reported = self.in_turn.len();
+        report
     }
 }
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -56,7 +56,7 @@
         }
         let mut attempt = Attempt::new(state.crashes(DEADLY, at_ms));
         attempt.record(attempt.turn(), crash(&format!("s{at_ms}"), at_ms));
-        state.report(DEADLY, attempt.into_report(false));
+        state.report(DEADLY, attempt.report(false));
         unshared.push((at_ms, instance));
         crashed_at.push(at_ms);
     }
@@ -89,7 +89,7 @@
         attempt.record(scatter, crash(&format!("s{shard}"), NOW_MS));
     }
     assert!(!attempt.may_retry(1) && !attempt.may_hedge());
-    assert_eq!(attempt.into_report(false).len(), 1);
+    assert_eq!(attempt.report(false).len(), 1);
 
     let mut attempt = Attempt::new(0);
     let scatter = attempt.turn();
@@ -100,7 +100,7 @@
     attempt.record(retry, crash("s3", NOW_MS));
     assert!(!attempt.may_retry(1));
     // Some shards answered, but a retry has crashed a second server.
-    assert_eq!(attempt.into_report(true).len(), 2);
+    assert_eq!(attempt.report(true).len(), 2);
 }
 
 #[test]
@@ -108,7 +108,7 @@
     let mut attempt = Attempt::new(0);
     attempt.record(attempt.turn(), crash("s1", NOW_MS));
     assert!(attempt.may_retry(1) && !attempt.may_retry(2));
-    assert!(attempt.into_report(true).is_empty());
+    assert!(attempt.report(true).is_empty());
 }
 
 #[test]
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -47,7 +47,11 @@
     headers::HeaderNames,
     latency::Statistics,
     meter::Meter,
-    quarantine::Tracker,
+    quarantine::{
+        LostExchange,
+        Tracker,
+        Witness, //
+    },
     reply::{
         classify,
         Fault,
@@ -120,7 +124,7 @@
     /// Queue order, deadlines and baseline latency.
     pub scheduling: Scheduling,
     /// Crashes under the caller's attempt.
-    pub(crate) crashes: &'a Tracker<'a>,
+    pub(crate) crashes: &'a Rc<Tracker>,
     /// Latency statistics of the route.
     pub route_latency: &'a Statistics,
     /// Header names.
@@ -177,13 +181,6 @@
     unsent: usize,
 }
 
-/// An exchange that ended without a reply.
-struct LostExchange {
-    server: Rc<Server>,
-    turn: Turn,
-    cause: connection::FailureKind,
-}
-
 enum Event {
     AttemptEnded(Box<EndedAttempt>),
     HedgeDue,
@@ -325,6 +322,10 @@
             self.call.scheduling.deadline,
             baseline,
             self.call.kind == Kind::AtMostOnce,
+            Some(Witness {
+                crashes: self.call.crashes.clone(),
+                turn: self.call.crashes.turn(),
+            }),
         );
         self.call.meter.exchanges.add(1);
         self.tried.push(server.clone());
@@ -429,28 +430,8 @@
 
     /// Finds out which servers have crashed, of those whose exchange ended without a reply.
     async fn confirm_crashes(&mut self) {
-        let request = self.call.caller_request;
         for lost in std::mem::take(&mut self.unconfirmed) {
-            let LostExchange {
-                server,
-                turn,
-                cause,
-            } = lost;
-            let is_up = connection::probe(&server).await;
-            if is_up == Some(false) {
-                self.crashed += 1;
-                self.call.meter.crashes.add(1);
-                self.call.crashes.record(turn, &server);
-            }
-            info!(
-                request = %request.id.to_str().unwrap_or("unprintable"),
-                fingerprint = %request.fingerprint(),
-                server = %server.id(),
-                service = %self.call.service.name(),
-                ?cause,
-                is_up,
-                "call: connection ended without a reply."
-            );
+            self.crashed += usize::from(self.call.crashes.confirm(lost).await);
         }
     }
 
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -67,6 +67,7 @@
         Metered,
         Reservation, //
     },
+    quarantine::Witness,
     server::Server,
 };
 
@@ -145,6 +146,8 @@
     pub(crate) deadline: Instant,
     /// Receives the result; dropping the receiver abandons the exchange.
     pub(crate) reply: oneshot::Sender<Result<Reply, Failure>>,
+    /// Told if the connection ends without a reply that anyone waits for; none for a peer.
+    pub(crate) witness: Option<Witness>,
 }
 
 impl Job {
@@ -353,7 +356,7 @@
     }
 
     /// Runs one exchange; returns whether the connection can be reused, and whether it was refused.
-    async fn exchange(&mut self, job: Job, server: &Server, is_new: bool) -> (Reuse, bool) {
+    async fn exchange(&mut self, job: Job, server: &Rc<Server>, is_new: bool) -> (Reuse, bool) {
         let ready = poll_fn(|cx| {
             self.poll_driver(cx);
             self.sender.poll_ready(cx)
@@ -371,6 +374,7 @@
             request,
             deadline,
             mut reply,
+            witness,
             ..
         } = job;
         let mut watch = DeadlineWatch {
@@ -405,8 +409,13 @@
             }
             _ => Reuse::Never,
         };
-        // The receiver was dropped if nobody waits for the reply.
-        let _ = reply.send(result);
+        match (reply.send(result), witness) {
+            (Err(Err(failure)), Some(witness)) if failure.is_without_reply() => {
+                monoio::spawn(witness.report_lost(server.clone(), failure.kind));
+            }
+            // Whoever waits for the result handles a failure; a reply that nobody waits for is dropped.
+            _ => {}
+        }
         (reuse, was_refused)
     }
 
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -26,7 +26,7 @@
     service: Rc<Service>,
     caller_request: &CallerRequest,
     scheduling: Scheduling,
-    crashes: &Tracker<'_>,
+    crashes: &Rc<Tracker>,
     route_latency: &Statistics,
 ) -> Report {
     let call = Call {
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -2,6 +2,7 @@
 
 use std::{
     pin::pin,
+    rc::Rc,
     time::Instant, //
 };
 
@@ -164,7 +165,7 @@
     gather: &Gather,
     caller_request: &CallerRequest,
     scheduling: Scheduling,
-    crashes: &Tracker<'_>,
+    crashes: &Rc<Tracker>,
     route_latency: &Statistics,
 ) -> (Query, bool) {
     let mut query = Query {
--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::Cell,
+    rc::Rc,
     time::Duration, //
 };
 
@@ -17,9 +18,9 @@
     Serializer, //
 };
 
-/// A monotonic counter.
-#[derive(Debug, Default)]
-pub struct Counter(Cell<u64>);
+/// A monotonic counter; clones count together.
+#[derive(Debug, Default, Clone)]
+pub struct Counter(Rc<Cell<u64>>);
 
 impl Counter {
     /// Adds `number`.
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -286,7 +286,7 @@
             .headers_mut()
             .insert(HOP_HEADER, hop_header(relay, caller_request, now));
         let number = relay.registry().peers().service.next_exchange();
-        let mut receiver = peer.send(request, number, now + time_left, baseline, false);
+        let mut receiver = peer.send(request, number, now + time_left, baseline, false, None);
         let first_wait = time_left.min((self.objective * UNRESPONSIVE_OBJECTIVES).max(MIN_WAIT));
         let mut result = timeout(first_wait, &mut receiver).await;
         if result.is_err() && peer.has_replied_since(now) {
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -17,6 +17,7 @@
     },
 };
 
+use http::HeaderValue;
 use monoio::time::sleep;
 use platform::{
     backoff::Backoff,
@@ -40,12 +41,17 @@
 use web::Stop;
 
 use crate::{
+    connection::{
+        self,
+        FailureKind, //
+    },
     directory::Directory,
     follow::{
         follow,
         Follower,
         StoreRecovery, //
     },
+    meter::Counter,
     relay::Relay,
     request::CallerRequest,
     server::Server,
@@ -78,9 +84,19 @@
     version: Cell<u64>,
     /// Set when there is something to write.
     changed: RefCell<Stop>,
+    /// Sub-requests under which the server crashed.
+    crashes: Counter,
 }
 
 impl Quarantine {
+    /// Creates an empty quarantine that counts crashes.
+    pub(crate) fn new(crashes: Counter) -> Rc<Self> {
+        Rc::new(Self {
+            crashes,
+            ..Self::default()
+        })
+    }
+
     /// Returns for how much longer a request is refused; none if it isn't.
     pub(crate) fn refused_for(&self, request: &CallerRequest) -> Option<Duration> {
         let state = self.state.borrow();
@@ -91,18 +107,16 @@
     }
 
     /// Begins to track the crashes under one attempt of a caller.
-    pub(crate) fn track<'a>(&'a self, request: &'a CallerRequest) -> Tracker<'a> {
-        let state = self.state.borrow();
-        let known = match state.is_empty() {
-            true => 0,
-            false => state.crashes(request.fingerprint(), now_ms()),
-        };
-        Tracker {
-            quarantine: self,
-            request,
+    pub(crate) fn track(self: &Rc<Self>, request: &CallerRequest) -> Rc<Tracker> {
+        let fingerprint = request.fingerprint();
+        let known = self.state.borrow().crashes(fingerprint, now_ms());
+        Rc::new(Tracker {
+            quarantine: self.clone(),
+            request: request.id.clone(),
+            fingerprint,
             known,
             attempt: RefCell::new(Some(Attempt::new(known))),
-        }
+        })
     }
 
     fn report(&self, fingerprint: Fingerprint, crashes: Vec<Crash>) {
@@ -168,17 +182,50 @@
     }
 }
 
-/// Crashes under one attempt of a caller; dropping it reports them.
+/// Crashes under one attempt of a caller: those known when it ends are reported then, those of sub-requests that go on
+/// after it when the last of these has ended.
 #[derive(Debug)]
-pub(crate) struct Tracker<'a> {
-    quarantine: &'a Quarantine,
-    request: &'a CallerRequest,
+pub(crate) struct Tracker {
+    quarantine: Rc<Quarantine>,
+    /// Id of the request.
+    request: HeaderValue,
+    fingerprint: Fingerprint,
     known: usize,
-    /// None once it is concluded.
+    /// None once the request is served.
     attempt: RefCell<Option<Attempt>>,
 }
 
-impl Tracker<'_> {
+/// An exchange that ended without a reply.
+#[derive(Debug)]
+pub(crate) struct LostExchange {
+    pub(crate) server: Rc<Server>,
+    pub(crate) turn: Turn,
+    pub(crate) cause: FailureKind,
+}
+
+/// Accompanies a sub-request until its exchange ends, which may be after its caller has left.
+#[derive(Debug)]
+pub(crate) struct Witness {
+    pub(crate) crashes: Rc<Tracker>,
+    pub(crate) turn: Turn,
+}
+
+impl Witness {
+    /// Finds out whether the server has crashed, after an exchange that nobody waits for ended without a reply.
+    pub(crate) async fn report_lost(self, server: Rc<Server>, cause: FailureKind) {
+        if self.crashes.attempt.borrow().is_none() {
+            return;
+        }
+        let lost = LostExchange {
+            server,
+            turn: self.turn,
+            cause,
+        };
+        self.crashes.confirm(lost).await;
+    }
+}
+
+impl Tracker {
     /// Returns the turn of a sub-request that is sent now.
     pub(crate) fn turn(&self) -> Turn {
         self.attempt
@@ -187,8 +234,33 @@
             .map_or(Turn::default(), Attempt::turn)
     }
 
-    /// Records that a server crashed under the sub-request of a turn.
-    pub(crate) fn record(&self, turn: Turn, server: &Server) {
+    /// Finds out whether the server of an exchange that ended without a reply has crashed, and records that; returns
+    /// whether it has.
+    pub(crate) async fn confirm(&self, lost: LostExchange) -> bool {
+        let LostExchange {
+            server,
+            turn,
+            cause,
+        } = lost;
+        let is_up = connection::probe(&server).await;
+        info!(
+            request = %self.request.to_str().unwrap_or("unprintable"),
+            fingerprint = %self.fingerprint,
+            server = %server.id(),
+            service = %server.description().service,
+            ?cause,
+            is_up,
+            "call: connection ended without a reply."
+        );
+        let has_crashed = is_up == Some(false);
+        if has_crashed {
+            self.record(turn, &server);
+        }
+        has_crashed
+    }
+
+    fn record(&self, turn: Turn, server: &Server) {
+        self.quarantine.crashes.add(1);
         let description = server.description();
         let id = match description.started_at_ms {
             Some(started_at_ms) => Arc::from(format!("{}@{started_at_ms}", description.id)),
@@ -232,24 +304,29 @@
             .is_some_and(Attempt::may_hedge)
     }
 
-    /// Reports the crashes at the end of the attempt, or clears the request if it was served without any.
+    /// Reports the crashes when the attempt ends; without a crash, a success clears the request.
     pub(crate) fn conclude(&self, was_served: bool) {
-        let Some(attempt) = self.attempt.take() else {
+        let mut attempt = self.attempt.borrow_mut();
+        let Some(tracked) = attempt.as_mut() else {
             return;
         };
-        let has_crashes = attempt.has_crashes();
-        let report = attempt.into_report(was_served);
+        let has_crashes = tracked.has_crashes();
+        let report = tracked.report(was_served);
+        if was_served {
+            *attempt = None;
+        }
+        drop(attempt);
         match report.is_empty() {
-            false => self.quarantine.report(self.request.fingerprint(), report),
+            false => self.quarantine.report(self.fingerprint, report),
             true if was_served && !has_crashes && self.known > 0 => {
-                self.quarantine.clear(self.request.fingerprint());
+                self.quarantine.clear(self.fingerprint);
             }
             true => {}
         }
     }
 }
 
-impl Drop for Tracker<'_> {
+impl Drop for Tracker {
     fn drop(&mut self) {
         self.conclude(false);
     }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -87,7 +87,7 @@
     request_counters: RefCell<HashMap<Arc<str>, u64>>,
     meter: Meter,
     mirror: Mirror,
-    quarantine: Quarantine,
+    quarantine: Rc<Quarantine>,
     in_flight: Cell<usize>,
     draining: Cell<bool>,
 }
@@ -109,9 +109,9 @@
             table: RefCell::default(),
             route_latencies: RefCell::default(),
             request_counters: RefCell::default(),
-            meter,
             mirror: Mirror::default(),
-            quarantine: Quarantine::default(),
+            quarantine: Quarantine::new(meter.crashes.clone()),
+            meter,
             in_flight: Cell::new(0),
             draining: Cell::new(false),
         })
@@ -143,7 +143,7 @@
     }
 
     /// Returns the requests under which servers crashed.
-    pub fn quarantine(&self) -> &Quarantine {
+    pub fn quarantine(&self) -> &Rc<Quarantine> {
         &self.quarantine
     }
 
@@ -545,7 +545,7 @@
     route: &'a Route,
     caller_request: &'a CallerRequest,
     scheduling: Scheduling,
-    crashes: &'a Tracker<'a>,
+    crashes: &'a Rc<Tracker>,
 }
 
 /// Details of an answer for its log line.
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -56,6 +56,7 @@
         Job,
         Reply, //
     },
+    quarantine::Witness,
     service::Service,
 };
 
@@ -365,6 +366,7 @@
         deadline: Instant,
         baseline: Duration,
         is_at_most_once: bool,
+        witness: Option<Witness>,
     ) -> oneshot::Receiver<Result<Reply, Failure>> {
         let (reply, receiver) = oneshot::channel();
         let now = Instant::now();
@@ -377,6 +379,7 @@
             is_at_most_once,
             deadline,
             reply,
+            witness,
         };
         while let Some(handle) = self.pop_idle() {
             match handle.send(job) {
--- a/crates/relay/tests/quarantine.rs
+++ b/crates/relay/tests/quarantine.rs
@@ -26,7 +26,8 @@
         SharedStore, //
     },
     Behavior,
-    FakeServer, //
+    FakeServer,
+    RawConnection, //
 };
 use monoio::time::sleep;
 use relay::server::Description;
@@ -189,6 +190,29 @@
     });
 }
 
+/// The caller leaves before the server has crashed, each time.
+#[test]
+fn crash_after_the_caller_has_left_counts() {
+    run(async {
+        let fleet = Fleet::start(1, 12).await;
+        let node = &fleet.nodes[0];
+        for number in 0..8 {
+            let request = post("/write/deadly", "x").replace("q1", &format!("q{number}"));
+            let mut connection = RawConnection::open(node.instance.address).await;
+            connection.write(request).await;
+            sleep(Duration::from_millis(8)).await;
+            drop(connection);
+            sleep(Duration::from_millis(120)).await;
+            fleet.remove_crashed();
+        }
+        let crashed = fleet.crashed();
+        assert!((1..=MAX_CRASHED).contains(&crashed), "{crashed}");
+        let refused = node.instance.ask(&post("/write/deadly", "x")).await;
+        assert_eq!(refused.status(), 503);
+        assert_eq!(fleet.crashed(), crashed);
+    });
+}
+
 /// Servers crash by themselves, each time while they run the same request, which is served in between.
 #[test]
 fn request_that_crashes_have_hit_by_chance_goes_on_being_sent() {
