--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -24,7 +24,8 @@
 const MAX_CRASHES_PER_CALL: usize = 2;
 /// Time for which a crash counts.
 const MEMORY: Duration = Duration::from_secs(600);
-/// Maximum number of requests that are remembered; those whose last crash is oldest are forgotten first.
+/// Maximum number of requests that are remembered. Those that aren't refused are forgotten first, and of these those
+/// whose last crash is oldest.
 const MAX_CASES: usize = 256;
 /// Maximum number of own reports that are kept to be written again after the store was restored.
 const MAX_OWN: usize = 64;
@@ -166,15 +167,18 @@
             crashes.retain(|crash| age(crash, now_ms) < MEMORY);
         }
         cases.retain(|_, crashes| !crashes.is_empty());
-        let last_at = |crashes: &Vec<Crash>| crashes.iter().map(|crash| crash.at_ms).max();
-        let mut by_age: Vec<_> = cases
+        let relevance = |crashes: &[Crash]| {
+            let last_at_ms = crashes.iter().map(|crash| crash.at_ms).max();
+            (crashes.len() >= MAX_CRASHES, last_at_ms)
+        };
+        let mut by_relevance: Vec<_> = cases
             .iter()
-            .map(|(fingerprint, crashes)| (last_at(crashes), *fingerprint))
+            .map(|(fingerprint, crashes)| (relevance(crashes), *fingerprint))
             .collect();
-        by_age.sort_unstable();
+        by_relevance.sort_unstable();
         let surplus = cases.len().saturating_sub(MAX_CASES);
-        for (_, oldest) in by_age.iter().take(surplus) {
-            cases.remove(oldest);
+        for (_, least_relevant) in by_relevance.iter().take(surplus) {
+            cases.remove(least_relevant);
         }
         Proposal {
             cases,
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -81,8 +81,9 @@
 const MIN_FRAME_COST_BYTES: usize = 1024;
 /// Time within which a server at its connection limit closes a new connection: a few round trips.
 const ACCEPT_GRACE: Duration = Duration::from_millis(4);
-/// Time in which a host whose process has ended resets a new connection: a few round trips.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
+/// Time in which a host whose process has ended resets a new connection: a few round trips, and the time for which this
+/// instance may wait for the processor.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum age at which the end of an unused connection means that the server refused it.
 const MAX_NEW_CONNECTION_AGE: Duration = Duration::from_millis(100);
 /// Maximum time for which a connection stays idle.
