--- a/crates/policy/src/rate_limit.rs
+++ b/crates/policy/src/rate_limit.rs
@@ -100,8 +100,9 @@
 
     /// Records that the server named a limit of `per_s` requests a second.
     ///
-    /// The tokens start at 0: the server has just served requests of this instance.
-    pub fn name(&mut self, now: Instant, per_s: f64) -> Change {
+    /// Instances that hear of a limit at the same moment start with different parts of a token, from 0 to 1, so that
+    /// they don't send at the same moments later.
+    pub fn name(&mut self, now: Instant, per_s: f64, first_tokens: f64) -> Change {
         if !per_s.is_finite() || per_s < 0.0 {
             return Change::Unusable;
         }
@@ -110,7 +111,7 @@
             per_s,
             since: now,
             confirmed_at: now,
-            tokens: 0.0,
+            tokens: first_tokens,
             earned_at: now,
             sent: 0,
         };
--- a/crates/relay/src/server/notices.rs
+++ b/crates/relay/src/server/notices.rs
@@ -17,6 +17,7 @@
     StatusCode, //
 };
 use policy::rate_limit::Change;
+use rand::Rng;
 use tracing::{
     info,
     warn, //
@@ -25,6 +26,9 @@
 use super::Server;
 use crate::headers::HeaderNames;
 
+/// Maximum part of a token that an instance starts with: the server has just served a request of it.
+const MAX_FIRST_TOKENS: f64 = 0.9;
+
 /// What a backend server may state about itself in its replies.
 #[derive(Debug, Clone)]
 pub(crate) struct Notices {
@@ -110,7 +114,10 @@
     ) {
         let mut limit = self.limit.get();
         let change = match headers.get(&names.limit) {
-            Some(value) => limit.name(now, parse_number(value).unwrap_or(f64::NAN)),
+            Some(value) => {
+                let per_s = parse_number(value).unwrap_or(f64::NAN);
+                limit.name(now, per_s, first_tokens())
+            }
             None if headers.contains_key(&names.signature) => limit.reply_without(sent_at, now),
             None => return,
         };
@@ -134,7 +141,7 @@
     /// Records the limit that a peer says this server names.
     pub(crate) fn name_limit(&self, per_s: f64, now: Instant) {
         let mut limit = self.limit.get();
-        let change = limit.name(now, per_s);
+        let change = limit.name(now, per_s, first_tokens());
         self.limit.set(limit);
         if let Change::Named(per_s) = change {
             info!(server = %self.id(), service = %self.description.service, per_s, "server: a peer says that it names a limit.");
@@ -169,3 +176,8 @@
 fn parse_number(value: &HeaderValue) -> Option<f64> {
     value.to_str().ok()?.trim().parse().ok()
 }
+
+/// Returns the part of a token that this instance starts with when a limit is named.
+fn first_tokens() -> f64 {
+    rand::rng().random_range(0.0..MAX_FIRST_TOKENS)
+}
