--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -544,13 +544,18 @@
             share: 1.0,
             instances: self.instances(),
         };
-        let shard_part = self
+        let gatherer_part = self
             .plan
             .borrow()
             .part(settings.local.cores, whole.instances);
+        // Requests on every route are passed on to the instances that gather queries.
+        let limit_share = match self.knows_instances.get() {
+            true => gatherer_part.share / gatherer_part.instances.max(1) as f64,
+            false => 0.0,
+        };
         for (name, service) in self.services.borrow().iter() {
             let part = match self.is_shard(name) {
-                true => shard_part,
+                true => gatherer_part,
                 false => whole,
             };
             let retry_budget = Bound {
@@ -560,10 +565,6 @@
             let instances = part.instances.min(self.known_instance_count());
             service.share_budget(retry_budget, instances);
             self.share_connections(service, part);
-            let limit_share = match self.knows_instances.get() {
-                true => part.share / part.instances.max(1) as f64,
-                false => 0.0,
-            };
             for server in service.servers() {
                 server.set_limit_share(limit_share, now);
             }
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -136,6 +136,8 @@
     pub pause_ms: u64,
     /// Requests a second that it takes from all instances together, if it names a limit.
     pub limit_per_s: Option<f64>,
+    /// The part of it that this instance may use, in requests a second.
+    pub own_limit_per_s: Option<f64>,
     /// Latency as a multiple of the baseline.
     pub slowness: f64,
 }
@@ -524,6 +526,7 @@
             out: self.is_ejected(now),
             pause_ms: self.pause_left(now).unwrap_or_default().as_millis() as u64,
             limit_per_s: self.limit.get().per_s(),
+            own_limit_per_s: self.limit.get().own_rate(),
             slowness: self.slowness.borrow().current(now),
         }
     }
--- a/crates/relay/tests/limits.rs
+++ b/crates/relay/tests/limits.rs
@@ -173,3 +173,35 @@
         assert_eq!(limited.arrivals(), arrivals);
     });
 }
+
+/// A few large instances answer the requests of all, on every route, so that they need most of the limit.
+#[test]
+fn large_instances_share_most_of_a_limit() {
+    run(async {
+        let limited = FakeServer::start("s1", |_| serve_limited("10"));
+        let names = ["l1", "l2", "l3"];
+        let large: Vec<Instance> = names.map(|name| instance(name, 0.5)).into();
+        let small = instance("small", 0.1);
+        let members = names.iter().zip(&large);
+        let members = members.map(|(name, instance)| instance.member(name, 0.5));
+        let others = (0..20).map(|index| small.member(&format!("small-{index}"), 0.1));
+        let members: Vec<_> = members.chain(others).collect();
+        for instance in &large {
+            let registry = instance.relay.registry();
+            registry.set_members(members.clone());
+            registry.replace(vec![limited.description("one")], Instant::now());
+            let routes = table(1, read_and_write_routes());
+            instance.relay.set_table(Arc::new(routes));
+            assert_eq!(instance.get("/read/a").await.status(), 200);
+        }
+        let own_limit = |instance: &Instance| {
+            let servers = instance.relay.registry().servers();
+            servers[0]
+                .state(Instant::now())
+                .own_limit_per_s
+                .unwrap_or_default()
+        };
+        let sum: f64 = large.iter().map(own_limit).sum();
+        assert!((7.5..=10.0).contains(&sum), "{sum}");
+    });
+}
