--- a/crates/policy/src/retry_budget.rs
+++ b/crates/policy/src/retry_budget.rs
@@ -99,6 +99,9 @@
     /// A larger part of the allowance applies only after a full window: instances that have shut down may
     /// have used theirs within it.
     pub fn set_limit(&mut self, limit: Bound, instances: usize, now: Instant) {
+        if limit.span != self.limit.span {
+            self.set_span(limit.span, now);
+        }
         self.limit = limit;
         let part = allowance_part(limit, instances);
         if self.parts.last().is_none_or(|(_, last)| *last != part) {
@@ -110,6 +113,20 @@
         }
     }
 
+    /// Changes the length of the window, whose buckets have other edges then.
+    ///
+    /// What was counted is counted as sent now, since it isn't known when it was; of the initial sub-requests only
+    /// the share that a shorter window would hold.
+    fn set_span(&mut self, span: Duration, now: Instant) {
+        let (initial, hedges_and_retries) = self.counts(now);
+        let kept = span.as_secs_f64() / self.limit.span.as_secs_f64().max(1e-3);
+        self.limit.span = span;
+        self.buckets = [WindowBucket::default(); BUCKETS + 1];
+        let bucket = self.current_bucket(now);
+        bucket.initial = (f64::from(initial) * kept.min(1.0)) as u32;
+        bucket.hedges_and_retries = hedges_and_retries;
+    }
+
     /// Returns this instance's part of the allowance: the smallest one that applied within the window.
     fn allowance(&self, now: Instant) -> f64 {
         let age = |from: Instant| now.saturating_duration_since(from);
--- a/crates/policy/tests/retry_budget.rs
+++ b/crates/policy/tests/retry_budget.rs
@@ -168,3 +168,23 @@
     (0..50).for_each(|_| budget.count_initial(now));
     assert!(!budget.take(now, Purpose::Retry));
 }
+
+/// The settings are reloaded with a shorter window, then with a longer one.
+#[test]
+fn counts_survive_a_change_of_the_window() {
+    let start = Instant::now();
+    let at = |seconds: u64| start + Duration::from_secs(seconds);
+    let bound = |seconds: u64| Bound {
+        ratio: 0.0,
+        allowance: 20.0,
+        span: Duration::from_secs(seconds),
+    };
+    let mut budget = Budget::new(bound(10), 1, start);
+    let sent = (0..40).filter(|_| budget.take(at(20), Purpose::Retry));
+    assert_eq!(sent.count(), 17);
+    for (second, span) in [(21, 2), (22, 10), (23, 30)] {
+        budget.set_limit(bound(span), 1, at(second));
+        assert!(!budget.take(at(second), Purpose::Retry), "{span} s");
+        assert_eq!(budget.counts(at(second)), (0, 17), "{span} s");
+    }
+}
