--- a/crates/relay/tests/quarantine.rs
+++ b/crates/relay/tests/quarantine.rs
@@ -57,6 +57,10 @@
 
 impl Fleet {
     async fn start(instances: usize, servers: usize) -> Self {
+        Self::start_with_cores(&vec![1.0; instances], servers).await
+    }
+
+    async fn start_with_cores(cores: &[f64], servers: usize) -> Self {
         let store = Rc::new(SharedStore::default());
         store.put("config", "main", &Config { version: 1 });
         let servers: Vec<_> = (0..servers).map(start_server).collect();
@@ -66,9 +70,11 @@
             };
             store.put("servers", &server.id, &entry);
         }
-        let start = |index: usize| Node::start(&store, &format!("instance-{index}"), "a", 1.0);
+        let start = |(index, cores): (usize, &f64)| {
+            Node::start(&store, &format!("instance-{index}"), "a", *cores)
+        };
         let fleet = Self {
-            nodes: (0..instances).map(start).collect(),
+            nodes: cores.iter().enumerate().map(start).collect(),
             store,
             servers,
         };
@@ -122,6 +128,22 @@
     });
 }
 
+/// Small instances pass requests on to three large ones.
+#[test]
+fn request_that_small_instances_pass_on_is_no_longer_sent() {
+    run(async {
+        let cores = [0.5, 0.1, 0.1, 0.5, 0.1, 0.5];
+        let fleet = Fleet::start_with_cores(&cores, 16).await;
+        sleep(Duration::from_millis(500)).await;
+        let statuses = send_deadly(&fleet, 12).await;
+        assert!(fleet.crashed() <= MAX_CRASHED, "{}", fleet.crashed());
+        assert_eq!(statuses[6..], [503; 6], "{statuses:?}");
+        let small = &fleet.nodes[1].instance;
+        assert_eq!(small.get("/read/a").await.status(), 200);
+        assert!(small.relay.meter().delegated.get() > 0);
+    });
+}
+
 #[test]
 fn instance_that_starts_later_knows_the_request() {
     run(async {
