--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -116,6 +116,13 @@
         self.service.is_reachable(now)
     }
 
+    /// Returns the availability zones of the peers.
+    pub fn zones(&self) -> Vec<Arc<str>> {
+        let peers = self.service.servers();
+        let zone = |peer: &Rc<Server>| peer.description().zone.clone();
+        peers.iter().map(zone).collect()
+    }
+
     /// Sets what the zone of each peer costs, given the share of the shards that have a server in a zone.
     pub(crate) fn set_zone_costs(&self, local_zone: &str, shard_share: impl Fn(&str) -> f64) {
         for server in self.service.servers() {
@@ -145,7 +152,10 @@
         let now = Instant::now();
         for server in self.service.servers() {
             let stays = |member: &Member| {
-                *member.name == **server.id() && member.address == server.description().address
+                let known = server.description();
+                member.name == known.id
+                    && member.address == known.address
+                    && member.zone == known.zone
             };
             if !members.iter().any(stays) {
                 server.close();
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -23,6 +23,8 @@
     Instance, //
 };
 
+use relay::peer::Member;
+
 const LARGE_CORES: f64 = 0.5;
 const SMALL_CORES: f64 = 0.1;
 
@@ -237,3 +239,24 @@
         );
     });
 }
+
+/// A large instance restarts under the same name and address in another zone, where the servers of the service are.
+#[test]
+fn peer_that_moves_to_another_zone_gets_the_cost_of_that_zone() {
+    run(async {
+        let fake = FakeServer::start("s1", |_| serve("ok"));
+        let (small, large) = fleet(&fake);
+        let zones = |small: &Instance| -> Vec<String> {
+            let peers = small.relay.registry().peers().zones();
+            peers.iter().map(ToString::to_string).collect()
+        };
+        assert_eq!(zones(&small), ["here", "here", "here"]);
+        let names = ["l1", "l2", "l3"];
+        let moved = names.iter().zip(&large).map(|(name, instance)| Member {
+            zone: "there".into(),
+            ..instance.member(name, LARGE_CORES)
+        });
+        small.relay.registry().set_members(moved.collect());
+        assert_eq!(zones(&small), ["there", "there", "there"]);
+    });
+}
