--- a/crates/policy/src/rate_limit.rs
+++ b/crates/policy/src/rate_limit.rs
@@ -18,6 +18,8 @@
 const PROBES_PER_S: f64 = 0.5;
 /// Longest wait for a token that is returned.
 const MAX_WAIT: Duration = Duration::from_secs(60);
+/// Change of a limit, as a share of it, that is reported.
+const REPORTED_CHANGE: f64 = 0.1;
 /// Tolerance for the rounding errors of repeated additions, which must not cost a token.
 const ROUNDING_TOLERANCE: f64 = 1e-9;
 
@@ -26,11 +28,15 @@
 pub struct Limit {
     share: f64,
     named: Option<Named>,
+    /// Whether an unusable number was reported.
+    is_unusable_reported: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct Named {
     per_s: f64,
+    /// The limit as it was last reported.
+    reported_per_s: f64,
     since: Instant,
     confirmed_at: Instant,
     tokens: f64,
@@ -42,11 +48,11 @@
 /// Effect of a statement.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Change {
-    /// The limit is the one that was known.
+    /// The limit is about the one that was reported.
     None,
     /// A limit was named where there was none, or another one.
     Named(f64),
-    /// The number isn't a usable one; it is ignored.
+    /// The number isn't a usable one; it is ignored. This is reported once.
     Unusable,
     /// The server no longer names a limit.
     Lifted {
@@ -63,6 +69,7 @@
         Self {
             share: 0.0,
             named: None,
+            is_unusable_reported: false,
         }
     }
 }
@@ -104,27 +111,33 @@
     /// they don't send at the same moments later.
     pub fn name(&mut self, now: Instant, per_s: f64, first_tokens: f64) -> Change {
         if !per_s.is_finite() || per_s < 0.0 {
-            return Change::Unusable;
+            return match std::mem::replace(&mut self.is_unusable_reported, true) {
+                true => Change::None,
+                false => Change::Unusable,
+            };
         }
-        let known = self.named;
         let fresh = Named {
             per_s,
+            reported_per_s: f64::NAN,
             since: now,
             confirmed_at: now,
             tokens: first_tokens,
             earned_at: now,
             sent: 0,
         };
-        let mut named = known.unwrap_or(fresh);
+        let mut named = self.named.unwrap_or(fresh);
         named.earn(self.share, now);
-        self.named = Some(Named {
-            per_s,
-            confirmed_at: now,
-            ..named
-        });
-        match known {
-            Some(known) if known.per_s == per_s => Change::None,
-            _ => Change::Named(per_s),
+        named.per_s = per_s;
+        named.confirmed_at = now;
+        let change = (per_s - named.reported_per_s).abs();
+        let is_reported = change <= named.reported_per_s * REPORTED_CHANGE;
+        if !is_reported {
+            named.reported_per_s = per_s;
+        }
+        self.named = Some(named);
+        match is_reported {
+            true => Change::None,
+            false => Change::Named(per_s),
         }
     }
 
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -147,7 +147,7 @@
     pub(crate) deadline: Instant,
     /// Receives the result; dropping the receiver abandons the exchange.
     pub(crate) reply: oneshot::Sender<Result<Reply, Failure>>,
-    /// Told if the connection ends without a reply that anyone waits for; none for a peer.
+    /// Is told if the connection ends without a reply after its caller has left; none for a peer.
     pub(crate) witness: Option<Witness>,
 }
 
@@ -414,7 +414,7 @@
             (Err(Err(failure)), Some(witness)) if failure.is_without_reply() => {
                 monoio::spawn(witness.report_lost(server.clone(), failure.kind));
             }
-            // Whoever waits for the result handles a failure; a reply that nobody waits for is dropped.
+            // The receiver handles a failure; a reply without a receiver is dropped.
             _ => {}
         }
         (reuse, was_refused)
