--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -199,7 +199,10 @@
                 Event::DeadlinePassed => return self.late_outcome(),
                 Event::HedgeDue => self.send_hedge(),
                 Event::AttemptEnded(ended) => match self.handle_ended(*ended) {
-                    Some(reply) => return Outcome::Served(reply),
+                    Some(reply) => {
+                        self.unconfirmed.clear();
+                        return Outcome::Served(reply);
+                    }
                     None if !self.running.is_empty() => {}
                     None => {
                         self.confirm_crashes().await;
@@ -470,6 +473,16 @@
     }
 }
 
+impl Drop for Execution<'_> {
+    /// Finds out about the remaining servers after the call has ended: its deadline has passed, or its caller has left.
+    fn drop(&mut self) {
+        for lost in std::mem::take(&mut self.unconfirmed) {
+            let crashes = self.call.crashes.clone();
+            monoio::spawn(async move { crashes.confirm(lost).await });
+        }
+    }
+}
+
 /// Returns a latency as a multiple of the baseline.
 pub(crate) fn latency_multiple(latency: Duration, baseline: Duration) -> f64 {
     latency.as_secs_f64() / baseline.as_secs_f64().max(1e-6)
--- a/crates/relay/tests/quarantine.rs
+++ b/crates/relay/tests/quarantine.rs
@@ -235,6 +235,27 @@
     });
 }
 
+/// The caller leaves after the server has crashed, while a reply to the hedge is waited for.
+#[test]
+fn crash_of_a_hedged_request_counts_after_its_caller_has_left() {
+    run(async {
+        let crashing = FakeServer::start("s1", |_| Behavior::Crash(Duration::from_millis(250)));
+        let silent = FakeServer::start("s2", |_| Behavior::Silent);
+        let servers = [("one", &crashing), ("one", &silent)];
+        let instance = instance_with(read_and_write_routes(), &servers);
+        let mut connection = RawConnection::open(instance.address).await;
+        connection.write(get("/read/a")).await;
+        while !crashing.crashed.is_set() {
+            sleep(Duration::from_millis(10)).await;
+        }
+        sleep(Duration::from_millis(50)).await;
+        drop(connection);
+        assert_eq!((crashing.arrivals(), silent.arrivals()), (1, 1));
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(instance.relay.meter().crashes.get(), 1);
+    });
+}
+
 /// Servers crash by themselves, each time while they run the same request, which is served in between.
 #[test]
 fn request_that_crashes_have_hit_by_chance_goes_on_being_sent() {
