--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -268,8 +268,7 @@
                     .peers()
                     .record_hop_overhead(&reply, now.elapsed());
                 relay.meter().delegated.add(1);
-                record_leaving(relay, &reply);
-                record_limits(relay, &reply);
+                record_notices(relay, &reply);
                 info!(request = id, peer = %peer.id(), status = reply.status().as_u16(), ms, "peer: answered.");
                 Some(Delegation::Answered(into_answer(reply)))
             }
@@ -354,25 +353,29 @@
     answer::from_reply(reply)
 }
 
-/// Records the servers that said to the peer that they are leaving, as this instance passes on the replies
-/// that said so.
-fn record_leaving(relay: &Relay, reply: &Reply) {
-    let ids = reply.headers().get(LEAVING_HEADER);
-    let ids = ids.and_then(|ids| ids.to_str().ok()).unwrap_or_default();
-    let now = Instant::now();
-    for id in ids.split(',').filter(|id| !id.is_empty()) {
-        relay.registry().mark_leaving(id, now);
+/// Returns the items of a header with a comma-separated list; none if it is missing or isn't text.
+fn list_items<'a>(reply: &'a Reply, name: &HeaderName) -> impl Iterator<Item = &'a str> {
+    let list = reply.headers().get(name);
+    let list = list.and_then(|list| list.to_str().ok()).unwrap_or_default();
+    list.split(',').filter(|item| !item.is_empty())
+}
+
+/// Inserts a header with a comma-separated list, unless the list is empty.
+fn insert_list(answer: &mut Response<Bytes>, name: HeaderName, list: &str) {
+    match HeaderValue::from_str(list) {
+        Ok(list) if !list.is_empty() => drop(answer.headers_mut().insert(name, list)),
+        _ => {}
     }
 }
 
-/// Records the limits that servers named to the peer, as this instance passes on the replies that did.
-fn record_limits(relay: &Relay, reply: &Reply) {
-    let limits = reply.headers().get(LIMITS_HEADER);
-    let limits = limits
-        .and_then(|limits| limits.to_str().ok())
-        .unwrap_or_default();
+/// Records what servers stated about themselves to the peer, as this instance passes on the replies that did.
+fn record_notices(relay: &Relay, reply: &Reply) {
     let now = Instant::now();
-    for (id, per_s) in limits.split(',').filter_map(|limit| limit.rsplit_once('=')) {
+    for id in list_items(reply, &LEAVING_HEADER) {
+        relay.registry().mark_leaving(id, now);
+    }
+    let limits = list_items(reply, &LIMITS_HEADER).filter_map(|limit| limit.rsplit_once('='));
+    for (id, per_s) in limits {
         if let Ok(per_s) = per_s.parse() {
             relay.registry().name_limit(id, per_s, now);
         }
@@ -448,18 +451,10 @@
     answer.headers_mut().insert(HOP_HEADER, took_us);
     let leaving = relay.registry().leaving_servers();
     let first = leaving.len().saturating_sub(MAX_LEAVING);
-    match HeaderValue::from_str(&leaving[first..].join(",")) {
-        Ok(ids) if !ids.is_empty() => drop(answer.headers_mut().insert(LEAVING_HEADER, ids)),
-        _ => {}
-    }
+    insert_list(answer, LEAVING_HEADER, &leaving[first..].join(","));
     let limits = relay.registry().next_limits(MAX_LIMITS);
     let limits = limits.iter().map(|(id, per_s)| format!("{id}={per_s}"));
-    match HeaderValue::from_str(&limits.collect::<Vec<_>>().join(",")) {
-        Ok(limits) if !limits.is_empty() => {
-            drop(answer.headers_mut().insert(LIMITS_HEADER, limits))
-        }
-        _ => {}
-    }
+    insert_list(answer, LIMITS_HEADER, &limits.collect::<Vec<_>>().join(","));
 }
 
 /// Builds the answer to a declined request.
