--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -248,15 +248,20 @@
         }
     }
 
+    /// Returns whether crashes under the request were known before the attempt.
+    pub fn is_suspected(&self) -> bool {
+        self.known > 0
+    }
+
     /// Returns whether a retry may be sent to a service of which `crashed` servers crashed under this attempt.
     pub fn may_retry(&self, crashed: usize) -> bool {
-        let is_suspected = self.known > 0 && self.servers > 0;
-        !is_suspected && crashed < MAX_CRASHES_PER_CALL && self.servers < MAX_CRASHES
+        let is_confirmed = self.is_suspected() && self.has_crashes();
+        !is_confirmed && crashed < MAX_CRASHES_PER_CALL && self.servers < MAX_CRASHES
     }
 
     /// Returns whether hedges may be sent.
     pub fn may_hedge(&self) -> bool {
-        self.known == 0 && self.servers < MAX_CRASHES
+        !self.is_suspected() && self.servers < MAX_CRASHES
     }
 
     /// Returns whether any server crashed under this attempt.
--- a/crates/policy/src/rate_limit.rs
+++ b/crates/policy/src/rate_limit.rs
@@ -64,7 +64,7 @@
 }
 
 impl Default for Limit {
-    /// Returns the part of an instance that doesn't know yet how many share the limit: it only probes.
+    /// Returns the part of an instance that doesn't know yet how many share the limit: nothing.
     fn default() -> Self {
         Self {
             share: 0.0,
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -319,6 +319,7 @@
         let request = caller_request.outgoing(self.call.names, server.target(), time_left);
         let number = self.call.service.next_exchange();
         let baseline = self.call.scheduling.baseline;
+        let turn = self.call.crashes.turn();
         let receiver = server.send(
             request,
             number,
@@ -327,14 +328,14 @@
             self.call.kind == Kind::AtMostOnce,
             Some(Witness {
                 crashes: self.call.crashes.clone(),
-                turn: self.call.crashes.turn(),
+                turn,
             }),
         );
         self.call.meter.exchanges.add(1);
         self.tried.push(server.clone());
         self.running.push(Attempt {
             server,
-            turn: self.call.crashes.turn(),
+            turn,
             number,
             has_budget,
             sent_at: now,
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -65,14 +65,17 @@
 /// How long a watcher holds a read whose changes must take effect within seconds. Reads ask watchers in turn, so a
 /// change that one of them lacks is learned from another one after this time.
 const FEED_WAIT: Duration = Duration::from_millis(1_500);
+/// How long a watcher holds a read whose changes aren't urgent, and the maximum age of its reading.
+const RELAXED_FEED_WAIT: Duration = Duration::from_millis(5_000);
+const RELAXED_MAX_AGE: Duration = Duration::from_millis(40_000);
 /// Pause after a change of servers, so that many changes are read in one call. A draining server keeps
 /// serving for several times as long.
 const SERVERS_PAUSE: Duration = Duration::from_millis(400);
 /// Pause after a change of servers if peers answer the requests.
 const BATCH_PAUSE: Duration = Duration::from_millis(3_000);
 /// Initial and maximum backoff after a failed call to the store.
-const MIN_BACKOFF: Duration = Duration::from_millis(100);
-const MAX_BACKOFF: Duration = Duration::from_millis(500);
+pub(crate) const MIN_BACKOFF: Duration = Duration::from_millis(100);
+pub(crate) const MAX_BACKOFF: Duration = Duration::from_millis(500);
 /// Maximum wait after a failed call for a task that relies on another task to detect the recovery of the
 /// store.
 const MAX_RECOVERY_WAIT: Duration = Duration::from_millis(3_000);
@@ -95,6 +98,15 @@
     }
 }
 
+/// Returns the limits of reads whose changes aren't urgent, given the timeout of one watch of the store.
+pub(crate) fn relaxed_limits(store_wait: Duration) -> Limits {
+    Limits {
+        store_wait,
+        feed_wait: RELAXED_FEED_WAIT,
+        max_age: RELAXED_MAX_AGE,
+    }
+}
+
 /// Notifies the tasks of one process that the store is available again, so that only one of them has to
 /// probe it, or that it was restored from an older copy, so that none waits for changes of the earlier era.
 #[derive(Debug, Clone, Default)]
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -48,6 +48,7 @@
     directory::Directory,
     follow::{
         follow,
+        relaxed_limits,
         Follower,
         StoreRecovery, //
     },
@@ -64,9 +65,6 @@
 /// Timeout of one watch, shorter than the history that a store keeps. An instance whose watch the store has lost learns
 /// of crashes when it writes its own.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(12_000);
-/// How long a watcher holds a read, and the maximum age of its reading.
-const FEED_WAIT: Duration = Duration::from_millis(5_000);
-const MAX_AGE: Duration = Duration::from_millis(40_000);
 /// Initial and maximum backoff after a write that wasn't accepted.
 const MIN_BACKOFF: Duration = Duration::from_millis(20);
 const MAX_BACKOFF: Duration = Duration::from_millis(500);
@@ -114,8 +112,8 @@
             quarantine: self.clone(),
             request: request.id.clone(),
             fingerprint,
-            known,
-            attempt: RefCell::new(Some(Attempt::new(known))),
+            attempt: RefCell::new(Attempt::new(known)),
+            is_served: Cell::new(false),
         })
     }
 
@@ -190,9 +188,8 @@
     /// Id of the request.
     request: HeaderValue,
     fingerprint: Fingerprint,
-    known: usize,
-    /// None once the request is served.
-    attempt: RefCell<Option<Attempt>>,
+    attempt: RefCell<Attempt>,
+    is_served: Cell<bool>,
 }
 
 /// An exchange that ended without a reply.
@@ -213,7 +210,7 @@
 impl Witness {
     /// Finds out whether the server has crashed, after an exchange that nobody waits for ended without a reply.
     pub(crate) async fn report_lost(self, server: Rc<Server>, cause: FailureKind) {
-        if self.crashes.attempt.borrow().is_none() {
+        if self.crashes.is_served.get() {
             return;
         }
         let lost = LostExchange {
@@ -228,10 +225,7 @@
 impl Tracker {
     /// Returns the turn of a sub-request that is sent now.
     pub(crate) fn turn(&self) -> Turn {
-        self.attempt
-            .borrow()
-            .as_ref()
-            .map_or(Turn::default(), Attempt::turn)
+        self.attempt.borrow().turn()
     }
 
     /// Finds out whether the server of an exchange that ended without a reply has crashed, and records that; returns
@@ -270,55 +264,39 @@
             server: id,
             at_ms: now_ms(),
         };
-        if let Some(attempt) = self.attempt.borrow_mut().as_mut() {
-            attempt.record(turn, crash);
-        }
+        self.attempt.borrow_mut().record(turn, crash);
     }
 
     /// Returns whether a retry may be sent to a service of which `crashed` servers crashed under this attempt.
     pub(crate) fn may_retry(&self, crashed: usize) -> bool {
-        let attempt = self.attempt.borrow();
-        attempt
-            .as_ref()
-            .is_some_and(|attempt| attempt.may_retry(crashed))
+        self.attempt.borrow().may_retry(crashed)
     }
 
     /// Returns whether crashes under the request were known before this attempt.
     pub(crate) fn is_suspected(&self) -> bool {
-        self.known > 0
+        self.attempt.borrow().is_suspected()
     }
 
     /// Returns whether any server crashed under this attempt.
     pub(crate) fn has_crashes(&self) -> bool {
-        self.attempt
-            .borrow()
-            .as_ref()
-            .is_some_and(Attempt::has_crashes)
+        self.attempt.borrow().has_crashes()
     }
 
     /// Returns whether hedges may be sent.
     pub(crate) fn may_hedge(&self) -> bool {
-        self.attempt
-            .borrow()
-            .as_ref()
-            .is_some_and(Attempt::may_hedge)
+        self.attempt.borrow().may_hedge()
     }
 
     /// Reports the crashes when the attempt ends; without a crash, a success clears the request.
     pub(crate) fn conclude(&self, was_served: bool) {
-        let mut attempt = self.attempt.borrow_mut();
-        let Some(tracked) = attempt.as_mut() else {
+        if self.is_served.get() {
             return;
-        };
-        let has_crashes = tracked.has_crashes();
-        let report = tracked.report(was_served);
-        if was_served {
-            *attempt = None;
         }
-        drop(attempt);
+        self.is_served.set(was_served);
+        let report = self.attempt.borrow_mut().report(was_served);
         match report.is_empty() {
             false => self.quarantine.report(self.fingerprint, report),
-            true if was_served && !has_crashes && self.known > 0 => {
+            true if was_served && self.is_suspected() && !self.has_crashes() => {
                 self.quarantine.clear(self.fingerprint);
             }
             true => {}
@@ -354,11 +332,7 @@
     }
 
     fn limits(&self) -> Limits {
-        Limits {
-            store_wait: WATCH_TIMEOUT,
-            feed_wait: FEED_WAIT,
-            max_age: MAX_AGE,
-        }
+        relaxed_limits(WATCH_TIMEOUT)
     }
 
     fn listed(&mut self, listing: Listing, _now: Instant) {
--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -28,8 +28,11 @@
     directory::Directory,
     follow::{
         follow,
+        relaxed_limits,
         Follower,
-        StoreRecovery, //
+        StoreRecovery,
+        MAX_BACKOFF,
+        MIN_BACKOFF, //
     },
     mirror::Position,
     peer::Member,
@@ -42,16 +45,10 @@
 
 /// Timeout of one watch of instances, whose changes aren't urgent.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(25_000);
-/// How long a watcher holds a read of instances, and the maximum age of its reading.
-const FEED_WAIT: Duration = Duration::from_millis(5_000);
-const MAX_AGE: Duration = Duration::from_millis(40_000);
 /// Pause after a change, as all instances write their entries within the same seconds.
 const BATCH_PAUSE: Duration = Duration::from_millis(3_000);
 /// The same for an instance that supplies others, which find it behind their first listing until then.
 const WATCHER_BATCH_PAUSE: Duration = Duration::from_millis(1_000);
-/// Initial and maximum backoff after a failed call to the store.
-const MIN_BACKOFF: Duration = Duration::from_millis(100);
-const MAX_BACKOFF: Duration = Duration::from_millis(500);
 /// Pause before the instances are listed again while the first listing doesn't hold them all.
 const FIRST_LISTING_PAUSE: Duration = Duration::from_millis(700);
 /// Maximum number of first listings.
@@ -183,11 +180,7 @@
     }
 
     fn limits(&self) -> Limits {
-        Limits {
-            store_wait: WATCH_TIMEOUT,
-            feed_wait: FEED_WAIT,
-            max_age: MAX_AGE,
-        }
+        relaxed_limits(WATCH_TIMEOUT)
     }
 
     fn listed(&mut self, listing: Listing, now: Instant) {
