--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod hedge;
 pub mod hop;
 pub mod latency;
+pub mod links;
 pub mod pause;
 pub mod quarantine;
 pub mod queue;
--- /dev/null
+++ b/crates/policy/src/links.rs
@@ -0,0 +1,119 @@
+//! Whether an instance has lost its links to the backend servers.
+//!
+//! A server that doesn't reply may be at fault, and so may each of several. Where none replies any more, and none of
+//! other services accepts a connection either, the fault is on the instance's side: its peers still have links.
+
+use std::{
+    collections::BTreeSet,
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+/// Silent servers, with no contact to any server since, that raise a suspicion.
+const MIN_SILENT_SERVERS: usize = 2;
+
+/// State of the links of an instance.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum State {
+    /// Servers reply, or none was asked.
+    #[default]
+    Sound,
+    /// Several servers are silent and none has replied since; probes decide.
+    Suspected,
+    /// No server can be reached.
+    Lost,
+}
+
+/// Change of the state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// The state is the same.
+    None,
+    /// A suspicion arose.
+    Suspected,
+    /// A suspicion was cleared by a contact.
+    Cleared,
+    /// The links are lost.
+    Lost,
+    /// The links are back after this time.
+    Restored(Duration),
+}
+
+/// What an instance has observed of its links.
+#[derive(Debug, Default)]
+pub struct Monitor {
+    state: State,
+    /// Servers that didn't reply or couldn't be reached since the last contact to any server.
+    silent: BTreeSet<Arc<str>>,
+    lost_at: Option<Instant>,
+    last_contact_at: Option<Instant>,
+}
+
+impl Monitor {
+    /// Returns the state.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// Returns the number of silent servers.
+    pub fn silent(&self) -> usize {
+        self.silent.len()
+    }
+
+    /// Returns whether a server is silent.
+    pub fn is_silent(&self, server: &str) -> bool {
+        self.silent.contains(server)
+    }
+
+    /// Returns the time since any server replied or accepted a connection; none if none has.
+    pub fn since_contact(&self, now: Instant) -> Option<Duration> {
+        self.last_contact_at
+            .map(|at| now.saturating_duration_since(at))
+    }
+
+    /// Records that a server replied or accepted a connection.
+    pub fn record_contact(&mut self, now: Instant) -> Change {
+        self.last_contact_at = Some(now);
+        if !self.silent.is_empty() {
+            self.silent.clear();
+        }
+        match std::mem::take(&mut self.state) {
+            State::Sound => Change::None,
+            State::Suspected => Change::Cleared,
+            State::Lost => {
+                let lost_at = self.lost_at.take().unwrap_or(now);
+                Change::Restored(now.saturating_duration_since(lost_at))
+            }
+        }
+    }
+
+    /// Records that a server's reply is overdue or that it couldn't be reached; `known` servers are listed.
+    pub fn record_silence(&mut self, server: &Arc<str>, known: usize) -> Change {
+        if self.state == State::Lost || !self.silent.insert(server.clone()) {
+            return Change::None;
+        }
+        let needed = MIN_SILENT_SERVERS.min(known);
+        match self.state {
+            State::Sound if self.silent.len() >= needed => {
+                self.state = State::Suspected;
+                Change::Suspected
+            }
+            _ => Change::None,
+        }
+    }
+
+    /// Records that probes reached no server: a suspicion is confirmed.
+    pub fn record_failed_probes(&mut self, now: Instant) -> Change {
+        match self.state {
+            State::Suspected => {
+                self.state = State::Lost;
+                self.lost_at = Some(now);
+                Change::Lost
+            }
+            State::Sound | State::Lost => Change::None,
+        }
+    }
+}
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -296,6 +296,9 @@
 
     fn send_hedge(&mut self) {
         let now = Instant::now();
+        if let Some(initial) = self.running.iter().next() {
+            initial.server.record_silence();
+        }
         self.hedge_not_before = Some(now + HEDGE_RETRY_DELAY);
         let service = &self.call.service;
         let Some(server) = service.try_choose(self.call.scheduling.baseline, &self.tried) else {
@@ -545,6 +548,7 @@
         // Replies that are no longer waited for aren't recorded. Without this sample, a slow server that is
         // always hedged would keep its old slowness.
         if !self.has_ended && elapsed_multiple > 1.0 {
+            self.server.record_silence();
             self.server.record_latency(now, elapsed_multiple);
         }
     }
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -206,12 +206,14 @@
     let (sender, mut jobs) = mpsc::unbounded();
     match connect(&server).await {
         Ok(mut connection) => {
+            server.record_contact();
             connection
                 .serve(&server, Handle(sender), &mut jobs, first_job)
                 .await
         }
         Err(kind) => {
             server.connection_refused();
+            server.record_silence();
             if let Some(job) = first_job {
                 job.fail(kind);
                 server.exchange_ended();
@@ -401,8 +403,15 @@
                 let (status, headers) = (reply.status(), reply.headers());
                 server.record_notices(status, headers, sent_at, Instant::now());
             }
-            Err(failure) if failure.kind == FailureKind::Timeout => server.record_timeout(),
-            Err(_) => {}
+            Err(failure) => match failure.kind {
+                FailureKind::Timeout => {
+                    server.record_silence();
+                    server.record_timeout();
+                }
+                FailureKind::Closed => server.record_silence(),
+                // The server has accepted a connection or sent bytes.
+                _ => {}
+            },
         }
         let reuse = match &result {
             Ok(reply) if self.is_reusable(reply.headers()) => {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod headers;
 mod in_flight;
 pub mod latency;
+pub mod links;
 pub mod maintenance;
 pub mod merge;
 pub mod meter;
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -54,6 +54,7 @@
 
 use crate::{
     headers::HeaderNames,
+    links::Links,
     peer::{
         Member,
         Peers, //
@@ -103,6 +104,7 @@
     members: RefCell<Vec<Member>>,
     plan: RefCell<Plan>,
     peers: Peers,
+    links: Rc<Links>,
     watchers: RefCell<Vec<Member>>,
     instances_listed: Stop,
     shard_services: RefCell<HashSet<Arc<str>>>,
@@ -125,7 +127,7 @@
     pub fn new(settings: Settings, started_at: Instant) -> Rc<Self> {
         let local = settings.local.clone();
         let budget = Budget::new(settings.retry_budget, 1, started_at);
-        let peers = Service::new(Arc::from("peers"), local.zone.clone(), budget);
+        let peers = Service::new(Arc::from("peers"), local.zone.clone(), budget, None);
         Rc::new(Self {
             settings: RefCell::new(settings),
             services: RefCell::default(),
@@ -134,6 +136,7 @@
             members: RefCell::new(vec![local]),
             plan: RefCell::new(Plan::Everyone),
             peers: Peers::new(peers),
+            links: Rc::default(),
             watchers: RefCell::default(),
             instances_listed: Stop::new(),
             shard_services: RefCell::default(),
@@ -167,7 +170,8 @@
             self.known_instance_count(),
             self.started_at,
         );
-        let service = Service::new(name.clone(), zone, budget);
+        let links = Some(self.links.clone());
+        let service = Service::new(name.clone(), zone, budget, links);
         let mut services = self.services.borrow_mut();
         services.insert(name.clone(), service.clone());
         service
@@ -299,6 +303,7 @@
         server.set_standing(standing);
         service.add(server.clone());
         self.servers.borrow_mut().insert(id, server);
+        self.links.set_known(self.servers.borrow().len());
     }
 
     /// Records that a peer has had a reply of the server `id` that says that it is leaving.
@@ -382,6 +387,7 @@
             service.remove(server);
         }
         self.servers.borrow_mut().remove(server.id());
+        self.links.set_known(self.servers.borrow().len());
     }
 
     /// Sets the instances that share the servers.
@@ -474,6 +480,11 @@
         &self.peers
     }
 
+    /// Returns the links of this instance to the servers.
+    pub fn links(&self) -> Rc<Links> {
+        self.links.clone()
+    }
+
     /// Returns whether this instance gathers its queries itself.
     pub fn gathers_queries(&self) -> bool {
         let own_cores = self.settings.borrow().local.cores;
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -56,6 +56,7 @@
         Job,
         Reply, //
     },
+    links::Links,
     quarantine::Witness,
     service::Service,
 };
@@ -94,6 +95,7 @@
     /// None for a peer, which states nothing about itself.
     notices: Option<Notices>,
     service: Weak<Service>,
+    links: Option<Rc<Links>>,
     standing: Cell<Standing>,
     said_leaving_at: Cell<Option<Instant>>,
     pause: Cell<Pause>,
@@ -175,6 +177,7 @@
             linger,
             notices,
             service: Rc::downgrade(service),
+            links: service.links().cloned(),
             standing: Cell::new(Standing::Ready),
             said_leaving_at: Cell::new(None),
             pause: Cell::default(),
@@ -449,6 +452,21 @@
     /// Records that a complete reply has arrived, whatever its status and whether or not anyone waits for it.
     pub(crate) fn record_reply(&self) {
         self.replied_at.set(Some(Instant::now()));
+        self.record_contact();
+    }
+
+    /// Records that it replied or accepted a connection.
+    pub(crate) fn record_contact(&self) {
+        if let Some(links) = &self.links {
+            links.record_contact();
+        }
+    }
+
+    /// Records that its reply is overdue or that it couldn't be reached.
+    pub(crate) fn record_silence(&self) {
+        if let Some(links) = &self.links {
+            links.record_silence(self.id());
+        }
     }
 
     /// Records that an exchange timed out or was abandoned without a reply.
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -31,7 +31,10 @@
     },
 };
 
-use crate::server::Server;
+use crate::{
+    links::Links,
+    server::Server, //
+};
 
 /// Maximum number of requests that wait for a server of one service; more couldn't be served in time.
 const MAX_QUEUED: usize = 64;
@@ -72,6 +75,8 @@
     servers: RefCell<Vec<Rc<Server>>>,
     queue: RefCell<Queue<oneshot::Sender<()>>>,
     budget: RefCell<Budget>,
+    /// Links to backend servers; none for peers.
+    links: Option<Rc<Links>>,
     last_exchange: Cell<u64>,
 }
 
@@ -82,13 +87,19 @@
 }
 
 impl Service {
-    pub(crate) fn new(name: Arc<str>, zone: Arc<str>, budget: Budget) -> Rc<Self> {
+    pub(crate) fn new(
+        name: Arc<str>,
+        zone: Arc<str>,
+        budget: Budget,
+        links: Option<Rc<Links>>,
+    ) -> Rc<Self> {
         Rc::new(Self {
             name,
             zone,
             servers: RefCell::default(),
             queue: RefCell::new(Queue::new(MAX_QUEUED)),
             budget: RefCell::new(budget),
+            links,
             last_exchange: Cell::new(0),
         })
     }
@@ -98,6 +109,11 @@
         &self.name
     }
 
+    /// Returns the links to backend servers; none for peers.
+    pub(crate) fn links(&self) -> Option<&Rc<Links>> {
+        self.links.as_ref()
+    }
+
     /// Returns the servers, sorted by id so that all instances have the same order.
     pub fn servers(&self) -> Vec<Rc<Server>> {
         self.servers.borrow().clone()
--- a/crates/tanageryoke/src/commands/relay.rs
+++ b/crates/tanageryoke/src/commands/relay.rs
@@ -30,6 +30,7 @@
 use relay::{
     caller::Origin,
     follow,
+    links,
     maintenance,
     meter::Meter,
     peer::Member,
@@ -176,6 +177,7 @@
     let context = context(&settings, platform_settings)?;
     follow_store(&context);
     monoio::spawn(maintenance::run(context.relay.clone()));
+    monoio::spawn(links::run(context.relay.clone()));
     monoio::spawn(reload(context.clone(), reload_signals));
     let stop = Stop::new();
     serve_admin(&context, readiness, admin);
