test(relay): callers of an instance without links to backend servers

Three instances of equal size reach each server through links of their own. The links of one or two of them fall silent, or are reset and refuse new connections.

--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, unreachable_pub, unused_imports)]
 
+pub mod cut;
 mod fake;
 pub mod node;
 pub mod store;
