fix(relay, policy): requests of an instance without links go to its peers

Cause: an instance judged each server by itself.

Without a taker a request is refused at once. Requests in flight at the loss that may run again are passed on, others keep waiting. Probes restore the links, and what was observed of servers meanwhile is forgotten.

A reply that is overdue at the deadline is now Late and never a broken exchange, whichever timer fires first: silent_server_leads_to_the_timeout_of_the_route got 502 while the order of the timers had changed.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -56,5 +56,6 @@
 pub mod retry;
 pub mod retry_budget;
 pub mod slowness;
+pub mod standby;
 pub mod subset;
 pub mod watchers;
--- a/crates/policy/src/links.rs
+++ b/crates/policy/src/links.rs
@@ -12,6 +12,8 @@
     },
 };
 
+/// Number of servers that are probed at once.
+const PROBES: usize = 4;
 /// Silent servers, with no contact to any server since, that raise a suspicion.
 const MIN_SILENT_SERVERS: usize = 2;
 
@@ -117,3 +119,37 @@
         }
     }
 }
+
+/// A server that may be probed.
+#[derive(Debug, Clone, Copy)]
+pub struct Target<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Availability zone.
+    pub zone: &'a str,
+    /// Whether it is silent.
+    pub is_silent: bool,
+}
+
+/// Returns the indexes of the servers to probe in round `round`: rather of different services and zones than others,
+/// so that the failure of one of these isn't taken for a loss, and rather ones that aren't silent.
+pub fn choose_probes(targets: &[Target<'_>], round: usize) -> Vec<usize> {
+    let mut left: Vec<usize> = (0..targets.len()).collect();
+    left.rotate_left((round * PROBES) % targets.len().max(1));
+    let mut chosen: Vec<usize> = Vec::new();
+    while chosen.len() < PROBES.min(targets.len()) {
+        let cost = |index: &usize| {
+            let target = &targets[*index];
+            let others = || chosen.iter().map(|other| &targets[*other]);
+            let same_zone = others().filter(|other| other.zone == target.zone).count();
+            let is_same_service = others().any(|other| other.service == target.service);
+            (target.is_silent, is_same_service, same_zone)
+        };
+        let costs: Vec<_> = left.iter().map(cost).collect();
+        let Some(best) = (0..left.len()).min_by_key(|position| costs[*position]) else {
+            break;
+        };
+        chosen.push(left.remove(best));
+    }
+    chosen
+}
--- a/crates/policy/tests/links.rs
+++ b/crates/policy/tests/links.rs
@@ -10,9 +10,11 @@
 
 use insta::assert_debug_snapshot;
 use policy::links::{
+    choose_probes,
     Change,
     Monitor,
-    State, //
+    State,
+    Target, //
 };
 
 const MS: Duration = Duration::from_millis(1);
@@ -81,3 +83,19 @@
     assert_eq!(change, Change::Suspected);
     assert_eq!(monitor.record_contact(Instant::now()), Change::Cleared);
 }
+
+/// A rack with all servers of one service and one of each other is down; other servers are of two zones.
+#[test]
+fn probes_go_to_other_services_and_zones_than_silent_servers() {
+    let services = ["a", "a", "a", "b", "b", "b", "c", "c", "c", "d", "d", "d"];
+    let target = |(number, service)| Target {
+        service,
+        zone: ["x", "y", "z"][number % 3],
+        is_silent: number < 3 || number % 3 == 0,
+    };
+    let targets: Vec<Target<'_>> = services.into_iter().enumerate().map(target).collect();
+    let rounds: Vec<Vec<usize>> = (0..3).map(|round| choose_probes(&targets, round)).collect();
+    assert_eq!(rounds, [[4, 8, 10, 5], [4, 8, 10, 5], [8, 10, 4, 11]]);
+    assert_eq!(choose_probes(&targets[..1], 5), [0]);
+    assert_eq!(choose_probes(&[], 5), [0; 0]);
+}
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -37,11 +37,21 @@
     answer
 }
 
+/// Marks a refusal: no server has run the request or will run it.
+#[derive(Debug, Clone)]
+struct Refused;
+
+/// Returns whether an answer is a refusal of this instance.
+pub fn is_refusal(answer: &Response<Bytes>) -> bool {
+    answer.extensions().get::<Refused>().is_some()
+}
+
 /// Builds the 503 refusal of a request that no server has run or will run.
 ///
 /// `Retry-After` is written in seconds with three decimals.
 pub fn refusal(text: &'static str, retry_after: Duration) -> Response<Bytes> {
     let mut answer = with_text(StatusCode::SERVICE_UNAVAILABLE, text);
+    answer.extensions_mut().insert(Refused);
     let seconds = format!("{:.3}", retry_after.as_secs_f64());
     if let Ok(value) = HeaderValue::from_str(&seconds) {
         answer.headers_mut().insert(RETRY_AFTER, value);
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -184,6 +184,7 @@
 enum Event {
     AttemptEnded(Box<EndedAttempt>),
     HedgeDue,
+    ReplyOverdue,
     DeadlinePassed,
 }
 
@@ -198,6 +199,7 @@
             match self.next_event().await {
                 Event::DeadlinePassed => return self.late_outcome(),
                 Event::HedgeDue => self.send_hedge(),
+                Event::ReplyOverdue => self.record_overdue(),
                 Event::AttemptEnded(ended) => match self.handle_ended(*ended) {
                     Some(reply) => {
                         self.unconfirmed.clear();
@@ -216,16 +218,52 @@
     }
 
     async fn next_event(&mut self) -> Event {
+        let deadline = self.call.scheduling.deadline;
         let hedge_at = self.hedge_at();
-        let until = hedge_at.unwrap_or(self.call.scheduling.deadline);
-        let timer = std::pin::pin!(sleep_until(until.into()));
+        let overdue_at = self.overdue_at().filter(|at| *at < deadline);
+        let until = hedge_at.into_iter().chain(overdue_at).min();
+        let timer = std::pin::pin!(sleep_until(until.unwrap_or(deadline).into()));
         match select(self.running.next(), timer).await {
             Either::Left((Some(ended), _)) => Event::AttemptEnded(Box::new(ended)),
-            Either::Right(_) if hedge_at.is_some() => Event::HedgeDue,
+            Either::Right(_) if until.is_some() && until == hedge_at => Event::HedgeDue,
+            Either::Right(_) if until.is_some() => Event::ReplyOverdue,
             _ => Event::DeadlinePassed,
         }
     }
 
+    /// Returns when the reply of a sub-request is overdue whose server isn't recorded as silent yet.
+    fn overdue_at(&self) -> Option<Instant> {
+        let waiting = self.running.iter().filter(|attempt| !attempt.is_overdue);
+        waiting.map(|attempt| self.due_at(attempt)).min()
+    }
+
+    /// Records the servers whose reply is overdue as silent.
+    fn record_overdue(&mut self) {
+        let now = Instant::now();
+        let due: Vec<bool> = self
+            .running
+            .iter()
+            .map(|one| self.due_at(one) <= now)
+            .collect();
+        for (attempt, is_due) in self.running.iter_mut().zip(due) {
+            if is_due && !attempt.is_overdue {
+                attempt.is_overdue = true;
+                attempt.server.record_silence();
+            }
+        }
+    }
+
+    /// Returns when a sub-request takes so long that another one may be sent.
+    fn due_at(&self, attempt: &Attempt) -> Instant {
+        let scheduling = &self.call.scheduling;
+        hedge::due_at(
+            attempt.sent_at,
+            self.call.route_latency.hedge_delay(),
+            scheduling.baseline,
+            scheduling.answer_by,
+        )
+    }
+
     /// Returns when to send a hedge; none if there is to be none.
     fn hedge_at(&self) -> Option<Instant> {
         let may_hedge = self.call.kind == Kind::Idempotent
@@ -233,14 +271,7 @@
             && self.has_attempts_left()
             && self.call.crashes.may_hedge();
         let initial = self.running.iter().next().filter(|_| may_hedge)?;
-        let scheduling = &self.call.scheduling;
-        let hedge_delay = self.call.route_latency.hedge_delay();
-        let at = hedge::due_at(
-            initial.sent_at,
-            hedge_delay,
-            scheduling.baseline,
-            scheduling.answer_by,
-        );
+        let at = self.due_at(initial);
         let at = self
             .hedge_not_before
             .map_or(at, |earliest| earliest.max(at));
@@ -296,9 +327,6 @@
 
     fn send_hedge(&mut self) {
         let now = Instant::now();
-        if let Some(initial) = self.running.iter().next() {
-            initial.server.record_silence();
-        }
         self.hedge_not_before = Some(now + HEDGE_RETRY_DELAY);
         let service = &self.call.service;
         let Some(server) = service.try_choose(self.call.scheduling.baseline, &self.tried) else {
@@ -343,6 +371,7 @@
             has_budget,
             sent_at: now,
             baseline,
+            is_overdue: false,
             has_ended: false,
             receiver,
         });
@@ -432,7 +461,11 @@
                 cause: failure.kind,
             });
         }
-        self.keep_failure(PendingFailure::Cause(Cause::Broken(failure.kind)));
+        let cause = match failure.kind {
+            connection::FailureKind::Timeout => Cause::Late,
+            kind => Cause::Broken(kind),
+        };
+        self.keep_failure(PendingFailure::Cause(cause));
     }
 
     /// Finds out which servers have crashed, of those whose exchange ended without a reply.
@@ -501,6 +534,7 @@
     has_budget: bool,
     sent_at: Instant,
     baseline: Duration,
+    is_overdue: bool,
     has_ended: bool,
     receiver: oneshot::Receiver<Result<Reply, Failure>>,
 }
@@ -548,7 +582,6 @@
         // Replies that are no longer waited for aren't recorded. Without this sample, a slow server that is
         // always hedged would keep its old slowness.
         if !self.has_ended && elapsed_multiple > 1.0 {
-            self.server.record_silence();
             self.server.record_latency(now, elapsed_multiple);
         }
     }
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -57,6 +57,11 @@
     MonoioTimer, //
 };
 use policy::completion;
+use route::{
+    Kind,
+    Route,
+    Table, //
+};
 use tracing::{
     debug,
     warn, //
@@ -69,6 +74,7 @@
     in_flight::InFlight,
     peer::{
         self,
+        Decline,
         Delegation, //
     },
     relay::Relay,
@@ -88,6 +94,8 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause after a failed accept, so that running out of file descriptors doesn't cause a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Text of the answer to a request that a peer may have run.
+const NO_PEER_ANSWER: &str = "no answer of a peer";
 /// Minimum read buffer that `hyper` accepts.
 const MIN_READ_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -330,19 +338,84 @@
     if let Some(refusal) = relay.refuse_quarantined(&caller_request) {
         return refusal;
     }
+    let route = route.as_deref();
+    let from_caller = arrival.origin == Origin::Caller;
+    if from_caller && relay.registry().links().are_lost() {
+        return pass_on(relay, &caller_request, route, false).await;
+    }
     if delegates {
-        match peer::delegate(relay, &caller_request, route.as_deref()).await {
+        match peer::delegate(relay, &caller_request, route).await {
             Delegation::Answered(answer) => return answer,
-            Delegation::NotTaken => {}
+            Delegation::NotTaken { .. } => {}
             // The peer may have used up the attempts of the route.
-            Delegation::MayHaveRun => {
-                return refuse(StatusCode::BAD_GATEWAY, "no answer of a peer")
-            }
+            Delegation::MayHaveRun => return refuse(StatusCode::BAD_GATEWAY, NO_PEER_ANSWER),
         }
     }
     match (table, route) {
-        (Some(table), Some(route)) => relay.answer(&table, &route, &caller_request).await,
+        (Some(table), Some(route)) => {
+            let local = answer_while_linked(relay, &table, route, &caller_request).await;
+            let may_have_run = match local {
+                Local::Answered(answer) => return answer,
+                Local::NotRun => false,
+                Local::Abandoned => true,
+            };
+            match arrival.origin {
+                Origin::Caller => pass_on(relay, &caller_request, Some(route), may_have_run).await,
+                Origin::Peer if may_have_run => peer::decline_answer(Decline::Abandoned),
+                Origin::Peer => peer::decline_answer(Decline::Unlinked),
+            }
+        }
         (Some(_), None) => refuse(StatusCode::NOT_FOUND, "no route"),
         (None, _) => relay.unconfigured_answer(),
     }
 }
+
+/// Result of answering a request on this instance, whose links may be lost meanwhile.
+enum Local {
+    /// It was answered.
+    Answered(Response<Bytes>),
+    /// The links are lost, and no server has run it.
+    NotRun,
+    /// The links are lost. Servers may have run it, and it may run again.
+    Abandoned,
+}
+
+async fn answer_while_linked(
+    relay: &Relay,
+    table: &Table,
+    route: &Route,
+    caller_request: &CallerRequest,
+) -> Local {
+    let links = relay.registry().links();
+    let answer = pin!(relay.answer(table, route, caller_request));
+    let loss = pin!(links.wait_for_loss());
+    let answer = match select(answer, loss).await {
+        Either::Left((answer, _)) => answer,
+        Either::Right(_) if route.kind == Kind::Idempotent => return Local::Abandoned,
+        Either::Right(((), answer)) => answer.await,
+    };
+    match links.are_lost() && answer::is_refusal(&answer) {
+        true => Local::NotRun,
+        false => Local::Answered(answer),
+    }
+}
+
+/// Passes on a request that this instance can't serve, as its links are lost.
+async fn pass_on(
+    relay: &Relay,
+    caller_request: &CallerRequest,
+    route: Option<&Route>,
+    may_have_run: bool,
+) -> Response<Bytes> {
+    match peer::delegate(relay, caller_request, route).await {
+        Delegation::Answered(answer) => answer,
+        Delegation::NotTaken {
+            may_have_run: other,
+        } if !may_have_run && !other => relay.refuse_unlinked(caller_request),
+        Delegation::NotTaken { .. } | Delegation::MayHaveRun => {
+            let id = caller_request.id.to_str().unwrap_or("unprintable");
+            relay.record_unrouted(id, NO_PEER_ANSWER, StatusCode::BAD_GATEWAY);
+            answer::with_text(StatusCode::BAD_GATEWAY, NO_PEER_ANSWER)
+        }
+    }
+}
--- a/crates/relay/src/maintenance.rs
+++ b/crates/relay/src/maintenance.rs
@@ -37,7 +37,9 @@
     loop {
         let now = Instant::now();
         relay.registry().sweep(now);
-        if let Some(table) = relay.table() {
+        let table = relay.table();
+        // Probes tell when the links are back.
+        if let Some(table) = table.filter(|_| !relay.registry().links().are_lost()) {
             if relay.registry().knows_instances() {
                 preconnect(&relay, &table);
             }
--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -87,6 +87,10 @@
     pub declined: Counter,
     /// Requests passed on to a peer that didn't reply.
     pub peer_failures: Counter,
+    /// Times that the links to all backend servers were lost.
+    pub links_lost: Counter,
+    /// Requests that no peer accepted while the links were lost.
+    pub unlinked: Counter,
     /// Readings of the store that a watcher supplied.
     pub supplied: Counter,
     /// Reads of the store because no watcher supplied a reading.
@@ -130,6 +134,8 @@
             delegated: Counter::default(),
             declined: Counter::default(),
             peer_failures: Counter::default(),
+            links_lost: Counter::default(),
+            unlinked: Counter::default(),
             supplied: Counter::default(),
             unsupplied: Counter::default(),
             feed_polls: Counter::default(),
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -1,4 +1,5 @@
-//! Passes requests on to other instances that have more processor time.
+//! Passes requests on to other instances: to those that have more processor time, and to any while this instance has
+//! lost its links to the backend servers.
 //!
 //! A peer listens on a separate port and speaks the same protocol as for callers, so a hop is an exchange
 //! on a [`crate::connection`], whose reply is passed on unchanged. Two additional headers carry the
@@ -55,9 +56,12 @@
 const LEAVING_HEADER: HeaderName = HeaderName::from_static("tanageryoke-leaving");
 /// In a reply: ids of servers that name a limit, each with `=` and the limit, separated by commas.
 const LIMITS_HEADER: HeaderName = HeaderName::from_static("tanageryoke-limits");
-/// Present if a peer declined the request.
+/// Present if a peer declined the request; [`ABANDONED`] if it may have run.
 const DECLINED_HEADER: HeaderName = HeaderName::from_static("tanageryoke-declined");
 
+/// Value of [`DECLINED_HEADER`] for a request that a peer gave up after servers may have run it.
+const ABANDONED: HeaderValue = HeaderValue::from_static("abandoned");
+
 /// Latency objective and timeout of a request whose route this instance doesn't know.
 const DEFAULT_OBJECTIVE: Duration = Duration::from_millis(500);
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
@@ -70,6 +74,9 @@
 const UNRESPONSIVE_OBJECTIVES: u32 = 2;
 /// Maximum number of peers that are tried for one request: each that declines costs a round trip.
 const MAX_PEERS_PER_REQUEST: usize = 3;
+/// Maximum number of peers that are tried for one request while the links of this instance are lost: those of several
+/// others may be lost as well.
+const MAX_PEERS_WITHOUT_LINKS: usize = 8;
 /// Maximum number of leaving servers that a reply names: the latest ones.
 const MAX_LEAVING: usize = 64;
 /// Maximum number of limits that a reply names; the next replies name others.
@@ -92,40 +99,87 @@
     pub cores: f64,
 }
 
-/// The instances that answer requests for this one.
+/// Instances that are asked for the same reason.
 #[derive(Debug)]
-pub struct Peers {
+struct Group {
     service: Rc<Service>,
     members: RefCell<Vec<Member>>,
+}
+
+impl Group {
+    fn new(service: Rc<Service>) -> Self {
+        Self {
+            service,
+            members: RefCell::default(),
+        }
+    }
+
+    fn set_members(&self, members: Vec<Member>) {
+        let previous = self.members.replace(members.clone());
+        if previous == members {
+            return;
+        }
+        let now = Instant::now();
+        for server in self.service.servers() {
+            let stays = |member: &Member| {
+                let known = server.description();
+                member.name == known.id
+                    && member.address == known.address
+                    && member.zone == known.zone
+            };
+            if !members.iter().any(stays) {
+                server.close();
+                self.service.remove(&server);
+            }
+        }
+        for member in members {
+            let known = self.service.servers();
+            if !known.iter().any(|server| **server.id() == *member.name) {
+                let server = Server::peer(description(member), &self.service, now);
+                server.set_max_connections(MAX_CONNECTIONS_PER_PEER);
+                self.service.add(server);
+            }
+        }
+    }
+}
+
+/// The instances that answer requests for this one.
+#[derive(Debug)]
+pub struct Peers {
+    /// Those that gather its queries; empty if it gathers them itself.
+    gatherers: Group,
+    /// Further ones that answer while the links of this instance are lost.
+    standby: Group,
     /// Overhead of hops beyond the peer's own processing time.
     hop_overhead: RefCell<Overhead>,
 }
 
 impl Peers {
-    /// Creates an empty set.
-    pub(crate) fn new(service: Rc<Service>) -> Self {
+    /// Creates empty sets.
+    pub(crate) fn new(gatherers: Rc<Service>, standby: Rc<Service>) -> Self {
         Self {
-            service,
-            members: RefCell::default(),
+            gatherers: Group::new(gatherers),
+            standby: Group::new(standby),
             hop_overhead: RefCell::default(),
         }
     }
 
-    /// Returns whether any peer is available now.
+    /// Returns whether any instance that gathers is available now.
     pub(crate) fn is_reachable(&self, now: Instant) -> bool {
-        self.service.is_reachable(now)
+        self.gatherers.service.is_reachable(now)
     }
 
-    /// Returns the availability zones of the peers.
+    /// Returns the availability zones of the instances that gather.
     pub fn zones(&self) -> Vec<Arc<str>> {
-        let peers = self.service.servers();
+        let peers = self.gatherers.service.servers();
         let zone = |peer: &Rc<Server>| peer.description().zone.clone();
         peers.iter().map(zone).collect()
     }
 
     /// Sets what the zone of each peer costs, given the share of the shards that have a server in a zone.
     pub(crate) fn set_zone_costs(&self, local_zone: &str, shard_share: impl Fn(&str) -> f64) {
-        for server in self.service.servers() {
+        let groups = [&self.gatherers, &self.standby];
+        for server in groups.iter().flat_map(|group| group.service.servers()) {
             let zone = &*server.description().zone;
             let cost = delegation::zone_cost(zone == local_zone, shard_share(zone));
             server.set_zone_cost(cost);
@@ -143,33 +197,28 @@
         }
     }
 
-    /// Sets the instances that answer requests for this one; empty if it gathers queries itself.
-    pub(crate) fn set_members(&self, members: Vec<Member>) {
-        let previous = self.members.replace(members.clone());
-        if previous == members {
-            return;
-        }
-        let now = Instant::now();
-        for server in self.service.servers() {
-            let stays = |member: &Member| {
-                let known = server.description();
-                member.name == known.id
-                    && member.address == known.address
-                    && member.zone == known.zone
-            };
-            if !members.iter().any(stays) {
-                server.close();
-                self.service.remove(&server);
-            }
-        }
-        for member in members {
-            let known = self.service.servers();
-            if !known.iter().any(|server| **server.id() == *member.name) {
-                let server = Server::peer(description(member), &self.service, now);
-                server.set_max_connections(MAX_CONNECTIONS_PER_PEER);
-                self.service.add(server);
-            }
-        }
+    /// Sets the instances that gather queries for this one, empty if it gathers them itself, and those that answer
+    /// while its links are lost.
+    pub(crate) fn set_members(&self, gatherers: Vec<Member>, standby: Vec<Member>) {
+        self.gatherers.set_members(gatherers);
+        self.standby.set_members(standby);
+    }
+
+    /// Chooses a peer that isn't among `tried`, with its service.
+    fn try_choose(
+        &self,
+        baseline: Duration,
+        tried: &[Rc<Server>],
+        includes_standby: bool,
+    ) -> Option<(Rc<Service>, Rc<Server>)> {
+        let groups = [
+            Some(&self.gatherers),
+            Some(&self.standby).filter(|_| includes_standby),
+        ];
+        groups.into_iter().flatten().find_map(|group| {
+            let peer = group.service.try_choose(baseline, tried)?;
+            Some((group.service.clone(), peer))
+        })
     }
 }
 
@@ -191,8 +240,11 @@
 pub(crate) enum Delegation {
     /// A peer answered it.
     Answered(Response<Bytes>),
-    /// No peer accepted it.
-    NotTaken,
+    /// No peer answers it.
+    NotTaken {
+        /// Whether one gave it up after servers may have run it; it may run again.
+        may_have_run: bool,
+    },
     /// A peer may have run it.
     MayHaveRun,
 }
@@ -206,43 +258,70 @@
     caller_request: &CallerRequest,
     route: Option<&Route>,
 ) -> Delegation {
-    let service = &relay.registry().peers().service;
     let objective = route.map_or(DEFAULT_OBJECTIVE, |route| route.objective);
     let reply_timeout = route.map_or(DEFAULT_TIMEOUT, |route| route.timeout);
+    let is_unlinked = relay.registry().links().are_lost();
+    let max_peers = match is_unlinked {
+        true => MAX_PEERS_WITHOUT_LINKS,
+        false => MAX_PEERS_PER_REQUEST,
+    };
     let mut tried: Vec<Rc<Server>> = Vec::new();
-    while tried.len() < MAX_PEERS_PER_REQUEST {
+    let mut may_have_run = false;
+    while tried.len() < max_peers {
         let baseline = objective.mul_f64(BASELINE_SHARE);
-        let Some(peer) = service.try_choose(baseline, &tried) else {
-            return Delegation::NotTaken;
+        let peers = relay.registry().peers();
+        let Some((service, peer)) = peers.try_choose(baseline, &tried, is_unlinked) else {
+            break;
         };
         tried.push(peer.clone());
         let attempt = PeerAttempt {
             relay,
             caller_request,
+            service,
             peer,
             objective,
             reply_timeout,
         };
         match attempt.run().await {
-            Some(delegation) => return delegation,
-            None => relay.meter().declined.add(1),
+            Attempted::Answered(answer) => return Delegation::Answered(answer),
+            Attempted::Declined { is_abandoned } => may_have_run |= is_abandoned,
+            // This instance answers the request instead, if it has links.
+            Attempted::Unsent if is_unlinked => {}
+            Attempted::Unsent => break,
+            Attempted::Lost => return Delegation::MayHaveRun,
         }
     }
-    Delegation::NotTaken
+    Delegation::NotTaken { may_have_run }
+}
+
+/// Result of one attempt to pass a request on to a peer.
+enum Attempted {
+    /// The peer answered it.
+    Answered(Response<Bytes>),
+    /// The peer declined it.
+    Declined {
+        /// Whether it did so after servers may have run it.
+        is_abandoned: bool,
+    },
+    /// No byte of it was sent.
+    Unsent,
+    /// It was sent, and no answer arrived.
+    Lost,
 }
 
 /// One attempt to pass a request on to a peer.
 struct PeerAttempt<'a> {
     relay: &'a Relay,
     caller_request: &'a CallerRequest,
+    service: Rc<Service>,
     peer: Rc<Server>,
     objective: Duration,
     reply_timeout: Duration,
 }
 
 impl PeerAttempt<'_> {
-    /// Runs the exchange; returns none if the peer declines the request.
-    async fn run(&self) -> Option<Delegation> {
+    /// Runs the exchange.
+    async fn run(&self) -> Attempted {
         let Self {
             relay,
             caller_request,
@@ -257,8 +336,10 @@
         match result {
             Some(Ok(Ok(reply))) if reply.headers().contains_key(DECLINED_HEADER) => {
                 let is_out = peer.record_failure(Instant::now()) != Transition::None;
-                info!(request = id, peer = %peer.id(), ms, is_out, "peer: request declined.");
-                None
+                let is_abandoned = reply.headers()[DECLINED_HEADER] == ABANDONED;
+                info!(request = id, peer = %peer.id(), ms, is_out, is_abandoned, "peer: request declined.");
+                relay.meter().declined.add(1);
+                Attempted::Declined { is_abandoned }
             }
             Some(Ok(Ok(reply))) if reply.headers().contains_key(HOP_HEADER) => {
                 peer.record_success();
@@ -270,9 +351,9 @@
                 relay.meter().delegated.add(1);
                 record_notices(relay, &reply);
                 info!(request = id, peer = %peer.id(), status = reply.status().as_u16(), ms, "peer: answered.");
-                Some(Delegation::Answered(into_answer(reply)))
+                Attempted::Answered(into_answer(reply))
             }
-            failure => Some(self.failed(id, ms, failure)),
+            failure => self.failed(id, ms, failure),
         }
     }
 
@@ -294,7 +375,7 @@
         request
             .headers_mut()
             .insert(HOP_HEADER, hop_header(relay, caller_request, now));
-        let number = relay.registry().peers().service.next_exchange();
+        let number = self.service.next_exchange();
         let mut receiver = peer.send(request, number, now + time_left, baseline, false, None);
         let first_wait = time_left.min((self.objective * UNRESPONSIVE_OBJECTIVES).max(MIN_WAIT));
         let mut result = timeout(first_wait, &mut receiver).await;
@@ -305,7 +386,7 @@
         result.ok()
     }
 
-    fn failed(&self, id: &str, ms: u64, failure: Option<ExchangeResult>) -> Delegation {
+    fn failed(&self, id: &str, ms: u64, failure: Option<ExchangeResult>) -> Attempted {
         let peer = &self.peer;
         self.relay.meter().peer_failures.add(1);
         let was_sent = !matches!(&failure, Some(Ok(Err(failure))) if !failure.sent);
@@ -318,8 +399,8 @@
         let failure = describe_failure(failure);
         info!(request = id, peer = %peer.id(), failure, was_sent, ms, is_out, "peer: request failed.");
         match was_sent {
-            true => Delegation::MayHaveRun,
-            false => Delegation::NotTaken,
+            true => Attempted::Lost,
+            false => Attempted::Unsent,
         }
     }
 }
@@ -426,6 +507,10 @@
     Older,
     /// The store is available to the sender, but not to this instance.
     CutOff,
+    /// Its links to the backend servers are lost.
+    Unlinked,
+    /// Its links were lost while servers were working on the request, which may run again.
+    Abandoned,
 }
 
 /// Decides whether to accept a peer's request.
@@ -438,6 +523,7 @@
     match () {
         () if relay.is_draining() => Err(Decline::Leaving),
         () if relay.in_flight() > MAX_IN_FLIGHT => Err(Decline::Full),
+        () if relay.registry().links().are_lost() => Err(Decline::Unlinked),
         () if version < hop.version => Err(Decline::Older),
         () if relay.registry().is_store_unavailable() && hop.reaches_store => Err(Decline::CutOff),
         () => Ok(()),
@@ -461,8 +547,10 @@
 pub(crate) fn decline_answer(decline: Decline) -> Response<Bytes> {
     info!(?decline, "peer: request of a peer declined.");
     let mut answer = answer::refusal("declined", MIN_WAIT);
-    answer
-        .headers_mut()
-        .insert(DECLINED_HEADER, HeaderValue::from_static("1"));
+    let value = match decline {
+        Decline::Abandoned => ABANDONED,
+        _ => HeaderValue::from_static("1"),
+    };
+    answer.headers_mut().insert(DECLINED_HEADER, value);
     answer
 }
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -36,7 +36,7 @@
         Bound,
         Budget, //
     },
-    subset,
+    standby, subset,
     watchers::{
         self,
         Candidate, //
@@ -127,7 +127,8 @@
     pub fn new(settings: Settings, started_at: Instant) -> Rc<Self> {
         let local = settings.local.clone();
         let budget = Budget::new(settings.retry_budget, 1, started_at);
-        let peers = Service::new(Arc::from("peers"), local.zone.clone(), budget, None);
+        let peers = || Service::new(Arc::from("peers"), local.zone.clone(), budget.clone(), None);
+        let peers = Peers::new(peers(), peers());
         Rc::new(Self {
             settings: RefCell::new(settings),
             services: RefCell::default(),
@@ -135,7 +136,7 @@
             max_connections: RefCell::default(),
             members: RefCell::new(vec![local]),
             plan: RefCell::new(Plan::Everyone),
-            peers: Peers::new(peers),
+            peers,
             links: Rc::default(),
             watchers: RefCell::default(),
             instances_listed: Stop::new(),
@@ -302,8 +303,8 @@
         let server = Server::new(description, &service, notices, now);
         server.set_standing(standing);
         service.add(server.clone());
+        self.links.add(&server);
         self.servers.borrow_mut().insert(id, server);
-        self.links.set_known(self.servers.borrow().len());
     }
 
     /// Records that a peer has had a reply of the server `id` that says that it is leaving.
@@ -387,7 +388,7 @@
             service.remove(server);
         }
         self.servers.borrow_mut().remove(server.id());
-        self.links.set_known(self.servers.borrow().len());
+        self.links.remove(server);
     }
 
     /// Sets the instances that share the servers.
@@ -408,6 +409,7 @@
             true => Vec::new(),
             false => large.cloned().collect(),
         };
+        let standby = choose_standby(&local, &members, &plan, &peers);
         let was = self.members.replace(members).len();
         let now = self.instances();
         if was != now {
@@ -416,12 +418,13 @@
                 now,
                 ?plan,
                 peers = peers.len(),
+                standby = standby.len(),
                 watchers = watcher_count,
                 watches,
                 "registry: instances changed."
             );
         }
-        self.peers.set_members(peers);
+        self.peers.set_members(peers, standby);
         *self.plan.borrow_mut() = plan;
         self.apply_shares();
         self.instances_listed.set();
@@ -648,3 +651,21 @@
         .map(|index| members[index].clone())
         .collect()
 }
+
+/// Returns the instances that answer requests for the local one while its links are lost, beyond its `peers`.
+fn choose_standby(
+    local: &Member,
+    members: &[Member],
+    plan: &Plan,
+    peers: &[Member],
+) -> Vec<Member> {
+    let others = members.iter().filter(|member| !peers.contains(member));
+    let others: Vec<&Member> = others.collect();
+    let candidates: Vec<Candidate<'_>> = others.iter().map(|member| candidate(member)).collect();
+    standby::choose(&candidate(local), &candidates, |one| {
+        plan.gathers(one.cores)
+    })
+    .into_iter()
+    .map(|index| others[index].clone())
+    .collect()
+}
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -73,6 +73,10 @@
 const DEADLINE_OBJECTIVES: u32 = 2;
 /// Share of its remaining time that a request to a single service may wait for a server.
 const QUEUE_WAIT_SHARE: f64 = 0.5;
+/// `Retry-After` of an instance that has lost its links, if no peer accepts the request: a peer may have room by then.
+const NO_LINKS_RETRY: Duration = Duration::from_millis(500);
+/// Time for which a caller that states no deadline is assumed to wait.
+const NO_DEADLINE: Duration = Duration::from_secs(10);
 /// `Retry-After` of an instance that hasn't loaded a configuration yet.
 const NO_CONFIGURATION_RETRY: Duration = Duration::from_millis(500);
 
@@ -251,7 +255,7 @@
             wait_until,
             answer_by,
             deadline,
-            rank: Rank::new(u128::from(fnv1a(caller_request.id.as_bytes()))),
+            rank: rank(caller_request),
             baseline: route_latency.baseline(),
         };
         let crashes = self.quarantine.track(caller_request);
@@ -533,6 +537,18 @@
         Some(answer::refusal("servers crashed under this request", left))
     }
 
+    /// Refuses a request that no peer accepts while the links of this instance are lost.
+    pub(crate) fn refuse_unlinked(&self, caller_request: &CallerRequest) -> Response<Bytes> {
+        let text = "no backend server can be reached";
+        let id = caller_request.id.to_str().unwrap_or("unprintable");
+        self.record_unrouted(id, text, StatusCode::SERVICE_UNAVAILABLE);
+        self.meter.unlinked.add(1);
+        let now = Instant::now();
+        let time_left = caller_request.time_left(now).unwrap_or(NO_DEADLINE);
+        let share = rank(caller_request).fraction_below();
+        answer::refusal(text, refusal::retry_after(NO_LINKS_RETRY, time_left, share))
+    }
+
     /// Returns the refusal of requests that arrive before the first configuration is loaded.
     pub(crate) fn unconfigured_answer(&self) -> Response<Bytes> {
         answer::refusal("no configuration yet", NO_CONFIGURATION_RETRY)
@@ -575,6 +591,11 @@
     }
 }
 
+/// Returns the place of a request in the order in which requests are shed and return.
+fn rank(caller_request: &CallerRequest) -> Rank {
+    Rank::new(u128::from(fnv1a(caller_request.id.as_bytes())))
+}
+
 fn class(rank: u32) -> Class {
     match rank {
         0 => Class::Urgent,
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -485,6 +485,13 @@
         }
     }
 
+    /// Forgets its health and latency, and that connections were refused.
+    pub(crate) fn reset(&self) {
+        self.health.take();
+        self.slowness.take();
+        self.refused_at.set(None);
+    }
+
     /// Records that a health check passed.
     pub(crate) fn record_passed_check(&self, now: Instant) {
         self.health.borrow_mut().record_check_passed(now);
