fix(relay): reset links aren't taken for crashes of the servers

Callers would see: after links of an instance were reset while requests ran, requests that come again are refused by all instances (503, 'servers crashed under this request'), though no server crashed.

Cause: a connection that ended without a reply, to a server that refuses a new one, counted as a crash. An instance that has lost its links sees just that of all servers. Same class as the stranded instances: the fault of one's own links is taken for that of each server.

A crash counts only if another server was in contact after the loss, or accepts a connection; an instance that knows one server only has no other to compare with.

--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -133,10 +133,12 @@
         since_contact.is_some_and(|since| since < then.elapsed())
     }
 
-    /// Probes some servers until one accepts a connection; returns whether any server was in contact meanwhile.
-    async fn probe(&self) -> bool {
+    /// Probes some servers, except one, until one accepts a connection; returns whether any server was in contact
+    /// meanwhile.
+    async fn probe(&self, except: Option<&Arc<str>>) -> bool {
         let started_at = Instant::now();
-        let servers = self.servers();
+        let mut servers = self.servers();
+        servers.retain(|server| Some(server.id()) != except);
         let chosen = {
             let monitor = self.monitor.borrow();
             let targets = servers.iter().map(|server| Target {
@@ -162,6 +164,14 @@
         false
     }
 
+    /// Returns whether another server was in contact after `then`, or accepts a connection; true if there is no other.
+    ///
+    /// Without contact to any, the fault of `server` may be that of the links.
+    pub(crate) async fn reach_others(&self, server: &Server, then: Instant) -> bool {
+        let is_only = self.servers.borrow().len() <= 1;
+        is_only || self.has_contact_since(then) || self.probe(Some(server.id())).await
+    }
+
     /// Logs that no server replies.
     fn log_silence(&self) {
         let monitor = self.monitor.borrow();
@@ -183,7 +193,7 @@
         sleep(MIN_SILENCE).await;
         if links.state() == State::Suspected {
             links.log_silence();
-            if !links.probe().await {
+            if !links.probe(None).await {
                 let change = links
                     .monitor
                     .borrow_mut()
@@ -197,7 +207,7 @@
         }
         while links.are_lost() {
             sleep(PROBE_INTERVAL).await;
-            links.probe().await;
+            links.probe(None).await;
         }
     }
 }
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -236,7 +236,9 @@
             turn,
             cause,
         } = lost;
+        let lost_at = Instant::now();
         let is_up = connection::probe(&server).await;
+        let has_crashed = is_up == Some(false) && server.has_reachable_others(lost_at).await;
         info!(
             request = %self.request.to_str().unwrap_or("unprintable"),
             fingerprint = %self.fingerprint,
@@ -244,9 +246,9 @@
             service = %server.description().service,
             ?cause,
             is_up,
+            has_crashed,
             "call: connection ended without a reply."
         );
-        let has_crashed = is_up == Some(false);
         if has_crashed {
             self.record(turn, &server);
         }
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -455,6 +455,14 @@
         self.record_contact();
     }
 
+    /// Returns whether others can be reached, so that its fault isn't that of the links of this instance.
+    pub(crate) async fn has_reachable_others(&self, then: Instant) -> bool {
+        match &self.links {
+            Some(links) => links.reach_others(self, then).await,
+            None => true,
+        }
+    }
+
     /// Records that it replied or accepted a connection.
     pub(crate) fn record_contact(&self) {
         if let Some(links) = &self.links {
--- a/crates/relay/tests/links.rs
+++ b/crates/relay/tests/links.rs
@@ -22,18 +22,26 @@
     query_route,
     read_and_write_routes,
     run,
-    serve,
     table,
+    Behavior,
     FakeServer,
     Instance,
     Message, //
 };
+use futures_util::future::{
+    join,
+    join_all, //
+};
 use monoio::time::sleep;
 
 const SHARDS: [&str; 4] = ["a", "b", "c", "d"];
 /// Time after a cut from which callers are served as before; the users state four seconds.
 const DETECTION_TIME: Duration = Duration::from_millis(1_500);
 
+const RECORD: &[u8] = b"0123456789abcdef";
+/// Latency of requests on a path that contains `slow`.
+const SLOW_LATENCY: Duration = Duration::from_millis(200);
+
 /// Three instances of equal size over two servers of a service and of each of four shards.
 struct Fleet {
     servers: Vec<(Arc<str>, Rc<FakeServer>)>,
@@ -45,8 +53,13 @@
         let mut servers = Vec::new();
         for service in ["one"].iter().chain(&SHARDS) {
             for number in 0..2 {
-                let record: &'static str = "0123456789abcdef";
-                let fake = FakeServer::start(&format!("{service}{number}"), move |_| serve(record));
+                let name = format!("{service}{number}");
+                let fake = FakeServer::start_by_request(&name, |_, request| match () {
+                    () if request.start.contains("slow") => {
+                        Behavior::Serve(SLOW_LATENCY, RECORD.to_vec())
+                    }
+                    () => Behavior::Serve(Duration::ZERO, RECORD.to_vec()),
+                });
                 servers.push((Arc::from(*service), fake));
             }
         }
@@ -145,3 +158,25 @@
 fn most_instances_without_links_serve_their_callers_through_the_last_one() {
     run(callers_are_served_while_links_are(&[Condition::Silent], 2));
 }
+
+/// A request whose servers are taken for crashed several times is refused by all instances.
+#[test]
+fn servers_whose_links_are_reset_during_requests_have_not_crashed() {
+    run(async {
+        let fleet = Fleet::start();
+        assert_eq!(fleet.served(3).await, 9);
+        let instance = &fleet.instances[0].0;
+        for _ in 0..3 {
+            let asked = join_all((0..4).map(|_| instance.get("/read/slow")));
+            let cut = async {
+                sleep(SLOW_LATENCY / 2).await;
+                fleet.cut(1, Condition::Closed);
+            };
+            join(asked, cut).await;
+            sleep(Duration::from_millis(500)).await;
+            fleet.cut(1, Condition::Open);
+            sleep(Duration::from_millis(500)).await;
+        }
+        assert_eq!(instance.relay.meter().crashes.get(), 0);
+    });
+}
