--- a/crates/relay/tests/links.rs
+++ b/crates/relay/tests/links.rs
@@ -42,6 +42,9 @@
 /// Latency of requests on a path that contains `slow`.
 const SLOW_LATENCY: Duration = Duration::from_millis(200);
 
+/// Time within which a request that can't be served is refused.
+const MAX_REFUSAL_TIME: Duration = Duration::from_millis(100);
+
 /// Three instances of equal size over two servers of a service and of each of four shards.
 struct Fleet {
     servers: Vec<(Arc<str>, Rc<FakeServer>)>,
@@ -119,13 +122,11 @@
     }
 }
 
-/// The links of one of three instances fall silent, are closed, or refuse new connections after open ones have ended.
-async fn callers_are_served_while_links_are(conditions: &[Condition], cut: usize) {
+/// The links of the first `cut` of three instances change their condition, and are restored later.
+async fn callers_are_served_while_links_are(condition: Condition, cut: usize) {
     let fleet = Fleet::start();
     assert_eq!(fleet.served(3).await, 9);
-    for condition in conditions {
-        fleet.cut(cut, *condition);
-    }
+    fleet.cut(cut, condition);
     // Callers that ask meanwhile let the instance notice.
     let noticed_by = Instant::now() + DETECTION_TIME;
     while Instant::now() < noticed_by {
@@ -146,17 +147,47 @@
 
 #[test]
 fn instance_without_links_serves_its_callers_through_peers() {
-    run(callers_are_served_while_links_are(&[Condition::Silent], 1));
+    run(callers_are_served_while_links_are(Condition::Silent, 1));
 }
 
 #[test]
 fn instance_whose_links_are_reset_serves_its_callers_through_peers() {
-    run(callers_are_served_while_links_are(&[Condition::Closed], 1));
+    run(callers_are_served_while_links_are(Condition::Closed, 1));
 }
 
 #[test]
 fn most_instances_without_links_serve_their_callers_through_the_last_one() {
-    run(callers_are_served_while_links_are(&[Condition::Silent], 2));
+    run(callers_are_served_while_links_are(Condition::Silent, 2));
+}
+
+#[test]
+fn instance_whose_links_refuse_new_connections_uses_open_ones() {
+    run(callers_are_served_while_links_are(Condition::Full, 1));
+}
+
+#[test]
+fn requests_are_refused_at_once_while_no_instance_has_links() {
+    run(async {
+        let fleet = Fleet::start();
+        assert_eq!(fleet.served(3).await, 9);
+        fleet.cut(3, Condition::Silent);
+        let noticed_by = Instant::now() + 2 * DETECTION_TIME;
+        while Instant::now() < noticed_by {
+            fleet.served(1).await;
+        }
+        let writes = fleet.writes();
+        for request in [get("/read/x"), post("/write/x", "x"), get("/all/x")] {
+            let started_at = Instant::now();
+            let answer = fleet.instances[0].0.ask(&request).await;
+            assert_eq!(answer.status(), 503);
+            assert!(answer.header("retry-after").is_some());
+            assert!(started_at.elapsed() < MAX_REFUSAL_TIME);
+        }
+        fleet.cut(3, Condition::Open);
+        sleep(DETECTION_TIME).await;
+        assert_eq!(fleet.writes(), writes);
+        assert_eq!(fleet.served(5).await, 15);
+    });
 }
 
 /// A request whose servers are taken for crashed several times is refused by all instances.
