test(relay): stand-ins listen on IP addresses of their own

request_reaches_the_last_server_that_is_up failed once ('no answer in time'). Ruled out: holding the port with a socket that doesn't listen (28 of 36, as others then can't listen). Now each stand-in has an IP address of 127/8 derived from the process and a counter: 0 of 36 in forward, links and quarantine.

--- a/crates/relay/tests/common/cut.rs
+++ b/crates/relay/tests/common/cut.rs
@@ -29,7 +29,10 @@
 use relay::server::Description;
 use web::Stop;
 
-use super::FakeServer;
+use super::{
+    any_address,
+    FakeServer, //
+};
 
 /// Condition of a link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -61,7 +64,7 @@
 impl Link {
     /// Creates an open link to a server of `service`.
     pub fn new(fake: &FakeServer, service: &str) -> Rc<Self> {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a listener");
+        let listener = std::net::TcpListener::bind(any_address()).expect("a listener");
         let address = listener.local_addr().expect("an address");
         let link = Rc::new(Self {
             address,
--- a/crates/relay/tests/common/fake.rs
+++ b/crates/relay/tests/common/fake.rs
@@ -8,7 +8,13 @@
     net::SocketAddr,
     pin::pin,
     rc::Rc,
-    sync::Arc,
+    sync::{
+        atomic::{
+            AtomicU32,
+            Ordering, //
+        },
+        Arc,
+    },
     time::{
         Duration,
         Instant, //
@@ -172,6 +178,14 @@
 /// Length of one write of an endless reply.
 const ENDLESS_BLOCK_BYTES: usize = 64 * 1024;
 
+/// Returns an address with any free port on an IP address of its own: a port that a server gives up goes to no other test.
+pub fn any_address() -> SocketAddr {
+    static SERVERS: AtomicU32 = AtomicU32::new(0);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let number = SERVERS.fetch_add(1, Ordering::Relaxed) % 254 + 1;
+    SocketAddr::from(([127, high, low, number as u8], 0))
+}
+
 /// Behavior on the `n`th request.
 type Script = Box<dyn Fn(usize, &Message) -> Behavior>;
 
@@ -211,7 +225,7 @@
         id: &str,
         behaviors: impl Fn(usize, &Message) -> Behavior + 'static,
     ) -> Rc<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+        let listener = TcpListener::bind(any_address()).expect("a listener");
         let fake = Rc::new(Self {
             id: id.to_owned(),
             address: listener.local_addr().expect("an address"),
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -52,6 +52,7 @@
 use web::Stop;
 
 pub use fake::{
+    any_address,
     serve,
     Behavior,
     FakeServer,
