fix(relay, policy): probes don't go to the servers that fall silent together

Evidence: in a test in which a query crashes a replica of each shard, one instance counted 1 of 11 crashes: its four probes went to the first replica of four services, just those that were sent the query, and their failure was taken for a loss of links. Probes go to replicas in an order by a hash, and an open idle connection to another server is contact enough for a crash to count: resets of all links end those, too.

--- a/crates/policy/src/links.rs
+++ b/crates/policy/src/links.rs
@@ -12,6 +12,8 @@
     },
 };
 
+use crate::hash;
+
 /// Number of servers that are probed at once.
 const PROBES: usize = 4;
 /// Silent servers, with no contact to any server since, that raise a suspicion.
@@ -135,7 +137,8 @@
 /// so that the failure of one of these isn't taken for a loss, and rather ones that aren't silent.
 pub fn choose_probes(targets: &[Target<'_>], round: usize) -> Vec<usize> {
     let mut left: Vec<usize> = (0..targets.len()).collect();
-    left.rotate_left((round * PROBES) % targets.len().max(1));
+    // Requests go to the first replica of each service more often than to others, so that these fall silent together.
+    left.sort_by_cached_key(|index| hash::mix((round as u64) << 32 | *index as u64));
     let mut chosen: Vec<usize> = Vec::new();
     while chosen.len() < PROBES.min(targets.len()) {
         let cost = |index: &usize| {
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -164,12 +164,17 @@
         false
     }
 
-    /// Returns whether another server was in contact after `then`, or accepts a connection; true if there is no other.
+    /// Returns whether another server was in contact after `then`, has an idle connection or accepts one; true if there
+    /// is no other.
     ///
     /// Without contact to any, the fault of `server` may be that of the links.
     pub(crate) async fn reach_others(&self, server: &Server, then: Instant) -> bool {
-        let is_only = self.servers.borrow().len() <= 1;
-        is_only || self.has_contact_since(then) || self.probe(Some(server.id())).await
+        let mut others = self.servers();
+        others.retain(|other| other.id() != server.id());
+        let is_linked = others.is_empty()
+            || self.has_contact_since(then)
+            || others.iter().any(|other| other.has_idle_connection());
+        is_linked || self.probe(Some(server.id())).await
     }
 
     /// Logs that no server replies.
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -396,6 +396,11 @@
         receiver
     }
 
+    /// Returns whether a connection to it is open and idle.
+    pub(crate) fn has_idle_connection(&self) -> bool {
+        self.idle.borrow().iter().any(|handle| !handle.is_closed())
+    }
+
     fn pop_idle(&self) -> Option<Handle> {
         self.idle.borrow_mut().pop()
     }
