fix(relay, policy): an unknown query takes one replica of each shard

Cause, by the log of each crash with its fingerprint: hedges before the first crash and hedges and retries until three were confirmed sent the guilty query to both replicas of 18 shards; its third arrival, tried at one shard first, went to all others as that shard had no server left, and its call ended without a crash.

Now a query is hedged, and retried after a crash, once a server has served one of its shards; a suspected one goes on only then, and starts at a shard with most servers left; several crashes without any reply count two; its caller gets Retry-After for the time in which a report spreads.

Evidence: two new tests over three instances failed before (harmless queries got 502) and pass.

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -217,6 +217,23 @@
     in_turn: Vec<Crash>,
     /// How many of these were reported.
     reported: usize,
+    /// A further crash under the sub-requests of one turn.
+    simultaneous: Option<Crash>,
+    /// Calls to services that haven't ended and of which none has been served.
+    unproven: Option<usize>,
+    /// Calls whose next sub-request waits until one of another call is served.
+    waiting: usize,
+}
+
+/// Whether a query may be sent to further replicas.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Proof {
+    /// A server has served a part of it, or it isn't a query.
+    Harmless,
+    /// No server has replied yet.
+    Awaited,
+    /// None can be expected: every call has lost its server.
+    Missing,
 }
 
 /// Place of a sub-request among the crashes of its attempt.
@@ -243,8 +260,9 @@
     /// such as the loss of a rack.
     pub fn record(&mut self, turn: Turn, crash: Crash) {
         self.servers += 1;
-        if turn == self.turn() {
-            self.in_turn.push(crash);
+        match turn == self.turn() {
+            true => self.in_turn.push(crash),
+            false => self.simultaneous = self.simultaneous.take().or(Some(crash)),
         }
     }
 
@@ -261,7 +279,43 @@
 
     /// Returns whether hedges may be sent.
     pub fn may_hedge(&self) -> bool {
-        !self.is_suspected() && self.servers < MAX_CRASHES
+        let is_proven = self.proof() == Proof::Harmless;
+        is_proven && !self.is_suspected() && self.servers < MAX_CRASHES
+    }
+
+    /// Begins calls to several services, whose replies tell whether the request crashes servers.
+    pub fn begin_query(&mut self, calls: usize) {
+        self.unproven = (calls > 1).then_some(calls);
+    }
+
+    /// Records that a server served a sub-request.
+    pub fn record_served(&mut self) {
+        self.unproven = None;
+    }
+
+    /// Records that a call of the query has ended.
+    pub fn record_ended(&mut self) {
+        self.unproven = self.unproven.map(|calls| calls.saturating_sub(1));
+    }
+
+    /// Records that a call waits for the proof before it sends a retry, or no longer does.
+    pub fn set_waiting(&mut self, is_waiting: bool) {
+        match is_waiting {
+            true => self.waiting += 1,
+            false => self.waiting = self.waiting.saturating_sub(1),
+        }
+    }
+
+    /// Returns whether the query may be sent to further replicas.
+    ///
+    /// A query that crashes servers reaches a replica of each shard at once. None serves it, while a query that is hit
+    /// by the crashes of some is served by others.
+    pub fn proof(&self) -> Proof {
+        match self.unproven {
+            None => Proof::Harmless,
+            Some(calls) if self.waiting < calls => Proof::Awaited,
+            Some(_) => Proof::Missing,
+        }
     }
 
     /// Returns whether any server crashed under this attempt.
@@ -271,13 +325,17 @@
 
     /// Returns the crashes to report that weren't returned before, at the end of the attempt or after it.
     ///
-    /// There are none if it was served and the request isn't to blame.
+    /// There are none if it was served and the request isn't to blame. A query that no server has served, with several
+    /// crashes, is reported with a second one: the next crash under it is enough.
     pub fn report(&mut self, was_served: bool) -> Vec<Crash> {
         if was_served && self.in_turn.len() < MAX_CRASHES_PER_CALL {
             return Vec::new();
         }
-        let report = self.in_turn[self.reported..].to_vec();
+        let mut report = self.in_turn[self.reported..].to_vec();
         self.reported = self.in_turn.len();
+        if self.unproven.is_some() {
+            report.extend(self.simultaneous.take());
+        }
         report
     }
 }
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -7,6 +7,7 @@
     Cases,
     Crash,
     Fingerprint,
+    Proof,
     State,
     MAX_CRASHES, //
 };
@@ -196,3 +197,43 @@
     state.accepted(proposal);
     assert!(!state.has_changes());
 }
+
+/// A query reaches a server of each shard; all of them crash, or some do and others serve it.
+#[test]
+fn query_that_no_server_serves_is_refused_after_one_more_crash() {
+    let crashes = [true, false].map(|is_served| {
+        let mut attempt = Attempt::new(0);
+        attempt.begin_query(20);
+        let turn = attempt.turn();
+        if is_served {
+            attempt.record_served();
+        }
+        for server in 0..10 {
+            attempt.record(turn, crash(&format!("s{server}"), NOW_MS));
+        }
+        attempt.report(false).len()
+    });
+    assert_eq!(crashes, [1, 2]);
+}
+
+/// Retries and hedges wait until a server has replied; without one that may, there are none.
+#[test]
+fn query_is_proven_harmless_by_the_first_reply() {
+    let mut attempt = Attempt::new(0);
+    attempt.begin_query(3);
+    let mut proofs = vec![(attempt.proof(), attempt.may_hedge())];
+    attempt.set_waiting(true);
+    attempt.set_waiting(true);
+    proofs.push((attempt.proof(), attempt.may_hedge()));
+    attempt.record_ended();
+    proofs.push((attempt.proof(), attempt.may_hedge()));
+    attempt.record_served();
+    proofs.push((attempt.proof(), attempt.may_hedge()));
+    let expected = [
+        (Proof::Awaited, false),
+        (Proof::Awaited, false),
+        (Proof::Missing, false),
+        (Proof::Harmless, true),
+    ];
+    assert_eq!(proofs, expected);
+}
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -47,14 +47,17 @@
 }
 
 /// Builds the 503 refusal of a request that no server has run or will run.
-///
-/// `Retry-After` is written in seconds with three decimals.
 pub fn refusal(text: &'static str, retry_after: Duration) -> Response<Bytes> {
     let mut answer = with_text(StatusCode::SERVICE_UNAVAILABLE, text);
     answer.extensions_mut().insert(Refused);
+    set_retry_after(&mut answer, retry_after);
+    answer
+}
+
+/// Sets `Retry-After`, in seconds with three decimals.
+pub fn set_retry_after(answer: &mut Response<Bytes>, retry_after: Duration) {
     let seconds = format!("{:.3}", retry_after.as_secs_f64());
     if let Ok(value) = HeaderValue::from_str(&seconds) {
         answer.headers_mut().insert(RETRY_AFTER, value);
     }
-    answer
 }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -184,6 +184,8 @@
 enum Event {
     AttemptEnded(Box<EndedAttempt>),
     HedgeDue,
+    /// A server has served a part of the query, so that hedges may be sent.
+    Proven,
     ReplyOverdue,
     DeadlinePassed,
 }
@@ -198,6 +200,7 @@
         loop {
             match self.next_event().await {
                 Event::DeadlinePassed => return self.late_outcome(),
+                Event::Proven => {}
                 Event::HedgeDue => self.send_hedge(),
                 Event::ReplyOverdue => self.record_overdue(),
                 Event::AttemptEnded(ended) => match self.handle_ended(*ended) {
@@ -223,8 +226,12 @@
         let overdue_at = self.overdue_at().filter(|at| *at < deadline);
         let until = hedge_at.into_iter().chain(overdue_at).min();
         let timer = std::pin::pin!(sleep_until(until.unwrap_or(deadline).into()));
-        match select(self.running.next(), timer).await {
+        let crashes = self.call.crashes.clone();
+        let proof = std::pin::pin!(crashes.prove_for_hedge());
+        let waits = std::pin::pin!(select(timer, proof));
+        match select(self.running.next(), waits).await {
             Either::Left((Some(ended), _)) => Event::AttemptEnded(Box::new(ended)),
+            Either::Right((Either::Right(_), _)) => Event::Proven,
             Either::Right(_) if until.is_some() && until == hedge_at => Event::HedgeDue,
             Either::Right(_) if until.is_some() => Event::ReplyOverdue,
             _ => Event::DeadlinePassed,
@@ -299,7 +306,10 @@
             return Ok(());
         };
         let is_repeatable = self.call.kind == Kind::Idempotent || !self.may_have_run;
-        let may_rerun = is_repeatable && self.call.crashes.may_retry(self.crashed);
+        let may_rerun = is_repeatable
+            && self.call.crashes.may_retry(self.crashed)
+            && self.call.crashes.prove_for_retry().await
+            && self.call.crashes.may_retry(self.crashed);
         let service = self.call.service.clone();
         // The first sub-request that reaches a server is no repetition.
         let needs_budget = self.unsent < self.tried.len();
@@ -403,6 +413,7 @@
         };
         match classify(&reply, &self.call.caller_request.id, self.call.names) {
             Verdict::Served => {
+                self.call.crashes.record_served();
                 server.record_success();
                 server.record_latency(
                     now,
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -13,7 +13,6 @@
         Either, //
     },
     stream::FuturesUnordered,
-    FutureExt,
     StreamExt, //
 };
 use http::{
@@ -183,17 +182,31 @@
         names: relay.names(),
         meter: relay.meter(),
     };
-    let mut services = gather.services.iter().enumerate().peekable();
+    let mut services: Vec<_> = gather.services.iter().enumerate().collect();
     // A query that has crashed servers before may crash one of each shard.
-    if let Some((shard, name)) = services.next_if(|_| crashes.is_suspected()) {
-        query.record_report(shard, call(name).run().await, relay.names());
-        if crashes.has_crashes() {
-            return (query, false);
+    if crashes.is_suspected() {
+        let now = Instant::now();
+        // A shard that loses a server then has others.
+        services.sort_by_key(|(_, name)| relay.registry().service(name).available(now));
+        while query.answered() == 0 {
+            let Some((shard, name)) = services.pop() else {
+                break;
+            };
+            let report = call(name).run().await;
+            let has_run = !matches!(report.outcome, Outcome::NotRun(_));
+            query.record_report(shard, report, relay.names());
+            if has_run && query.answered() == 0 {
+                return (query, false);
+            }
         }
     }
-    let mut calls: FuturesUnordered<_> = services
-        .map(|(shard, name)| call(name).run().map(move |report| (shard, report)))
-        .collect();
+    crashes.begin_query(services.len());
+    let run = |(shard, name)| async move {
+        let report = call(name).run().await;
+        crashes.record_ended();
+        (shard, report)
+    };
+    let mut calls: FuturesUnordered<_> = services.into_iter().map(run).collect();
     let deadlines = Deadlines {
         objective: scheduling.answer_by,
         deadline: scheduling.deadline,
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -17,6 +17,7 @@
     },
 };
 
+use futures_util::future::pending;
 use http::HeaderValue;
 use monoio::time::sleep;
 use platform::{
@@ -31,6 +32,7 @@
     Cases,
     Crash,
     Fingerprint,
+    Proof,
     State,
     Turn, //
 };
@@ -113,6 +115,7 @@
             request: request.id.clone(),
             fingerprint,
             attempt: RefCell::new(Attempt::new(known)),
+            proof_changed: RefCell::default(),
             is_served: Cell::new(false),
         })
     }
@@ -189,6 +192,8 @@
     request: HeaderValue,
     fingerprint: Fingerprint,
     attempt: RefCell<Attempt>,
+    /// Set when a server has served a part of the query, or none can be expected to.
+    proof_changed: RefCell<Stop>,
     is_served: Cell<bool>,
 }
 
@@ -269,6 +274,61 @@
         self.attempt.borrow_mut().record(turn, crash);
     }
 
+    /// Begins calls to several services.
+    pub(crate) fn begin_query(&self, calls: usize) {
+        self.update(|attempt| attempt.begin_query(calls));
+    }
+
+    /// Records that a server served a sub-request.
+    pub(crate) fn record_served(&self) {
+        self.update(Attempt::record_served);
+    }
+
+    /// Records that a call of the query has ended.
+    pub(crate) fn record_ended(&self) {
+        self.update(Attempt::record_ended);
+    }
+
+    fn update(&self, change: impl FnOnce(&mut Attempt)) {
+        let before = self.proof();
+        change(&mut self.attempt.borrow_mut());
+        if self.proof() != before {
+            self.proof_changed.replace(Stop::new()).set();
+        }
+    }
+
+    fn proof(&self) -> Proof {
+        self.attempt.borrow().proof()
+    }
+
+    /// Waits while no server has served a part of the query and one may still do so.
+    async fn wait_for_proof(&self) {
+        while self.proof() == Proof::Awaited {
+            let changed = self.proof_changed.borrow().wait();
+            changed.await;
+        }
+    }
+
+    /// Waits until a server has served a part of the query; for ever if there is nothing to wait for.
+    pub(crate) async fn prove_for_hedge(&self) {
+        let was_awaited = self.proof() == Proof::Awaited;
+        self.wait_for_proof().await;
+        if !was_awaited || self.proof() != Proof::Harmless {
+            pending::<()>().await;
+        }
+    }
+
+    /// Waits for such a reply before a retry after a crash; returns whether it may be sent.
+    pub(crate) async fn prove_for_retry(&self) -> bool {
+        if !self.has_crashes() {
+            return true;
+        }
+        self.update(|attempt| attempt.set_waiting(true));
+        let _guard = Waiting(self);
+        self.wait_for_proof().await;
+        self.proof() == Proof::Harmless
+    }
+
     /// Returns whether a retry may be sent to a service of which `crashed` servers crashed under this attempt.
     pub(crate) fn may_retry(&self, crashed: usize) -> bool {
         self.attempt.borrow().may_retry(crashed)
@@ -306,6 +366,15 @@
     }
 }
 
+/// Ends the wait of a call for a proof.
+struct Waiting<'a>(&'a Tracker);
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.update(|attempt| attempt.set_waiting(false));
+    }
+}
+
 impl Drop for Tracker {
     fn drop(&mut self) {
         self.conclude(false);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -73,6 +73,9 @@
 const DEADLINE_OBJECTIVES: u32 = 2;
 /// Share of its remaining time that a request to a single service may wait for a server.
 const QUEUE_WAIT_SHARE: f64 = 0.5;
+/// Minimum `Retry-After` of a request under which servers crashed: a report reaches the other instances in a write to the store
+/// and a watch of it.
+const CRASH_RETRY: Duration = Duration::from_millis(200);
 /// `Retry-After` of an instance that has lost its links, if no peer accepts the request: a peer may have room by then.
 const NO_LINKS_RETRY: Duration = Duration::from_millis(500);
 /// Time for which a caller that states no deadline is assumed to wait.
@@ -341,9 +344,7 @@
             Outcome::MayHaveRun(Cause::Late) => {
                 answer::with_text(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
             }
-            Outcome::MayHaveRun(_) => {
-                answer::with_text(StatusCode::BAD_GATEWAY, "no whole answer of a server")
-            }
+            Outcome::MayHaveRun(_) => self.broken(context, "no whole answer of a server"),
         }
     }
 
@@ -429,8 +430,20 @@
             true if Instant::now() >= context.scheduling.deadline => {
                 answer::with_text(StatusCode::GATEWAY_TIMEOUT, "too few shards in time")
             }
-            true => answer::with_text(StatusCode::BAD_GATEWAY, "too few shards answered"),
+            true => self.broken(context, "too few shards answered"),
+        }
+    }
+
+    /// Returns the answer to a request that servers may have run.
+    ///
+    /// One under which servers crashed returns once the other instances know that.
+    fn broken(&self, context: &RequestContext<'_>, text: &'static str) -> Response<Bytes> {
+        let mut answer = answer::with_text(StatusCode::BAD_GATEWAY, text);
+        if context.crashes.has_crashes() {
+            let share = context.scheduling.rank.fraction_below();
+            answer::set_retry_after(&mut answer, CRASH_RETRY.mul_f64(1.0 + share));
         }
+        answer
     }
 
     /// Refuses a request before any sub-request is sent.
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -164,6 +164,12 @@
             .any(|server| server.is_available(now) || server.is_last_resort(now))
     }
 
+    /// Returns the number of servers that are eligible for work now.
+    pub(crate) fn available(&self, now: Instant) -> usize {
+        let servers = self.servers.borrow();
+        servers.iter().filter(|one| one.is_available(now)).count()
+    }
+
     /// Returns the time until the first of the servers that want no requests takes some again; none if there is
     /// no such server.
     pub(crate) fn pause_left(&self, now: Instant) -> Option<Duration> {
--- a/crates/relay/tests/common/store.rs
+++ b/crates/relay/tests/common/store.rs
@@ -48,6 +48,7 @@
 use web::Stop;
 
 use super::{
+    query_route,
     read_and_write_routes,
     table, //
 };
@@ -264,11 +265,16 @@
 pub struct Config {
     /// Version of the routes.
     pub version: u64,
+    /// Services that queries are sent to.
+    #[serde(default)]
+    pub shards: Vec<String>,
 }
 
-/// Entry of a server of the service `one`.
+/// Entry of a server.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct ServerEntry {
+    /// Service.
+    pub service: String,
     /// Address that it listens on.
     pub address: SocketAddr,
 }
@@ -315,14 +321,19 @@
 
     fn table(object: &Object) -> Result<Table, ParseError> {
         let config: Config = parse(object)?;
-        Ok(table(config.version, read_and_write_routes()))
+        let shards: Vec<&str> = config.shards.iter().map(String::as_str).collect();
+        let mut routes = read_and_write_routes();
+        if !shards.is_empty() {
+            routes.push(query_route(&shards, 5, 0.8));
+        }
+        Ok(table(config.version, routes))
     }
 
     fn server(object: &Object) -> Result<Description, ParseError> {
         let entry: ServerEntry = parse(object)?;
         Ok(Description {
             id: object.name.clone(),
-            service: "one".into(),
+            service: entry.service.into(),
             address: entry.address,
             zone: "a".into(),
             slots: 2,
--- a/crates/relay/tests/quarantine.rs
+++ b/crates/relay/tests/quarantine.rs
@@ -47,6 +47,7 @@
 /// Starts a server that crashes while it runs a deadly request.
 fn start_server(index: usize) -> Rc<FakeServer> {
     FakeServer::start_by_request(&format!("s{index:02}"), |_, request| match () {
+        () if request.start.contains("deadly-later") => Behavior::Crash(Duration::from_millis(150)),
         () if request.start.contains("deadly") => Behavior::Crash(Duration::from_millis(20)),
         () if request.start.contains("slow") => {
             Behavior::Serve(Duration::from_millis(150), b"ok".to_vec())
@@ -61,15 +62,33 @@
     }
 
     async fn start_with_cores(cores: &[f64], servers: usize) -> Self {
+        let servers = (0..servers).map(|index| ("one".to_owned(), start_server(index)));
+        Self::start_over(cores, Vec::new(), servers.collect()).await
+    }
+
+    /// Starts instances over two replicas of each of `count` shards.
+    async fn start_over_shards(instances: usize, count: usize) -> Self {
+        let shards = shards(count);
+        let mut names: Vec<String> = shards.iter().map(|(name, _)| name.clone()).collect();
+        names.dedup();
+        Self::start_over(&vec![1.0; instances], names, shards).await
+    }
+
+    async fn start_over(
+        cores: &[f64],
+        shards: Vec<String>,
+        servers: Vec<(String, Rc<FakeServer>)>,
+    ) -> Self {
         let store = Rc::new(SharedStore::default());
-        store.put("config", "main", &Config { version: 1 });
-        let servers: Vec<_> = (0..servers).map(start_server).collect();
-        for server in &servers {
+        store.put("config", "main", &Config { version: 1, shards });
+        for (service, server) in &servers {
             let entry = ServerEntry {
+                service: service.clone(),
                 address: server.address,
             };
             store.put("servers", &server.id, &entry);
         }
+        let servers = servers.into_iter().map(|(_, server)| server).collect();
         let start = |(index, cores): (usize, &f64)| {
             Node::start(&store, &format!("instance-{index}"), "a", *cores)
         };
@@ -326,6 +345,46 @@
     });
 }
 
+/// A query that crashes servers comes again with other ids, each time at the next instance. No replica is back meanwhile.
+async fn shards_lost_to_a_query(path: &str) -> usize {
+    let fleet = Fleet::start_over_shards(3, 20).await;
+    for node in &fleet.nodes {
+        assert_eq!(node.instance.get("/all/harmless").await.status(), 200);
+    }
+    for number in 0..6 {
+        let node = &fleet.nodes[number % fleet.nodes.len()].instance;
+        let request = get(path).replace("q1", &format!("q{number}"));
+        let answer = node.ask(&request).await;
+        assert!(answer.status() >= 500);
+        // The caller returns when it is told to, if that is soon.
+        let wait = answer.header("retry-after");
+        let wait = wait.map_or(0.0, |wait| wait.parse().expect("seconds"));
+        sleep(Duration::from_secs_f64(wait).min(PAUSE)).await;
+    }
+    for node in &fleet.nodes {
+        assert_eq!(node.instance.get("/all/harmless").await.status(), 200);
+    }
+    let pairs = fleet.servers.chunks(2);
+    let is_lost = |pair: &&[Rc<FakeServer>]| pair.iter().all(|one| one.crashed.is_set());
+    pairs.filter(is_lost).count()
+}
+
+/// The crashes of its first arrival are known, and each shard has one replica left.
+#[test]
+fn query_that_crashes_servers_at_once_takes_the_last_replica_of_one_shard_at_most() {
+    run(async {
+        assert!(shards_lost_to_a_query("/all/deadly").await <= 1);
+    });
+}
+
+/// The servers crash so late that the query would be hedged before.
+#[test]
+fn query_that_crashes_servers_later_takes_the_last_replica_of_one_shard_at_most() {
+    run(async {
+        assert!(shards_lost_to_a_query("/all/deadly-later").await <= 1);
+    });
+}
+
 /// The deadly query comes again, although it has crashed servers of all shards before. The servers have restarted.
 #[test]
 fn query_with_known_crashes_is_tried_at_one_shard_first() {
--- a/crates/relay/tests/watchers.rs
+++ b/crates/relay/tests/watchers.rs
@@ -43,8 +43,16 @@
 impl Fleet {
     async fn start() -> Self {
         let store = Rc::new(SharedStore::default());
-        store.put("config", "main", &Config { version: 1 });
+        store.put(
+            "config",
+            "main",
+            &Config {
+                version: 1,
+                shards: Vec::new(),
+            },
+        );
         let server = ServerEntry {
+            service: "one".to_owned(),
             address: "127.0.0.1:9".parse().expect("an address"),
         };
         store.put("servers", "s1", &server);
@@ -77,7 +85,14 @@
     }
 
     fn change(&self, version: u64) {
-        self.store.put("config", "main", &Config { version });
+        self.store.put(
+            "config",
+            "main",
+            &Config {
+                version,
+                shards: Vec::new(),
+            },
+        );
     }
 }
 
@@ -188,10 +203,18 @@
         let fleet = Fleet::start().await;
         let copied = {
             let store = SharedStore::default();
-            store.put("config", "main", &Config { version: 1 });
+            store.put(
+                "config",
+                "main",
+                &Config {
+                    version: 1,
+                    shards: Vec::new(),
+                },
+            );
             store.copy()
         };
         let new = ServerEntry {
+            service: "one".to_owned(),
             address: "127.0.0.1:10".parse().expect("an address"),
         };
         fleet.store.put("servers", "s2", &new);
