--- a/crates/policy/src/links.rs
+++ b/crates/policy/src/links.rs
@@ -12,7 +12,7 @@
     },
 };
 
-use crate::hash;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Number of servers that are probed at once.
 const PROBES: usize = 4;
@@ -138,7 +138,7 @@
 pub fn choose_probes(targets: &[Target<'_>], round: usize) -> Vec<usize> {
     let mut left: Vec<usize> = (0..targets.len()).collect();
     // Requests go to the first replica of each service more often than to others, so that these fall silent together.
-    left.sort_by_cached_key(|index| hash::mix((round as u64) << 32 | *index as u64));
+    left.sort_by_cached_key(|index| xxh3_64_with_seed(&index.to_be_bytes(), round as u64));
     let mut chosen: Vec<usize> = Vec::new();
     while chosen.len() < PROBES.min(targets.len()) {
         let cost = |index: &usize| {
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -288,7 +288,7 @@
         self.unproven = (calls > 1).then_some(calls);
     }
 
-    /// Records that a server served a sub-request.
+    /// Records that a server replied after it had run a sub-request.
     pub fn record_served(&mut self) {
         self.unproven = None;
     }
--- a/crates/policy/src/standby.rs
+++ b/crates/policy/src/standby.rs
@@ -5,11 +5,13 @@
 
 use std::collections::HashMap;
 
-use crate::{
-    hash,
-    watchers::Candidate, //
+use xxhash_rust::xxh3::{
+    xxh3_64,
+    xxh3_64_with_seed, //
 };
 
+use crate::watchers::Candidate;
+
 /// Maximum number of standby peers of an instance.
 const MAX_STANDBY: usize = 16;
 /// Number of standby peers that don't gather queries, if there are as many: all that do may lose their links.
@@ -39,7 +41,9 @@
     candidates: &[Candidate<'_>],
     mut indexes: Vec<usize>,
 ) -> Vec<usize> {
-    indexes.sort_by_cached_key(|index| hash::of_pair(candidates[*index].name, local.name));
+    let seed = xxh3_64(local.name.as_bytes());
+    let score = |index: &usize| xxh3_64_with_seed(candidates[*index].name.as_bytes(), seed);
+    indexes.sort_by_cached_key(score);
     let mut counts: HashMap<&str, usize> = HashMap::new();
     indexes.sort_by_cached_key(|index| {
         let count = counts.entry(candidates[*index].zone).or_default();
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -434,6 +434,7 @@
                 self.keep_failure(PendingFailure::Cause(Cause::Shed));
             }
             Verdict::Failed => {
+                self.call.crashes.record_served();
                 self.call.meter.failed.add(1);
                 self.may_have_run = true;
                 self.record_server_failure(&server, now);
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -188,19 +188,23 @@
         let now = Instant::now();
         // A shard that loses a server then has others.
         services.sort_by_key(|(_, name)| relay.registry().service(name).available(now));
-        while query.answered() == 0 {
-            let Some((shard, name)) = services.pop() else {
-                break;
-            };
+        while let Some((shard, name)) = services.pop() {
             let report = call(name).run().await;
-            let has_run = !matches!(report.outcome, Outcome::NotRun(_));
+            let is_lost = matches!(
+                report.outcome,
+                Outcome::MayHaveRun(Cause::Broken(_) | Cause::Late)
+            );
+            let is_unsent = matches!(report.outcome, Outcome::NotRun(_));
             query.record_report(shard, report, relay.names());
-            if has_run && query.answered() == 0 {
-                return (query, false);
+            match () {
+                () if is_lost => return (query, false),
+                () if is_unsent => {}
+                () => break,
             }
         }
+    } else {
+        crashes.begin_query(services.len());
     }
-    crashes.begin_query(services.len());
     let run = |(shard, name)| async move {
         let report = call(name).run().await;
         crashes.record_ended();
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -279,7 +279,7 @@
         self.update(|attempt| attempt.begin_query(calls));
     }
 
-    /// Records that a server served a sub-request.
+    /// Records that a server replied after it had run a sub-request.
     pub(crate) fn record_served(&self) {
         self.update(Attempt::record_served);
     }
