--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -8,7 +8,7 @@
 use route::Table;
 
 use crate::{
-    peer::Member,
+    peers::Member,
     server::Description, //
 };
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -31,6 +31,7 @@
 mod metered;
 pub mod mirror;
 pub mod peer;
+pub mod peers;
 pub mod quarantine;
 pub mod registry;
 pub mod relay;
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -6,10 +6,7 @@
 //! sender's state and whether the peer declined the request.
 
 use std::{
-    cell::RefCell,
-    net::SocketAddr,
     rc::Rc,
-    sync::Arc,
     time::{
         Duration,
         Instant, //
@@ -25,11 +22,7 @@
     Response, //
 };
 use monoio::time::timeout;
-use policy::{
-    delegation,
-    health::Transition,
-    hop::Overhead, //
-};
+use policy::health::Transition;
 use route::Route;
 use tracing::info;
 
@@ -42,10 +35,7 @@
     },
     relay::Relay,
     request::CallerRequest,
-    server::{
-        Description,
-        Server, //
-    },
+    server::Server,
     service::Service,
 };
 
@@ -65,8 +55,6 @@
 /// Latency objective and timeout of a request whose route this instance doesn't know.
 const DEFAULT_OBJECTIVE: Duration = Duration::from_millis(500);
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
-/// Maximum number of connections to one peer; requests beyond that are answered locally.
-const MAX_CONNECTIONS_PER_PEER: usize = 32;
 /// Requests in flight above which an instance declines those of peers: more would wait for the processor.
 const MAX_IN_FLIGHT: usize = 48;
 /// Timeout of a peer that has sent no reply to any request, as a multiple of the latency objective: the
@@ -86,155 +74,6 @@
 /// Baseline latency of a peer as a share of the latency objective.
 const BASELINE_SHARE: f64 = 0.5;
 
-/// An instance as its entry in the store describes it.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Member {
-    /// Name, unique in the fleet.
-    pub name: Arc<str>,
-    /// Address that it listens on for peers.
-    pub address: SocketAddr,
-    /// Availability zone.
-    pub zone: Arc<str>,
-    /// Processor time available to it, in cores.
-    pub cores: f64,
-}
-
-/// Instances that are asked for the same reason.
-#[derive(Debug)]
-struct Group {
-    service: Rc<Service>,
-    members: RefCell<Vec<Member>>,
-}
-
-impl Group {
-    fn new(service: Rc<Service>) -> Self {
-        Self {
-            service,
-            members: RefCell::default(),
-        }
-    }
-
-    fn set_members(&self, members: Vec<Member>) {
-        let previous = self.members.replace(members.clone());
-        if previous == members {
-            return;
-        }
-        let now = Instant::now();
-        for server in self.service.servers() {
-            let stays = |member: &Member| {
-                let known = server.description();
-                member.name == known.id
-                    && member.address == known.address
-                    && member.zone == known.zone
-            };
-            if !members.iter().any(stays) {
-                server.close();
-                self.service.remove(&server);
-            }
-        }
-        for member in members {
-            let known = self.service.servers();
-            if !known.iter().any(|server| **server.id() == *member.name) {
-                let server = Server::peer(description(member), &self.service, now);
-                server.set_max_connections(MAX_CONNECTIONS_PER_PEER);
-                self.service.add(server);
-            }
-        }
-    }
-}
-
-/// The instances that answer requests for this one.
-#[derive(Debug)]
-pub struct Peers {
-    /// Those that gather its queries; empty if it gathers them itself.
-    gatherers: Group,
-    /// Further ones that answer while the links of this instance are lost.
-    standby: Group,
-    /// Overhead of hops beyond the peer's own processing time.
-    hop_overhead: RefCell<Overhead>,
-}
-
-impl Peers {
-    /// Creates empty sets.
-    pub(crate) fn new(gatherers: Rc<Service>, standby: Rc<Service>) -> Self {
-        Self {
-            gatherers: Group::new(gatherers),
-            standby: Group::new(standby),
-            hop_overhead: RefCell::default(),
-        }
-    }
-
-    /// Returns whether any instance that gathers is available now.
-    pub(crate) fn is_reachable(&self, now: Instant) -> bool {
-        self.gatherers.service.is_reachable(now)
-    }
-
-    /// Returns the availability zones of the instances that gather.
-    pub fn zones(&self) -> Vec<Arc<str>> {
-        let peers = self.gatherers.service.servers();
-        let zone = |peer: &Rc<Server>| peer.description().zone.clone();
-        peers.iter().map(zone).collect()
-    }
-
-    /// Sets what the zone of each peer costs, given the share of the shards that have a server in a zone.
-    pub(crate) fn set_zone_costs(&self, local_zone: &str, shard_share: impl Fn(&str) -> f64) {
-        let groups = [&self.gatherers, &self.standby];
-        for server in groups.iter().flat_map(|group| group.service.servers()) {
-            let zone = &*server.description().zone;
-            let cost = delegation::zone_cost(zone == local_zone, shard_share(zone));
-            server.set_zone_cost(cost);
-        }
-    }
-
-    /// Records the hop overhead: the time that a hop took less the time that the peer reports.
-    fn record_hop_overhead(&self, reply: &Reply, took: Duration) {
-        let peer_took = reply.headers().get(HOP_HEADER);
-        let peer_took = peer_took.and_then(|value| value.to_str().ok()?.parse().ok());
-        if let Some(peer_took) = peer_took.map(Duration::from_micros) {
-            self.hop_overhead
-                .borrow_mut()
-                .record(took.saturating_sub(peer_took));
-        }
-    }
-
-    /// Sets the instances that gather queries for this one, empty if it gathers them itself, and those that answer
-    /// while its links are lost.
-    pub(crate) fn set_members(&self, gatherers: Vec<Member>, standby: Vec<Member>) {
-        self.gatherers.set_members(gatherers);
-        self.standby.set_members(standby);
-    }
-
-    /// Chooses a peer that isn't among `tried`, with its service.
-    fn try_choose(
-        &self,
-        baseline: Duration,
-        tried: &[Rc<Server>],
-        includes_standby: bool,
-    ) -> Option<(Rc<Service>, Rc<Server>)> {
-        let groups = [
-            Some(&self.gatherers),
-            Some(&self.standby).filter(|_| includes_standby),
-        ];
-        groups.into_iter().flatten().find_map(|group| {
-            let peer = group.service.try_choose(baseline, tried)?;
-            Some((group.service.clone(), peer))
-        })
-    }
-}
-
-fn description(member: Member) -> Description {
-    Description {
-        id: member.name,
-        service: Arc::from("peers"),
-        address: member.address,
-        zone: member.zone,
-        slots: MAX_CONNECTIONS_PER_PEER,
-        draining: false,
-        warmup: Duration::ZERO,
-        started_at_ms: None,
-    }
-}
-
 /// Result of passing a request on to peers.
 #[derive(Debug)]
 pub(crate) enum Delegation {
@@ -344,10 +183,7 @@
             Some(Ok(Ok(reply))) if reply.headers().contains_key(HOP_HEADER) => {
                 peer.record_success();
                 peer.record_latency(Instant::now(), latency_multiple(now.elapsed(), baseline));
-                relay
-                    .registry()
-                    .peers()
-                    .record_hop_overhead(&reply, now.elapsed());
+                record_hop_overhead(relay, &reply, now.elapsed());
                 relay.meter().delegated.add(1);
                 record_notices(relay, &reply);
                 info!(request = id, peer = %peer.id(), status = reply.status().as_u16(), ms, "peer: answered.");
@@ -405,6 +241,16 @@
     }
 }
 
+/// Records the hop overhead: the time that a hop took less the time that the peer reports.
+fn record_hop_overhead(relay: &Relay, reply: &Reply, took: Duration) {
+    let peer_took = reply.headers().get(HOP_HEADER);
+    let peer_took = peer_took.and_then(|value| value.to_str().ok()?.parse().ok());
+    if let Some(peer_took) = peer_took.map(Duration::from_micros) {
+        let overhead = took.saturating_sub(peer_took);
+        relay.registry().peers().record_hop_overhead(overhead);
+    }
+}
+
 /// Result of an exchange with a peer.
 type ExchangeResult = Result<Result<Reply, Failure>, oneshot::Canceled>;
 
@@ -421,7 +267,7 @@
     let version = relay.table().map_or(0, |table| table.version());
     let reaches_store = u8::from(!relay.registry().is_store_unavailable());
     let elapsed_here = now.saturating_duration_since(caller_request.arrived_at);
-    let hop_overhead = relay.registry().peers().hop_overhead.borrow().estimate();
+    let hop_overhead = relay.registry().peers().hop_overhead();
     let waited_us = (caller_request.waited + elapsed_here + hop_overhead).as_micros();
     let text = format!("{version};{reaches_store};{waited_us}");
     HeaderValue::from_str(&text).unwrap_or_else(|_| HeaderValue::from_static("0;0;0"))
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -55,7 +55,7 @@
 use crate::{
     headers::HeaderNames,
     links::Links,
-    peer::{
+    peers::{
         Member,
         Peers, //
     },
--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -35,7 +35,7 @@
         MIN_BACKOFF, //
     },
     mirror::Position,
-    peer::Member,
+    peers::Member,
     relay::Relay,
     source::{
         Limits,
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -40,7 +40,7 @@
         Position,
         Reading, //
     },
-    peer::Member,
+    peers::Member,
     registry::StoreRole,
     relay::Relay,
 };
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -32,7 +32,7 @@
         Origin, //
     },
     meter::Meter,
-    peer::Member,
+    peers::Member,
     registry::{
         self,
         Registry, //
--- a/crates/relay/tests/common/node.rs
+++ b/crates/relay/tests/common/node.rs
@@ -11,7 +11,7 @@
 use monoio::time::sleep;
 use relay::{
     follow,
-    peer::Member,
+    peers::Member,
     quarantine,
     roster,
     source::Source, //
--- a/crates/relay/tests/common/store.rs
+++ b/crates/relay/tests/common/store.rs
@@ -33,7 +33,7 @@
         Directory,
         ParseError, //
     },
-    peer::Member,
+    peers::Member,
     server::Description,
 };
 use route::Table;
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -23,7 +23,7 @@
     Instance, //
 };
 
-use relay::peer::Member;
+use relay::peers::Member;
 
 const LARGE_CORES: f64 = 0.5;
 const SMALL_CORES: f64 = 0.1;
--- a/crates/tanageryoke/src/commands/relay.rs
+++ b/crates/tanageryoke/src/commands/relay.rs
@@ -33,7 +33,7 @@
     links,
     maintenance,
     meter::Meter,
-    peer::Member,
+    peers::Member,
     quarantine,
     registry::{
         self,
