refactor(web, relay): one repeatable notification, and less written twice

No change of behaviour.

- RefCell<Stop> that is swapped and set stood in follow, mirror, quarantine and twice in this change, four of them with the same loop around it: web::Notification, with wait_while.
- The three checks of a retry are one, Tracker::may_retry; when a reply is overdue is asked of the call, so that no list of answers is collected first; a probe takes the servers that it may choose from, which one of its two callers had filtered already.
- A refusal before routing was written twice in caller.rs.

--- a/crates/policy/src/links.rs
+++ b/crates/policy/src/links.rs
@@ -81,9 +81,7 @@
     /// Records that a server replied or accepted a connection.
     pub fn record_contact(&mut self, now: Instant) -> Change {
         self.last_contact_at = Some(now);
-        if !self.silent.is_empty() {
-            self.silent.clear();
-        }
+        self.silent.clear();
         match std::mem::take(&mut self.state) {
             State::Sound => Change::None,
             State::Suspected => Change::Cleared,
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -156,6 +156,16 @@
             server: execution.tried.last().map(|server| server.id().clone()),
         }
     }
+
+    /// Returns when a sub-request that was sent at `sent_at` takes so long that another one may be sent.
+    fn due_at(&self, sent_at: Instant) -> Instant {
+        hedge::due_at(
+            sent_at,
+            self.route_latency.hedge_delay(),
+            self.scheduling.baseline,
+            self.scheduling.answer_by,
+        )
+    }
 }
 
 /// Failure to report if no attempt succeeds.
@@ -226,8 +236,7 @@
         let overdue_at = self.overdue_at().filter(|at| *at < deadline);
         let until = hedge_at.into_iter().chain(overdue_at).min();
         let timer = std::pin::pin!(sleep_until(until.unwrap_or(deadline).into()));
-        let crashes = self.call.crashes.clone();
-        let proof = std::pin::pin!(crashes.prove_for_hedge());
+        let proof = std::pin::pin!(self.call.crashes.prove_for_hedge());
         let waits = std::pin::pin!(select(timer, proof));
         match select(self.running.next(), waits).await {
             Either::Left((Some(ended), _)) => Event::AttemptEnded(Box::new(ended)),
@@ -241,36 +250,22 @@
     /// Returns when the reply of a sub-request is overdue whose server isn't recorded as silent yet.
     fn overdue_at(&self) -> Option<Instant> {
         let waiting = self.running.iter().filter(|attempt| !attempt.is_overdue);
-        waiting.map(|attempt| self.due_at(attempt)).min()
+        waiting
+            .map(|attempt| self.call.due_at(attempt.sent_at))
+            .min()
     }
 
     /// Records the servers whose reply is overdue as silent.
     fn record_overdue(&mut self) {
         let now = Instant::now();
-        let due: Vec<bool> = self
-            .running
-            .iter()
-            .map(|one| self.due_at(one) <= now)
-            .collect();
-        for (attempt, is_due) in self.running.iter_mut().zip(due) {
-            if is_due && !attempt.is_overdue {
+        for attempt in self.running.iter_mut() {
+            if !attempt.is_overdue && self.call.due_at(attempt.sent_at) <= now {
                 attempt.is_overdue = true;
                 attempt.server.record_silence();
             }
         }
     }
 
-    /// Returns when a sub-request takes so long that another one may be sent.
-    fn due_at(&self, attempt: &Attempt) -> Instant {
-        let scheduling = &self.call.scheduling;
-        hedge::due_at(
-            attempt.sent_at,
-            self.call.route_latency.hedge_delay(),
-            scheduling.baseline,
-            scheduling.answer_by,
-        )
-    }
-
     /// Returns when to send a hedge; none if there is to be none.
     fn hedge_at(&self) -> Option<Instant> {
         let may_hedge = self.call.kind == Kind::Idempotent
@@ -278,7 +273,7 @@
             && self.has_attempts_left()
             && self.call.crashes.may_hedge();
         let initial = self.running.iter().next().filter(|_| may_hedge)?;
-        let at = self.due_at(initial);
+        let at = self.call.due_at(initial.sent_at);
         let at = self
             .hedge_not_before
             .map_or(at, |earliest| earliest.max(at));
@@ -306,10 +301,7 @@
             return Ok(());
         };
         let is_repeatable = self.call.kind == Kind::Idempotent || !self.may_have_run;
-        let may_rerun = is_repeatable
-            && self.call.crashes.may_retry(self.crashed)
-            && self.call.crashes.prove_for_retry().await
-            && self.call.crashes.may_retry(self.crashed);
+        let may_rerun = is_repeatable && self.call.crashes.may_retry(self.crashed).await;
         let service = self.call.service.clone();
         // The first sub-request that reaches a server is no repetition.
         let needs_budget = self.unsent < self.tried.len();
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -285,10 +285,7 @@
     id: &str,
     arrival: Arrival,
 ) -> Response<Bytes> {
-    let refuse = |status, text| {
-        relay.record_unrouted(id, text, status);
-        answer::with_text(status, text)
-    };
+    let refuse = |status, text| refuse(relay, id, status, text);
     let table = relay.table();
     let host = request
         .headers()
@@ -370,6 +367,12 @@
     }
 }
 
+/// Answers a request itself, without routing it.
+fn refuse(relay: &Relay, id: &str, status: StatusCode, text: &'static str) -> Response<Bytes> {
+    relay.record_unrouted(id, text, status);
+    answer::with_text(status, text)
+}
+
 /// Result of answering a request on this instance, whose links may be lost meanwhile.
 enum Local {
     /// It was answered.
@@ -414,8 +417,7 @@
         } if !may_have_run && !other => relay.refuse_unlinked(caller_request),
         Delegation::NotTaken { .. } | Delegation::MayHaveRun => {
             let id = caller_request.id.to_str().unwrap_or("unprintable");
-            relay.record_unrouted(id, NO_PEER_ANSWER, StatusCode::BAD_GATEWAY);
-            answer::with_text(StatusCode::BAD_GATEWAY, NO_PEER_ANSWER)
+            refuse(relay, id, StatusCode::BAD_GATEWAY, NO_PEER_ANSWER)
         }
     }
 }
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -5,7 +5,6 @@
 //! [`crate::mirror`].
 
 use std::{
-    cell::RefCell,
     pin::pin,
     rc::Rc,
     sync::Arc,
@@ -35,7 +34,7 @@
     info,
     warn, //
 };
-use web::Stop;
+use web::Notification;
 
 pub use crate::directory::{
     Directory,
@@ -111,25 +110,25 @@
 /// probe it, or that it was restored from an older copy, so that none waits for changes of the earlier era.
 #[derive(Debug, Clone, Default)]
 pub struct StoreRecovery {
-    recovered: Rc<RefCell<Stop>>,
-    restored: Rc<RefCell<Stop>>,
+    recovered: Rc<Notification>,
+    restored: Rc<Notification>,
 }
 
 impl StoreRecovery {
     fn notify(&self) {
-        self.recovered.replace(Stop::new()).set();
+        self.recovered.send();
     }
 
     fn notify_restored(&self) {
-        self.restored.replace(Stop::new()).set();
+        self.restored.send();
     }
 
     fn wait_restored(&self) -> impl std::future::Future<Output = ()> {
-        self.restored.borrow().wait()
+        self.restored.wait()
     }
 
     async fn wait(&self, max_wait: Duration) {
-        let recovered = self.recovered.borrow().wait();
+        let recovered = self.recovered.wait();
         // The caller retries in either case: after the notification and after the timeout.
         let _ = timeout(max_wait, recovered).await;
     }
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -33,7 +33,7 @@
     Target, //
 };
 use tracing::info;
-use web::Stop;
+use web::Notification;
 
 use crate::{
     connection,
@@ -53,8 +53,8 @@
     servers: RefCell<BTreeMap<Arc<str>, Weak<Server>>>,
     /// Number of rounds of probes so far.
     rounds: Cell<usize>,
-    /// Set at the next change of the state.
-    changed: RefCell<Stop>,
+    /// Sent at each change of the state.
+    changed: Notification,
 }
 
 impl Links {
@@ -109,22 +109,17 @@
                 self.servers().iter().for_each(|server| server.reset());
             }
         }
-        self.changed.replace(Stop::new()).set();
+        self.changed.send();
     }
 
     /// Waits while the state is `state`.
     async fn wait_while(&self, state: State) {
-        while self.state() == state {
-            let changed = self.changed.borrow().wait();
-            changed.await;
-        }
+        self.changed.wait_while(|| self.state() == state).await;
     }
 
     /// Waits until the links are lost.
     pub(crate) async fn wait_for_loss(&self) {
-        while !self.are_lost() {
-            self.wait_while(self.state()).await;
-        }
+        self.changed.wait_while(|| !self.are_lost()).await;
     }
 
     /// Returns whether any server was in contact after `then`.
@@ -133,12 +128,9 @@
         since_contact.is_some_and(|since| since < then.elapsed())
     }
 
-    /// Probes some servers, except one, until one accepts a connection; returns whether any server was in contact
-    /// meanwhile.
-    async fn probe(&self, except: Option<&Arc<str>>) -> bool {
+    /// Probes some of the servers until one accepts a connection; returns whether any server was in contact meanwhile.
+    async fn probe(&self, servers: &[Rc<Server>]) -> bool {
         let started_at = Instant::now();
-        let mut servers = self.servers();
-        servers.retain(|server| Some(server.id()) != except);
         let chosen = {
             let monitor = self.monitor.borrow();
             let targets = servers.iter().map(|server| Target {
@@ -174,7 +166,7 @@
         let is_linked = others.is_empty()
             || self.has_contact_since(then)
             || others.iter().any(|other| other.has_idle_connection());
-        is_linked || self.probe(Some(server.id())).await
+        is_linked || self.probe(&others).await
     }
 
     /// Logs that no server replies.
@@ -198,7 +190,7 @@
         sleep(MIN_SILENCE).await;
         if links.state() == State::Suspected {
             links.log_silence();
-            if !links.probe(None).await {
+            if !links.probe(&links.servers()).await {
                 let change = links
                     .monitor
                     .borrow_mut()
@@ -212,7 +204,7 @@
         }
         while links.are_lost() {
             sleep(PROBE_INTERVAL).await;
-            links.probe(None).await;
+            links.probe(&links.servers()).await;
         }
     }
 }
--- a/crates/relay/src/mirror.rs
+++ b/crates/relay/src/mirror.rs
@@ -18,7 +18,7 @@
     Object, //
 };
 use serde::Serialize;
-use web::Stop;
+use web::Notification;
 
 use crate::compression;
 
@@ -166,7 +166,7 @@
 #[derive(Debug, Default)]
 pub struct Mirror {
     kinds: RefCell<HashMap<&'static str, Kind>>,
-    changed: RefCell<Stop>,
+    changed: Notification,
     encoded: RefCell<VecDeque<Encoded>>,
 }
 
@@ -206,12 +206,12 @@
     }
 
     fn notify(&self) {
-        self.changed.replace(Stop::new()).set();
+        self.changed.send();
     }
 
     /// Waits for the next reading of any kind.
     pub(crate) fn wait_for_reading(&self) -> impl std::future::Future<Output = ()> {
-        self.changed.borrow().wait()
+        self.changed.wait()
     }
 
     /// Returns the era, the revision and the age in milliseconds of what was read of each kind, for a dump.
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -151,11 +151,9 @@
         tried: &[Rc<Server>],
         includes_standby: bool,
     ) -> Option<(Rc<Service>, Rc<Server>)> {
-        let groups = [
-            Some(&self.gatherers),
-            Some(&self.standby).filter(|_| includes_standby),
-        ];
-        groups.into_iter().flatten().find_map(|group| {
+        let standby = includes_standby.then_some(&self.standby);
+        let mut groups = std::iter::once(&self.gatherers).chain(standby);
+        groups.find_map(|group| {
             let peer = group.service.try_choose(baseline, tried)?;
             Some((group.service.clone(), peer))
         })
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -40,7 +40,7 @@
     info,
     warn, //
 };
-use web::Stop;
+use web::Notification;
 
 use crate::{
     connection::{
@@ -82,8 +82,8 @@
     state: RefCell<State>,
     /// Version of the store's object that was last read or written; 0 if there is none.
     version: Cell<u64>,
-    /// Set when there is something to write.
-    changed: RefCell<Stop>,
+    /// Sent when there is something to write.
+    changed: Notification,
     /// Sub-requests under which the server crashed.
     crashes: Counter,
 }
@@ -115,7 +115,7 @@
             request: request.id.clone(),
             fingerprint,
             attempt: RefCell::new(Attempt::new(known)),
-            proof_changed: RefCell::default(),
+            proof_changed: Notification::default(),
             is_served: Cell::new(false),
         })
     }
@@ -138,15 +138,13 @@
     }
 
     fn notify(&self) {
-        self.changed.replace(Stop::new()).set();
+        self.changed.send();
     }
 
     /// Waits until there is something to write.
     async fn wait_for_changes(&self) {
-        while !self.state.borrow().has_changes() {
-            let changed = self.changed.borrow().wait();
-            changed.await;
-        }
+        let has_none = || !self.state.borrow().has_changes();
+        self.changed.wait_while(has_none).await;
     }
 
     /// Records that the store held no object at `revision`: there is none yet, or an operator has deleted it.
@@ -192,8 +190,8 @@
     request: HeaderValue,
     fingerprint: Fingerprint,
     attempt: RefCell<Attempt>,
-    /// Set when a server has served a part of the query, or none can be expected to.
-    proof_changed: RefCell<Stop>,
+    /// Sent when a server has served a part of the query, or none can be expected to.
+    proof_changed: Notification,
     is_served: Cell<bool>,
 }
 
@@ -293,7 +291,7 @@
         let before = self.proof();
         change(&mut self.attempt.borrow_mut());
         if self.proof() != before {
-            self.proof_changed.replace(Stop::new()).set();
+            self.proof_changed.send();
         }
     }
 
@@ -303,10 +301,8 @@
 
     /// Waits while no server has served a part of the query and one may still do so.
     async fn wait_for_proof(&self) {
-        while self.proof() == Proof::Awaited {
-            let changed = self.proof_changed.borrow().wait();
-            changed.await;
-        }
+        let is_awaited = || self.proof() == Proof::Awaited;
+        self.proof_changed.wait_while(is_awaited).await;
     }
 
     /// Waits until a server has served a part of the query; for ever if there is nothing to wait for.
@@ -318,20 +314,18 @@
         }
     }
 
-    /// Waits for such a reply before a retry after a crash; returns whether it may be sent.
-    pub(crate) async fn prove_for_retry(&self) -> bool {
-        if !self.has_crashes() {
-            return true;
+    /// Returns whether a retry may be sent to a service of which `crashed` servers crashed under this attempt.
+    ///
+    /// After a crash it waits until a server has served a part of the query, while further servers may crash.
+    pub(crate) async fn may_retry(&self, crashed: usize) -> bool {
+        let is_allowed = || self.attempt.borrow().may_retry(crashed);
+        if !is_allowed() || !self.has_crashes() {
+            return is_allowed();
         }
         self.update(|attempt| attempt.set_waiting(true));
         let _guard = Waiting(self);
         self.wait_for_proof().await;
-        self.proof() == Proof::Harmless
-    }
-
-    /// Returns whether a retry may be sent to a service of which `crashed` servers crashed under this attempt.
-    pub(crate) fn may_retry(&self, crashed: usize) -> bool {
-        self.attempt.borrow().may_retry(crashed)
+        self.proof() == Proof::Harmless && is_allowed()
     }
 
     /// Returns whether crashes under the request were known before this attempt.
--- a/crates/relay/tests/common/cut.rs
+++ b/crates/relay/tests/common/cut.rs
@@ -1,15 +1,6 @@
 //! A link between one instance and one server that can be cut.
 
-use std::{
-    cell::{
-        Cell,
-        RefCell, //
-    },
-    net::SocketAddr,
-    rc::Rc,
-    sync::Arc,
-    time::Duration,
-};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use futures_util::future::{
     select,
@@ -27,7 +18,7 @@
     },
 };
 use relay::server::Description;
-use web::Stop;
+use web::Notification;
 
 use super::{
     any_address,
@@ -58,7 +49,7 @@
     target: SocketAddr,
     description: Description,
     condition: Cell<Condition>,
-    changed: RefCell<Stop>,
+    changed: Notification,
 }
 
 impl Link {
@@ -74,7 +65,7 @@
                 ..fake.description(service)
             },
             condition: Cell::new(Condition::Open),
-            changed: RefCell::default(),
+            changed: Notification::default(),
         });
         monoio::spawn(link.clone().run(listener));
         link
@@ -88,14 +79,13 @@
     /// Changes the condition.
     pub fn set(&self, condition: Condition) {
         self.condition.set(condition);
-        self.changed.replace(Stop::new()).set();
+        self.changed.send();
     }
 
     async fn wait_while(&self, holds: impl Fn(Condition) -> bool) {
-        while holds(self.condition.get()) {
-            let changed = self.changed.borrow().wait();
-            changed.await;
-        }
+        self.changed
+            .wait_while(|| holds(self.condition.get()))
+            .await;
     }
 
     async fn run(self: Rc<Self>, mut listener: std::net::TcpListener) {
--- a/crates/relay/tests/common/store.rs
+++ b/crates/relay/tests/common/store.rs
@@ -45,7 +45,7 @@
     to_raw_value,
     RawValue, //
 };
-use web::Stop;
+use web::Notification;
 
 use super::{
     query_route,
@@ -66,7 +66,7 @@
 #[derive(Debug, Default)]
 pub struct SharedStore {
     state: RefCell<State>,
-    changed: RefCell<Stop>,
+    changed: Notification,
 }
 
 impl SharedStore {
@@ -89,13 +89,13 @@
         let objects = state.kinds.entry(kind.to_owned()).or_default();
         objects.insert(name.into(), object);
         drop(state);
-        self.changed.replace(Stop::new()).set();
+        self.changed.send();
         revision
     }
 
     /// Wakes all watches without a change.
     pub fn wake_watches(&self) {
-        self.changed.replace(Stop::new()).set();
+        self.changed.send();
     }
 
     /// Returns a copy to restore later.
@@ -104,7 +104,7 @@
         move |store| {
             let era = store.state.borrow().era + 1;
             *store.state.borrow_mut() = State { era, ..copy };
-            store.changed.replace(Stop::new()).set();
+            store.changed.send();
         }
     }
 
@@ -241,7 +241,7 @@
             if !listing.objects.is_empty() || left.is_zero() || listing.revision > after {
                 return Ok(listing);
             }
-            let changed = self.shared.changed.borrow().wait();
+            let changed = self.shared.changed.wait();
             // Both a change and the timeout are handled by the next round.
             let _ = timeout(left, changed).await;
             if self.is_silent.get() {
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -31,4 +31,7 @@
 pub mod stop;
 
 pub use limits::Limits;
-pub use stop::Stop;
+pub use stop::{
+    Notification,
+    Stop, //
+};
--- a/crates/web/src/stop.rs
+++ b/crates/web/src/stop.rs
@@ -1,4 +1,4 @@
-//! A stop signal for the tasks of one thread.
+//! Signals between the tasks of one thread: one that stays set, and one that is given again and again.
 
 use std::{
     cell::RefCell,
@@ -57,6 +57,29 @@
     }
 }
 
+/// Wakes the tasks that wait for it each time that it is sent.
+#[derive(Debug, Default)]
+pub struct Notification(RefCell<Stop>);
+
+impl Notification {
+    /// Wakes every task that waits now.
+    pub fn send(&self) {
+        self.0.replace(Stop::new()).set();
+    }
+
+    /// Waits until it is sent the next time after this call.
+    pub fn wait(&self) -> Wait {
+        self.0.borrow().wait()
+    }
+
+    /// Waits while a condition holds, which is checked at first and each time that it is sent.
+    pub async fn wait_while(&self, holds: impl Fn() -> bool) {
+        while holds() {
+            self.wait().await;
+        }
+    }
+}
+
 /// Future that completes when a [`Stop`] is set.
 #[derive(Debug)]
 pub struct Wait {
