feat(relay, policy): declined sub-requests may be sent again, declining servers aren't ejected

Cause: a reply that states that a request wasn't run counted as a failure, and three in a row ejected the server. Change: a declined request lowers a server's rank without ejecting it; a declined sub-request or hedge may be sent again, within the retry budget and five times a call, to a server that has served something within five seconds; initial sub-requests go to declining servers only while the budget allows a retry. Ruled out: the budget as the first bound (1,889 to 3,891 declined arrivals, within it).

--- a/crates/policy/src/retry_budget.rs
+++ b/crates/policy/src/retry_budget.rs
@@ -169,16 +169,26 @@
     /// Counts one hedge or retry if the budget allows it; returns whether it may be sent.
     pub fn take(&mut self, now: Instant, purpose: Purpose) -> bool {
         let share = match purpose {
-            Purpose::Hedge => LIMIT_SHARE * HEDGE_SHARE,
-            Purpose::Retry => LIMIT_SHARE,
+            Purpose::Hedge => HEDGE_SHARE,
+            Purpose::Retry => 1.0,
         };
-        let (initial, hedges_and_retries) = self.counts(now);
-        let allowed = (self.limit.ratio * f64::from(initial) + self.allowance(now)) * share;
-        if f64::from(hedges_and_retries + 1) > allowed {
-            return false;
+        let is_allowed = self.has_room(now, share);
+        if is_allowed {
+            self.current_bucket(now).hedges_and_retries += 1;
         }
-        self.current_bucket(now).hedges_and_retries += 1;
-        true
+        is_allowed
+    }
+
+    /// Returns whether the budget allows a retry now, as for a sub-request that a server is likely to decline.
+    pub fn allows_retry(&self, now: Instant) -> bool {
+        self.has_room(now, 1.0)
+    }
+
+    /// Returns whether one more hedge or retry stays within a share of the usable budget.
+    fn has_room(&self, now: Instant, share: f64) -> bool {
+        let (initial, hedges_and_retries) = self.counts(now);
+        let limit = self.limit.ratio * f64::from(initial) + self.allowance(now);
+        f64::from(hedges_and_retries + 1) <= limit * LIMIT_SHARE * share
     }
 
     /// Takes back the count of a hedge or retry that wasn't sent.
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -66,8 +66,11 @@
     },
 };
 
-/// Delay before a hedge that couldn't be sent is tried again: about the time until a slot is free.
+/// Delay before a hedge that couldn't be sent is tried again, and before a server that declined a sub-request gets it
+/// again: about the time until a slot is free.
 const HEDGE_RETRY_DELAY: Duration = Duration::from_millis(6);
+/// Maximum number of sub-requests of a call that servers decline.
+const MAX_DECLINED: usize = 5;
 
 /// Why a call failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -137,11 +140,15 @@
     /// Runs the call until it succeeds, no attempt is left, or its deadline passes.
     pub async fn run(self) -> Report {
         let mut execution = Execution {
+            sent: Vec::new(),
             tried: Vec::new(),
+            declined: Vec::new(),
+            declined_count: 0,
             running: FuturesUnordered::new(),
             pending_failure: None,
             may_have_run: false,
             hedged: false,
+            has_hedge: false,
             hedge_not_before: None,
             unconfirmed: Vec::new(),
             crashed: 0,
@@ -151,9 +158,9 @@
         let outcome = execution.run_attempts().await;
         Report {
             outcome,
-            attempts: execution.tried.len(),
+            attempts: execution.sent.len(),
             hedged: execution.hedged,
-            server: execution.tried.last().map(|server| server.id().clone()),
+            server: execution.sent.last().map(|server| server.id().clone()),
         }
     }
 
@@ -176,11 +183,20 @@
 
 struct Execution<'a> {
     call: Call<'a>,
+    /// Servers of all sub-requests, in the order in which these were sent.
+    sent: Vec<Rc<Server>>,
+    /// Servers that must not get another sub-request of this call.
     tried: Vec<Rc<Server>>,
+    /// Servers that declined a sub-request without running it, and may get another one.
+    declined: Vec<Rc<Server>>,
+    declined_count: usize,
     running: FuturesUnordered<Attempt>,
     pending_failure: Option<PendingFailure>,
     may_have_run: bool,
+    /// Whether any hedge was sent.
     hedged: bool,
+    /// Whether a hedge was sent that wasn't declined.
+    has_hedge: bool,
     /// Earliest time of the next hedge, after one that couldn't be sent.
     hedge_not_before: Option<Instant>,
     /// Exchanges that ended without a reply, of which it isn't known whether the server has crashed.
@@ -269,7 +285,7 @@
     /// Returns when to send a hedge; none if there is to be none.
     fn hedge_at(&self) -> Option<Instant> {
         let may_hedge = self.call.kind == Kind::Idempotent
-            && !self.hedged
+            && !self.has_hedge
             && self.has_attempts_left()
             && self.call.crashes.may_hedge();
         let initial = self.running.iter().next().filter(|_| may_hedge)?;
@@ -281,7 +297,38 @@
     }
 
     fn has_attempts_left(&self) -> bool {
-        self.tried.len() - self.unsent < self.call.max_attempts.max(1)
+        let may_repeat = !self.declined.is_empty() && self.declined_count < MAX_DECLINED;
+        may_repeat || self.may_use_further_server()
+    }
+
+    /// Returns whether a server that hasn't had this call yet may get it.
+    fn may_use_further_server(&self) -> bool {
+        let declined = self.declined.iter();
+        let only_declined = declined.filter(|server| !contains(&self.tried, server));
+        let used = self.tried.len() - self.unsent + only_declined.count();
+        used < self.call.max_attempts.max(1)
+    }
+
+    /// Returns the servers of the service that must not get the next sub-request.
+    fn excluded(&self) -> Vec<Rc<Server>> {
+        if self.may_use_further_server() {
+            return self.tried.clone();
+        }
+        let mut excluded = self.call.service.servers();
+        excluded
+            .retain(|server| contains(&self.tried, server) || !contains(&self.declined, server));
+        excluded
+    }
+
+    /// Waits a moment if only servers that have declined this call are free.
+    async fn wait_after_decline(&self) {
+        let mut others = self.excluded();
+        others.extend(self.declined.iter().cloned());
+        let service = &self.call.service;
+        let baseline = self.call.scheduling.baseline;
+        if !self.declined.is_empty() && service.try_choose(baseline, &others).is_none() {
+            sleep_until((Instant::now() + HEDGE_RETRY_DELAY).into()).await;
+        }
     }
 
     /// Sends the initial sub-request (no purpose) or a retry, once a server is free.
@@ -304,13 +351,14 @@
         let may_rerun = is_repeatable && self.call.crashes.may_retry(self.crashed).await;
         let service = self.call.service.clone();
         // The first sub-request that reaches a server is no repetition.
-        let needs_budget = self.unsent < self.tried.len();
+        let needs_budget = self.unsent < self.sent.len();
         let is_allowed = may_rerun && self.has_attempts_left();
         if !is_allowed || (needs_budget && !service.take_budget(now, purpose)) {
             return Err(Refusal::Busy);
         }
+        self.wait_after_decline().await;
         match service
-            .choose_or_wait(self.call.scheduling, &self.tried)
+            .choose_or_wait(self.call.scheduling, &self.excluded())
             .await
         {
             Ok(server) => {
@@ -331,12 +379,14 @@
         let now = Instant::now();
         self.hedge_not_before = Some(now + HEDGE_RETRY_DELAY);
         let service = &self.call.service;
-        let Some(server) = service.try_choose(self.call.scheduling.baseline, &self.tried) else {
+        let Some(server) = service.try_choose(self.call.scheduling.baseline, &self.excluded())
+        else {
             return;
         };
         match service.take_budget(now, Purpose::Hedge) {
             true => {
                 self.hedged = true;
+                self.has_hedge = true;
                 self.call.meter.hedges.add(1);
                 self.send(server, true);
             }
@@ -365,6 +415,7 @@
             }),
         );
         self.call.meter.exchanges.add(1);
+        self.sent.push(server.clone());
         self.tried.push(server.clone());
         self.running.push(Attempt {
             server,
@@ -406,7 +457,7 @@
         match classify(&reply, &self.call.caller_request.id, self.call.names) {
             Verdict::Served => {
                 self.call.crashes.record_served();
-                server.record_success();
+                server.record_success(now);
                 server.record_latency(
                     now,
                     latency_multiple(latency, self.call.scheduling.baseline),
@@ -416,8 +467,9 @@
             }
             Verdict::NotRun => {
                 self.call.meter.shed.add(1);
-                self.record_server_failure(&server, now);
+                server.record_declined();
                 self.keep_failure(PendingFailure::Cause(Cause::Shed));
+                self.allow_repeat(server, now);
             }
             Verdict::Misplaced => {
                 self.call.meter.misplaced.add(1);
@@ -442,6 +494,20 @@
         None
     }
 
+    /// Allows another sub-request to a server that declined one, unless it declines everything.
+    fn allow_repeat(&mut self, server: Rc<Server>, now: Instant) {
+        if !server.has_served_recently(now) {
+            return;
+        }
+        self.declined_count += 1;
+        self.has_hedge = false;
+        self.hedge_not_before = Some(now + HEDGE_RETRY_DELAY);
+        self.tried.retain(|one| !Rc::ptr_eq(one, &server));
+        if !contains(&self.declined, &server) {
+            self.declined.push(server);
+        }
+    }
+
     fn handle_failed_exchange(
         &mut self,
         server: &Rc<Server>,
@@ -524,6 +590,10 @@
     }
 }
 
+fn contains(servers: &[Rc<Server>], server: &Rc<Server>) -> bool {
+    servers.iter().any(|one| Rc::ptr_eq(one, server))
+}
+
 /// Returns a latency as a multiple of the baseline.
 pub(crate) fn latency_multiple(latency: Duration, baseline: Duration) -> f64 {
     latency.as_secs_f64() / baseline.as_secs_f64().max(1e-6)
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -181,7 +181,7 @@
                 Attempted::Declined { is_abandoned }
             }
             Some(Ok(Ok(reply))) if reply.headers().contains_key(HOP_HEADER) => {
-                peer.record_success();
+                peer.record_success(Instant::now());
                 peer.record_latency(Instant::now(), latency_multiple(now.elapsed(), baseline));
                 record_hop_overhead(relay, &reply, now.elapsed());
                 relay.meter().delegated.add(1);
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -76,6 +76,8 @@
 const LINGER: Duration = Duration::from_millis(300);
 /// Time without any reply after which a timeout counts as a failure of the server.
 const SILENT_AFTER: Duration = Duration::from_millis(1_000);
+/// Time for which a server that has served a request is taken to serve a part of what it gets.
+const SERVING_PERIOD: Duration = Duration::from_secs(5);
 /// Connect timeout of a backend server. A reachable server accepts within a few round trips; one whose
 /// accept queue is full does so when the SYN packet is retransmitted.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -111,6 +113,7 @@
     misplaced: Cell<bool>,
     refused_at: Cell<Option<Instant>>,
     replied_at: Cell<Option<Instant>>,
+    served_at: Cell<Option<Instant>>,
     idle: RefCell<Vec<Handle>>,
     pending: RefCell<Vec<(u64, Instant, Duration)>>,
     health: RefCell<Health>,
@@ -192,6 +195,7 @@
             misplaced: Cell::new(false),
             refused_at: Cell::new(None),
             replied_at: Cell::new(None),
+            served_at: Cell::new(None),
             idle: RefCell::default(),
             pending: RefCell::default(),
             health: RefCell::default(),
@@ -427,15 +431,35 @@
     }
 
     /// Records a successful exchange.
-    pub(crate) fn record_success(&self) {
+    pub(crate) fn record_success(&self, now: Instant) {
+        self.served_at.set(Some(now));
         self.health.borrow_mut().record_success();
     }
 
+    /// Returns whether it has served a request recently.
+    pub(crate) fn has_served_recently(&self, now: Instant) -> bool {
+        let served_at = self.served_at.get();
+        served_at.is_some_and(|at| now.saturating_duration_since(at) < SERVING_PERIOD)
+    }
+
     /// Returns whether any reply has arrived since then.
     pub(crate) fn has_replied_since(&self, then: Instant) -> bool {
         self.replied_at.get().is_some_and(|at| at > then)
     }
 
+    /// Records that it stated that it didn't run a request.
+    pub(crate) fn record_declined(&self) {
+        // A server that asks for a pause gets no requests anyway.
+        if self.pause_left(Instant::now()).is_none() {
+            self.health.borrow_mut().record_declined();
+        }
+    }
+
+    /// Returns whether it is likely to decline the next request.
+    pub(crate) fn is_declining(&self) -> bool {
+        self.health.borrow().is_declining()
+    }
+
     /// Records a failure; returns whether the server is ejected by it.
     pub(crate) fn record_failure(&self, now: Instant) -> Transition {
         self.health.borrow_mut().record_failure(now)
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -320,6 +320,15 @@
                 None => Choice::Busy,
             }
         };
+        // A declined sub-request takes a retry.
+        let may_be_declined = !tried.is_empty() || self.budget.borrow().allows_retry(now);
+        let is_preferred = |server: &Server| {
+            server.is_available(now) && (may_be_declined || !server.is_declining())
+        };
+        match pick(&is_preferred) {
+            Choice::None => {}
+            choice => return choice,
+        }
         match pick(&|server| server.is_available(now)) {
             Choice::None => pick(&|server| server.is_last_resort(now)),
             choice => choice,
