fix(relay, policy): readers find the watchers that still hear from the store

Cause: the store turned four of the six watchers away from 2.5 s on, both of one zone among them. A reader asked the first three watchers in its order, and put those that had failed last only within these three, so that readings too old to pass on were all it got from three failing ones; from 4.5 s on it waited for its turn to read the store, up to 5 s. Change: watchers that failed to supply a kind lately leave the three places to others; a reading is too old after 3.6 s (a watch of the store ends within 3 s). Test: changes_are_in_force_although_two_thirds_of_the_watchers_are_cut_off, failed before.

--- a/crates/policy/src/watchers.rs
+++ b/crates/policy/src/watchers.rs
@@ -14,10 +14,10 @@
 /// Minimum number of watchers, so that the loss of a zone leaves some.
 const MIN_WATCHERS: usize = 4;
 /// Maximum number of watchers that are asked before a read fails.
-const MAX_TRIES: usize = 3;
+pub const MAX_TRIES: usize = 3;
 /// Age beyond which what an instance holds of the store is too old to pass on: a watch of the store that is lost
 /// is noticed within less.
-pub const MAX_AGE: Duration = Duration::from_millis(4_500);
+pub const MAX_AGE: Duration = Duration::from_millis(3_600);
 /// Time without a supply after which an instance asks the store itself, and the range over which instances are
 /// spread that lose their supply together.
 const MIN_UNSUPPLIED: Duration = Duration::from_millis(2_000);
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -467,15 +467,28 @@
         watches && self.watchers.borrow().len() < self.instances()
     }
 
-    /// Returns the watchers to ask for the read number `turn` of this instance, in order.
-    pub(crate) fn watchers_to_ask(&self, turn: u64) -> Vec<Member> {
+    /// Returns the watchers to ask for the read number `turn` of this instance, in order: those that have failed lately
+    /// only after the others.
+    pub(crate) fn watchers_to_ask(
+        &self,
+        turn: u64,
+        has_failed: impl Fn(&Member) -> bool,
+    ) -> Vec<Member> {
         let watchers = self.watchers.borrow();
         let settings = self.settings.borrow();
-        let candidates: Vec<Candidate<'_>> = watchers.iter().map(candidate).collect();
-        watchers::order(&candidate(&settings.local), &candidates, turn)
-            .into_iter()
-            .map(|index| watchers[index].clone())
-            .collect()
+        let (failed, sound): (Vec<&Member>, Vec<&Member>) =
+            watchers.iter().partition(|watcher| has_failed(watcher));
+        let order = |watchers: Vec<&Member>| {
+            let candidates: Vec<Candidate<'_>> =
+                watchers.iter().map(|watcher| candidate(watcher)).collect();
+            let order = watchers::order(&candidate(&settings.local), &candidates, turn);
+            let members = order.into_iter().map(|index| watchers[index].clone());
+            members.collect::<Vec<_>>()
+        };
+        let mut ordered = order(sound);
+        ordered.extend(order(failed));
+        ordered.truncate(watchers::MAX_TRIES);
+        ordered
     }
 
     /// Returns the instances that answer requests for this one.
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -95,7 +95,8 @@
     store: Rc<S>,
     relay: Rc<Relay>,
     transports: RefCell<HashMap<SocketAddr, Rc<Transport>>>,
-    failed_at: RefCell<HashMap<SocketAddr, Instant>>,
+    /// When watchers last failed to supply a kind.
+    failed_at: RefCell<HashMap<(SocketAddr, &'static str), Instant>>,
     /// Generation of each watcher's readings of a kind, as it last stated it.
     generations: RefCell<HashMap<(SocketAddr, &'static str), u64>>,
     reads: RefCell<HashMap<&'static str, Reads>>,
@@ -223,7 +224,7 @@
         };
         let registry = self.relay.registry();
         let local_zone = registry.local_zone();
-        let watchers = self.by_health(registry.watchers_to_ask(turn));
+        let watchers = registry.watchers_to_ask(turn, |watcher| self.has_failed(watcher, kind));
         let mut tries: VecDeque<(Member, bool)> = watchers
             .into_iter()
             .map(|watcher| {
@@ -258,7 +259,7 @@
                 // This watcher lacks the changes.
                 Ok(Some(reading)) if is_changed && is_empty(&reading) && !tries.is_empty() => {}
                 Ok(Some(reading)) => {
-                    self.failed_at.borrow_mut().remove(&watcher.address);
+                    self.failed_at.borrow_mut().remove(&known);
                     self.era.set(self.era.get().max(reading.listing.era));
                     self.with_reads(kind, |reads| reads.supplied_at = Instant::now());
                     self.relay.meter().supplied.add(1);
@@ -270,21 +271,18 @@
                 Err(failure) => {
                     debug!(watcher = %watcher.name, kind, %failure, "source: watcher doesn't supply.");
                     let mut failed_at = self.failed_at.borrow_mut();
-                    failed_at.insert(watcher.address, Instant::now());
+                    failed_at.insert(known, Instant::now());
                 }
             }
         }
         Err(ReadError::Unsupplied)
     }
 
-    /// Puts the watchers that failed a short while ago last.
-    fn by_health(&self, mut watchers: Vec<Member>) -> Vec<Member> {
+    /// Returns whether the watcher failed to supply the kind a short while ago.
+    fn has_failed(&self, watcher: &Member, kind: &'static str) -> bool {
         let failed_at = self.failed_at.borrow();
-        watchers.sort_by_key(|watcher| {
-            let failed_at = failed_at.get(&watcher.address);
-            failed_at.is_some_and(|at| at.elapsed() < FAILED_PAUSE)
-        });
-        watchers
+        let failed_at = failed_at.get(&(watcher.address, kind));
+        failed_at.is_some_and(|at| at.elapsed() < FAILED_PAUSE)
     }
 
     /// Asks one watcher; `latest` is the latest position that was read.
--- a/crates/relay/tests/watchers.rs
+++ b/crates/relay/tests/watchers.rs
@@ -26,6 +26,8 @@
 /// Time within which a change must be in force on a reader although a watcher that it asks is cut off, dead or
 /// silent: half of the shortest drain time of the large fleets.
 const MAX_DELAY: Duration = Duration::from_millis(2_500);
+/// Time within which a change must be in force on all instances of a large fleet.
+const MAX_CONFIGURATION_DELAY: Duration = Duration::from_millis(5_000);
 /// Time within which an instance without any watcher must have read the store itself.
 const MAX_UNSUPPLIED: Duration = Duration::from_millis(9_000);
 
@@ -42,6 +44,11 @@
 
 impl Fleet {
     async fn start() -> Self {
+        Self::start_in_zones(&["a", "b"], 4).await
+    }
+
+    /// Starts a fleet whose watchers are spread over the zones; the reader is in the first one.
+    async fn start_in_zones(zones: &[&str], watchers: usize) -> Self {
         let store = Rc::new(SharedStore::default());
         store.put(
             "config",
@@ -59,17 +66,17 @@
         for index in 0..12 {
             let entry = InstanceEntry {
                 address: "127.0.0.1:9".parse().expect("an address"),
-                zone: ["a", "b"][index % 2].to_owned(),
+                zone: zones[index % zones.len()].to_owned(),
                 cores: 0.05,
                 leaving: false,
             };
             store.put("instances", &format!("other-{index}"), &entry);
         }
         let start_watcher = |index: usize| {
-            let zone = ["a", "b"][index % 2];
+            let zone = zones[index % zones.len()];
             Node::start(&store, &format!("watcher-{index}"), zone, 0.5)
         };
-        let watchers: Vec<Node> = (0..4).map(start_watcher).collect();
+        let watchers: Vec<Node> = (0..watchers).map(start_watcher).collect();
         // The reader's first list of instances holds the watchers.
         sleep(Duration::from_millis(100)).await;
         let reader = Node::start(&store, "reader", "a", 0.1);
@@ -139,6 +146,29 @@
     });
 }
 
+/// The store turns away both watchers of the reader's zone and one of each other zone. Changes follow each other until these
+/// watchers know that what they hold is too old.
+#[test]
+fn changes_are_in_force_although_two_thirds_of_the_watchers_are_cut_off() {
+    run(async {
+        let fleet = Fleet::start_in_zones(&["a", "b", "c"], 6).await;
+        // The reader lists the instances again after a pause.
+        sleep(Duration::from_millis(4_000)).await;
+        for index in [0, 3, 1, 5] {
+            fleet.watchers[index].link.is_silent.set(true);
+        }
+        sleep(Duration::from_millis(500)).await;
+        for version in 2..5 {
+            fleet.change(version);
+            let delay = fleet
+                .reader
+                .time_until_version(version, MAX_CONFIGURATION_DELAY)
+                .await;
+            assert!(delay < MAX_CONFIGURATION_DELAY, "{version}: {delay:?}");
+        }
+    });
+}
+
 #[test]
 fn change_is_in_force_although_half_of_the_watchers_are_shut_down() {
     run(async {
