feat(policy, relay): abandoned sub-requests leave hanging servers at once

Change: after a sub-request that had no reply for 300 ms, those that are abandoned at the server within 3 s end at once.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -34,6 +34,7 @@
 //! assert_eq!(queue.pop(), Some("part"));
 //! ```
 
+pub mod abandonment;
 pub mod admission;
 mod bucket;
 pub mod choice;
--- a/crates/policy/tests/servers.rs
+++ b/crates/policy/tests/servers.rs
@@ -6,6 +6,7 @@
 };
 
 use policy::{
+    abandonment,
     expiry::{
         Outage,
         Retention, //
@@ -207,3 +208,17 @@
     (0..10).for_each(|_| health.record_success());
     assert!(!health.is_declining());
 }
+
+/// Half of the servers hang on a part of their requests for some seconds.
+#[test]
+fn abandoned_requests_end_at_once_for_a_while_after_one_without_a_reply() {
+    let now = Instant::now();
+    let mut tracker = abandonment::Tracker::default();
+    assert_eq!(tracker.linger(now), abandonment::LINGER);
+    tracker.record_silence(now);
+    let in_s = |seconds| tracker.linger(now + Duration::from_secs(seconds));
+    assert_eq!(
+        [0, 2, 4].map(in_s),
+        [Duration::ZERO, Duration::ZERO, abandonment::LINGER]
+    );
+}
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -382,7 +382,7 @@
         } = job;
         let mut watch = DeadlineWatch {
             timer: Box::pin(sleep_until(deadline.into())),
-            linger: server.linger(),
+            server,
             is_abandoned: false,
         };
         self.allowance.start_head();
@@ -406,7 +406,7 @@
             Err(failure) => match failure.kind {
                 FailureKind::Timeout => {
                     server.record_silence();
-                    server.record_timeout();
+                    server.record_timeout(sent_at);
                 }
                 FailureKind::Closed => server.record_silence(),
                 // The server has accepted a connection or sent bytes.
@@ -432,7 +432,7 @@
     async fn receive_reply<F>(
         &mut self,
         response: F,
-        watch: &mut DeadlineWatch,
+        watch: &mut DeadlineWatch<'_>,
         reply: &mut oneshot::Sender<Result<Reply, Failure>>,
     ) -> Result<Reply, Failure>
     where
@@ -490,7 +490,7 @@
     /// Polls `step` together with the connection until it is ready; returns none once `watch` times out.
     async fn drive<T>(
         &mut self,
-        watch: &mut DeadlineWatch,
+        watch: &mut DeadlineWatch<'_>,
         reply: &mut oneshot::Sender<Result<Reply, Failure>>,
         mut step: impl FnMut(&mut Context<'_>) -> Poll<T>,
     ) -> Option<T> {
@@ -530,14 +530,14 @@
     }
 }
 
-/// Deadline of an exchange; it is shortened to `linger` once the exchange is abandoned.
-struct DeadlineWatch {
+/// Deadline of an exchange; it is shortened once the exchange is abandoned.
+struct DeadlineWatch<'a> {
     timer: Pin<Box<Sleep>>,
-    linger: Duration,
+    server: &'a Server,
     is_abandoned: bool,
 }
 
-impl DeadlineWatch {
+impl DeadlineWatch<'_> {
     fn poll<T>(
         &mut self,
         cx: &mut Context<'_>,
@@ -545,7 +545,8 @@
     ) -> Poll<Option<T>> {
         if !self.is_abandoned && reply.poll_canceled(cx).is_ready() {
             self.is_abandoned = true;
-            let until = monoio::time::Instant::now() + self.linger;
+            let now = Instant::now();
+            let until = monoio::time::Instant::from(now + self.server.linger(now));
             let deadline = self.timer.deadline();
             self.timer.as_mut().reset(deadline.min(until));
         }
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -25,6 +25,7 @@
 };
 use http_body_util::Full;
 use policy::{
+    abandonment,
     admission::Throughput,
     choice::{
         self,
@@ -69,11 +70,6 @@
 /// Pause after a refused connection in which requests use open connections only: within about this time
 /// other instances close some of theirs, or are refused as well.
 const NEW_CONNECTION_PAUSE: Duration = Duration::from_millis(250);
-/// Maximum time for which an abandoned exchange continues, so that its connection can be reused.
-///
-/// This is longer than a typical pause of a server, and shorter than the time for which callers accept
-/// that work continues after they have disconnected.
-const LINGER: Duration = Duration::from_millis(300);
 /// Time without any reply after which a timeout counts as a failure of the server.
 const SILENT_AFTER: Duration = Duration::from_millis(1_000);
 /// Time for which a server that has served a request is taken to serve a part of what it gets.
@@ -93,7 +89,6 @@
 pub struct Server {
     description: Description,
     target: HeaderValue,
-    linger: Duration,
     /// None for a peer, which states nothing about itself.
     notices: Option<Notices>,
     service: Weak<Service>,
@@ -118,6 +113,7 @@
     pending: RefCell<Vec<(u64, Instant, Duration)>>,
     health: RefCell<Health>,
     slowness: RefCell<Tracker>,
+    abandonment: Cell<abandonment::Tracker>,
 }
 
 /// One server in a dump.
@@ -155,20 +151,19 @@
         notices: Notices,
         now: Instant,
     ) -> Rc<Self> {
-        Self::with_linger(description, service, Some(notices), now, LINGER)
+        Self::with_notices(description, service, Some(notices), now)
     }
 
     /// Creates a peer, whose exchanges end as soon as they are abandoned.
     pub(crate) fn peer(description: Description, service: &Rc<Service>, now: Instant) -> Rc<Self> {
-        Self::with_linger(description, service, None, now, Duration::ZERO)
+        Self::with_notices(description, service, None, now)
     }
 
-    fn with_linger(
+    fn with_notices(
         description: Description,
         service: &Rc<Service>,
         notices: Option<Notices>,
         now: Instant,
-        linger: Duration,
     ) -> Rc<Self> {
         // An id that isn't a valid header value is replaced by one that every server rejects.
         let target = HeaderValue::from_str(&description.id);
@@ -177,7 +172,6 @@
         Rc::new(Self {
             description,
             target,
-            linger,
             notices,
             service: Rc::downgrade(service),
             links: service.links().cloned(),
@@ -200,6 +194,7 @@
             pending: RefCell::default(),
             health: RefCell::default(),
             slowness: RefCell::default(),
+            abandonment: Cell::default(),
         })
     }
 
@@ -218,9 +213,26 @@
         &self.target
     }
 
-    /// Returns how long an abandoned exchange continues.
-    pub(crate) fn linger(&self) -> Duration {
-        self.linger
+    fn is_peer(&self) -> bool {
+        self.notices.is_none()
+    }
+
+    /// Returns how much longer an exchange continues that is abandoned now.
+    pub(crate) fn linger(&self, now: Instant) -> Duration {
+        match self.is_peer() {
+            true => Duration::ZERO,
+            false => self.abandonment.get().linger(now),
+        }
+    }
+
+    /// Records that an exchange had no reply until `now`, long after it was sent.
+    fn record_hang(&self, now: Instant) {
+        let mut abandonment = self.abandonment.get();
+        if !abandonment.is_hanging(now) {
+            info!(server = %self.id(), service = %self.description.service, "server: request left without a reply.");
+        }
+        abandonment.record_silence(now);
+        self.abandonment.set(abandonment);
     }
 
     pub(crate) fn address(&self) -> SocketAddr {
@@ -472,7 +484,7 @@
 
     /// Returns the connect timeout.
     pub(crate) fn connect_timeout(&self) -> Duration {
-        match self.linger.is_zero() {
+        match self.is_peer() {
             true => PEER_CONNECT_TIMEOUT,
             false => CONNECT_TIMEOUT,
         }
@@ -510,10 +522,14 @@
     ///
     /// A server that has sent any reply recently has a queue; ejecting it would make the queues of the
     /// remaining servers longer. Timeouts of peers are handled by [`crate::peer`].
-    pub(crate) fn record_timeout(&self) {
+    pub(crate) fn record_timeout(&self, sent_at: Instant) {
+        let now = Instant::now();
+        if now.saturating_duration_since(sent_at) >= abandonment::LINGER {
+            self.record_hang(now);
+        }
         let silent_since = Instant::now().checked_sub(SILENT_AFTER);
         let has_replied = silent_since.is_some_and(|then| self.has_replied_since(then));
-        if self.linger.is_zero() || has_replied {
+        if self.is_peer() || has_replied {
             return;
         }
         if let Transition::Ejected(until) = self.record_failure(Instant::now()) {
@@ -526,6 +542,7 @@
     pub(crate) fn reset(&self) {
         self.health.take();
         self.slowness.take();
+        self.abandonment.take();
         self.refused_at.set(None);
     }
 
--- a/crates/relay/tests/forward.rs
+++ b/crates/relay/tests/forward.rs
@@ -248,6 +248,36 @@
     });
 }
 
+/// A server hangs on requests. While they are abandoned one after the other, only the first keeps a slot of it for a time
+/// in which a paused server would reply.
+#[test]
+fn abandoned_sub_requests_leave_a_hanging_server_at_once() {
+    run(async {
+        let fake = FakeServer::start("s1", |_| Behavior::Silent);
+        let instance = instance_with(read_and_write_routes(), &[("one", &fake)]);
+        let mut held = Vec::new();
+        for request in 1..4 {
+            let mut caller = RawConnection::open(instance.address).await;
+            caller.write(get("/read/a")).await;
+            while fake.arrivals() < request {
+                sleep(Duration::from_millis(5)).await;
+            }
+            let disconnected_at = Instant::now();
+            drop(caller);
+            sleep(Duration::from_millis(400)).await;
+            let abandoned_at = fake.abandoned_at.get().expect("a closed connection");
+            held.push(abandoned_at - disconnected_at);
+        }
+        assert!(held[0] > Duration::from_millis(200), "{held:?}");
+        assert!(
+            held[1..]
+                .iter()
+                .all(|held| *held < Duration::from_millis(100)),
+            "{held:?}"
+        );
+    });
+}
+
 #[test]
 fn connection_to_a_server_is_reused() {
     run(async {
