--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -18,8 +18,8 @@
 const MAX_CHECK_TRUST_EJECTIONS: u32 = 1;
 /// Weight of one outcome in the moving average of failures.
 const OUTCOME_WEIGHT: f64 = 0.15;
-/// Moving average of failures and declined requests at which a server is taken to decline many.
-const DECLINING_RATIO: f64 = 0.25;
+/// Moving average of failures and shed requests at which a server is taken to shed many.
+const SHEDDING_RATIO: f64 = 0.25;
 /// Time without a failure after which earlier ejections no longer lengthen the next one.
 const EJECTIONS_RESET: Duration = Duration::from_secs(20);
 
@@ -50,11 +50,11 @@
         self.ejected_until = None;
     }
 
-    /// Records that the server declined a request at once, without running it.
+    /// Records that the server shed a request: it refused it at once, without running it.
     ///
     /// This costs the request a round trip. The server is used less, but isn't ejected: while the other replicas are
     /// paused or full, a server that accepts some of its requests serves more than none.
-    pub fn record_declined(&mut self) {
+    pub fn record_shed(&mut self) {
         self.failure_ratio += OUTCOME_WEIGHT * (1.0 - self.failure_ratio);
     }
 
@@ -106,9 +106,9 @@
         self.ejected_until.is_some_and(|until| now >= until)
     }
 
-    /// Returns whether the server is likely to decline or fail the next request.
-    pub fn is_declining(&self) -> bool {
-        self.failure_ratio > DECLINING_RATIO
+    /// Returns whether the server is likely to shed or fail the next request.
+    pub fn is_shedding(&self) -> bool {
+        self.failure_ratio > SHEDDING_RATIO
     }
 
     /// Returns the moving average of the share of requests that failed, from 0 to 1.
--- a/crates/policy/src/retry_budget.rs
+++ b/crates/policy/src/retry_budget.rs
@@ -179,7 +179,7 @@
         is_allowed
     }
 
-    /// Returns whether the budget allows a retry now, as for a sub-request that a server is likely to decline.
+    /// Returns whether the budget allows a retry now, as a sub-request needs that a server is likely to shed.
     pub fn allows_retry(&self, now: Instant) -> bool {
         self.has_room(now, 1.0)
     }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -66,11 +66,11 @@
     },
 };
 
-/// Delay before a hedge that couldn't be sent is tried again, and before a server that declined a sub-request gets it
+/// Delay before a hedge that couldn't be sent is tried again, and before a server that shed a sub-request gets it
 /// again: about the time until a slot is free.
 const HEDGE_RETRY_DELAY: Duration = Duration::from_millis(6);
-/// Maximum number of sub-requests of a call that servers decline.
-const MAX_DECLINED: usize = 5;
+/// Maximum number of sub-requests of a call that servers shed and that may be repeated.
+const MAX_SHED: usize = 5;
 
 /// Why a call failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -142,8 +142,8 @@
         let mut execution = Execution {
             sent: Vec::new(),
             tried: Vec::new(),
-            declined: Vec::new(),
-            declined_count: 0,
+            shedding: Vec::new(),
+            shed_count: 0,
             running: FuturesUnordered::new(),
             pending_failure: None,
             may_have_run: false,
@@ -187,15 +187,15 @@
     sent: Vec<Rc<Server>>,
     /// Servers that must not get another sub-request of this call.
     tried: Vec<Rc<Server>>,
-    /// Servers that declined a sub-request without running it, and may get another one.
-    declined: Vec<Rc<Server>>,
-    declined_count: usize,
+    /// Servers that shed a sub-request and may get another one.
+    shedding: Vec<Rc<Server>>,
+    shed_count: usize,
     running: FuturesUnordered<Attempt>,
     pending_failure: Option<PendingFailure>,
     may_have_run: bool,
     /// Whether any hedge was sent.
     hedged: bool,
-    /// Whether a hedge was sent that wasn't declined.
+    /// Whether a hedge was sent that wasn't shed.
     has_hedge: bool,
     /// Earliest time of the next hedge, after one that couldn't be sent.
     hedge_not_before: Option<Instant>,
@@ -297,15 +297,15 @@
     }
 
     fn has_attempts_left(&self) -> bool {
-        let may_repeat = !self.declined.is_empty() && self.declined_count < MAX_DECLINED;
+        let may_repeat = !self.shedding.is_empty() && self.shed_count < MAX_SHED;
         may_repeat || self.may_use_further_server()
     }
 
     /// Returns whether a server that hasn't had this call yet may get it.
     fn may_use_further_server(&self) -> bool {
-        let declined = self.declined.iter();
-        let only_declined = declined.filter(|server| !contains(&self.tried, server));
-        let used = self.tried.len() - self.unsent + only_declined.count();
+        let shedding = self.shedding.iter();
+        let only_shedding = shedding.filter(|server| !contains(&self.tried, server));
+        let used = self.tried.len() - self.unsent + only_shedding.count();
         used < self.call.max_attempts.max(1)
     }
 
@@ -316,17 +316,17 @@
         }
         let mut excluded = self.call.service.servers();
         excluded
-            .retain(|server| contains(&self.tried, server) || !contains(&self.declined, server));
+            .retain(|server| contains(&self.tried, server) || !contains(&self.shedding, server));
         excluded
     }
 
-    /// Waits a moment if only servers that have declined this call are free.
-    async fn wait_after_decline(&self) {
+    /// Waits a moment if only servers that have shed sub-requests of this call are free.
+    async fn wait_after_shed(&self) {
         let mut others = self.excluded();
-        others.extend(self.declined.iter().cloned());
+        others.extend(self.shedding.iter().cloned());
         let service = &self.call.service;
         let baseline = self.call.scheduling.baseline;
-        if !self.declined.is_empty() && service.try_choose(baseline, &others).is_none() {
+        if !self.shedding.is_empty() && service.try_choose(baseline, &others).is_none() {
             sleep_until((Instant::now() + HEDGE_RETRY_DELAY).into()).await;
         }
     }
@@ -356,7 +356,7 @@
         if !is_allowed || (needs_budget && !service.take_budget(now, purpose)) {
             return Err(Refusal::Busy);
         }
-        self.wait_after_decline().await;
+        self.wait_after_shed().await;
         match service
             .choose_or_wait(self.call.scheduling, &self.excluded())
             .await
@@ -467,7 +467,7 @@
             }
             Verdict::NotRun => {
                 self.call.meter.shed.add(1);
-                server.record_declined();
+                server.record_shed();
                 self.keep_failure(PendingFailure::Cause(Cause::Shed));
                 self.allow_repeat(server, now);
             }
@@ -494,17 +494,17 @@
         None
     }
 
-    /// Allows another sub-request to a server that declined one, unless it declines everything.
+    /// Allows another sub-request to a server that shed one, unless it sheds everything.
     fn allow_repeat(&mut self, server: Rc<Server>, now: Instant) {
         if !server.has_served_recently(now) {
             return;
         }
-        self.declined_count += 1;
+        self.shed_count += 1;
         self.has_hedge = false;
         self.hedge_not_before = Some(now + HEDGE_RETRY_DELAY);
         self.tried.retain(|one| !Rc::ptr_eq(one, &server));
-        if !contains(&self.declined, &server) {
-            self.declined.push(server);
+        if !contains(&self.shedding, &server) {
+            self.shedding.push(server);
         }
     }
 
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -460,16 +460,16 @@
     }
 
     /// Records that it stated that it didn't run a request.
-    pub(crate) fn record_declined(&self) {
+    pub(crate) fn record_shed(&self) {
         // A server that asks for a pause gets no requests anyway.
         if self.pause_left(Instant::now()).is_none() {
-            self.health.borrow_mut().record_declined();
+            self.health.borrow_mut().record_shed();
         }
     }
 
-    /// Returns whether it is likely to decline the next request.
-    pub(crate) fn is_declining(&self) -> bool {
-        self.health.borrow().is_declining()
+    /// Returns whether it is likely to shed the next request.
+    pub(crate) fn is_shedding(&self) -> bool {
+        self.health.borrow().is_shedding()
     }
 
     /// Records a failure; returns whether the server is ejected by it.
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -320,11 +320,10 @@
                 None => Choice::Busy,
             }
         };
-        // A declined sub-request takes a retry.
-        let may_be_declined = !tried.is_empty() || self.budget.borrow().allows_retry(now);
-        let is_preferred = |server: &Server| {
-            server.is_available(now) && (may_be_declined || !server.is_declining())
-        };
+        // A sub-request that is shed takes a retry.
+        let may_be_shed = !tried.is_empty() || self.budget.borrow().allows_retry(now);
+        let is_preferred =
+            |server: &Server| server.is_available(now) && (may_be_shed || !server.is_shedding());
         match pick(&is_preferred) {
             Choice::None => {}
             choice => return choice,
--- a/crates/relay/tests/declines.rs
+++ b/crates/relay/tests/sheds.rs
@@ -1,4 +1,4 @@
-//! Servers that decline a part of what they get, at once and without running it, while other replicas are slow.
+//! Servers that shed a part of what they get while other replicas are slow.
 
 mod common;
 
@@ -20,28 +20,28 @@
 };
 
 /// Returns whether the `number`th request is among three of four; the first one isn't.
-fn is_declined(number: usize) -> bool {
+fn is_shed(number: usize) -> bool {
     !number.is_multiple_of(4)
 }
 
-fn declining(id: &str) -> std::rc::Rc<FakeServer> {
-    FakeServer::start(id, |number| match is_declined(number) {
+fn shedding(id: &str) -> std::rc::Rc<FakeServer> {
+    FakeServer::start(id, |number| match is_shed(number) {
         true => Behavior::Shed,
         false => serve("ok"),
     })
 }
 
-/// Half of the replicas of all shards decline most requests, and the other ones pause.
+/// Half of the replicas of a service shed most requests, and the other ones pause.
 #[test]
-fn declined_hedge_is_sent_again_while_the_other_replica_is_paused() {
+fn shed_hedge_is_sent_again_while_the_other_replica_is_paused() {
     run(async {
         let paused = FakeServer::start("s1", |_| {
             Behavior::Serve(Duration::from_millis(800), b"ok".to_vec())
         });
-        let declining = declining("s2");
-        let instance = instance_with(read_and_write_routes(), &[("one", &declining)]);
+        let shedding = shedding("s2");
+        let instance = instance_with(read_and_write_routes(), &[("one", &shedding)]);
         assert_eq!(instance.get("/read/a").await.status(), 200);
-        let both = vec![paused.description("one"), declining.description("one")];
+        let both = vec![paused.description("one"), shedding.description("one")];
         instance.relay.registry().replace(both, Instant::now());
         let started_at = Instant::now();
         let answer = instance.get("/read/a").await;
@@ -55,27 +55,27 @@
 }
 
 #[test]
-fn server_that_declines_most_requests_serves_the_others() {
+fn server_that_sheds_most_requests_serves_the_others() {
     run(async {
-        let declining = declining("s1");
-        let instance = instance_with(read_and_write_routes(), &[("one", &declining)]);
+        let shedding = shedding("s1");
+        let instance = instance_with(read_and_write_routes(), &[("one", &shedding)]);
         let mut connection = RawConnection::open(instance.address).await;
         for _ in 0..10 {
             connection.write(get("/read/a")).await;
             let answer = connection.read().await.expect("an answer");
             assert_eq!(answer.status(), 200);
         }
-        assert_eq!(declining.arrivals(), 37);
+        assert_eq!(shedding.arrivals(), 37);
     });
 }
 
-/// Each declined request takes a retry out of the budget.
+/// Each shed request takes a retry out of the budget.
 #[test]
-fn declining_server_gets_few_requests_while_another_is_free() {
+fn shedding_server_gets_few_requests_while_another_is_free() {
     run(async {
         let sound = FakeServer::start("s1", |_| serve("ok"));
-        let declining = FakeServer::start("s2", |_| Behavior::Shed);
-        let servers = [("one", &sound), ("one", &declining)];
+        let shedding = FakeServer::start("s2", |_| Behavior::Shed);
+        let servers = [("one", &sound), ("one", &shedding)];
         let instance = instance_with(read_and_write_routes(), &servers);
         let mut connection = RawConnection::open(instance.address).await;
         for _ in 0..100 {
@@ -83,12 +83,12 @@
             let answer = connection.read().await.expect("an answer");
             assert_eq!(answer.status(), 200);
         }
-        assert!(declining.arrivals() < 10, "{}", declining.arrivals());
+        assert!(shedding.arrivals() < 10, "{}", shedding.arrivals());
     });
 }
 
 #[test]
-fn query_that_all_servers_decline_is_refused_as_not_run() {
+fn query_that_all_servers_shed_is_refused_as_not_run() {
     run(async {
         let fakes = ["s1", "s2", "s3"].map(|id| FakeServer::start(id, |_| Behavior::Shed));
         let names = ["shard0", "shard1", "shard2"];
