fix(relay): repeats of one call are limited, and a query that may run isn't called not run

Found in the reading of the diff. A server that sheds everything after it has served something got sub-requests of one call until the retry budget was used up, as the limit of five bound only hedges; and a query that was given up while servers still ran it could be refused as not run, since only ended calls were asked (that part of the change is taken back: a query of which any sub-request was sent ends with 502 as before).

--- a/crates/policy/src/abandonment.rs
+++ b/crates/policy/src/abandonment.rs
@@ -17,14 +17,14 @@
 /// Time for which a server is taken to hang on requests after it has left one without a reply.
 const MEMORY: Duration = Duration::from_secs(3);
 
-/// What one server did with abandoned exchanges.
+/// Whether one server leaves requests without a reply.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Tracker {
     hung_at: Option<Instant>,
 }
 
 impl Tracker {
-    /// Records that an abandoned exchange went on for all of [`LINGER`] without a reply.
+    /// Records that an exchange ended after [`LINGER`] or more without a reply.
     pub fn record_silence(&mut self, now: Instant) {
         self.hung_at = Some(now);
     }
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -18,8 +18,8 @@
 const MAX_CHECK_TRUST_EJECTIONS: u32 = 1;
 /// Weight of one outcome in the moving average of failures.
 const OUTCOME_WEIGHT: f64 = 0.15;
-/// Moving average of failures and shed requests at which a server is taken to shed many.
-const SHEDDING_RATIO: f64 = 0.25;
+/// Moving average of failed and shed requests above which a server is unreliable.
+const UNRELIABLE_RATIO: f64 = 0.25;
 /// Time without a failure after which earlier ejections no longer lengthen the next one.
 const EJECTIONS_RESET: Duration = Duration::from_secs(20);
 
@@ -107,8 +107,8 @@
     }
 
     /// Returns whether the server is likely to shed or fail the next request.
-    pub fn is_shedding(&self) -> bool {
-        self.failure_ratio > SHEDDING_RATIO
+    pub fn is_unreliable(&self) -> bool {
+        self.failure_ratio > UNRELIABLE_RATIO
     }
 
     /// Returns the moving average of the share of requests that failed, from 0 to 1.
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -69,7 +69,7 @@
 /// Delay before a hedge that couldn't be sent is tried again, and before a server that shed a sub-request gets it
 /// again: about the time until a slot is free.
 const HEDGE_RETRY_DELAY: Duration = Duration::from_millis(6);
-/// Maximum number of sub-requests of a call that servers shed and that may be repeated.
+/// Number of shed sub-requests of a call from which on the servers that shed them get no further one.
 const MAX_SHED: usize = 5;
 
 /// Why a call failed.
@@ -297,7 +297,8 @@
     }
 
     fn has_attempts_left(&self) -> bool {
-        let may_repeat = !self.shedding.is_empty() && self.shed_count < MAX_SHED;
+        let mut shedding = self.shedding.iter();
+        let may_repeat = shedding.any(|server| !contains(&self.tried, server));
         may_repeat || self.may_use_further_server()
     }
 
@@ -496,10 +497,10 @@
 
     /// Allows another sub-request to a server that shed one, unless it sheds everything.
     fn allow_repeat(&mut self, server: Rc<Server>, now: Instant) {
-        if !server.has_served_recently(now) {
+        self.shed_count += 1;
+        if self.shed_count >= MAX_SHED || !server.has_served_recently(now) {
             return;
         }
-        self.shed_count += 1;
         self.has_hedge = false;
         self.hedge_not_before = Some(now + HEDGE_RETRY_DELAY);
         self.tried.retain(|one| !Rc::ptr_eq(one, &server));
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -108,7 +108,7 @@
     fn record_report(&mut self, shard: usize, report: Report, names: &HeaderNames) {
         self.attempts += report.attempts;
         self.hedged += usize::from(report.hedged);
-        self.may_have_run |= !matches!(report.outcome, Outcome::NotRun(_));
+        self.may_have_run |= report.attempts > 0;
         let cause = match report.outcome {
             Outcome::Served(reply) => match reply.headers().get(&names.signature) {
                 Some(signature) if !self.has_signature(signature) => {
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -459,7 +459,7 @@
         self.replied_at.get().is_some_and(|at| at > then)
     }
 
-    /// Records that it stated that it didn't run a request.
+    /// Records that it shed a request.
     pub(crate) fn record_shed(&self) {
         // A server that asks for a pause gets no requests anyway.
         if self.pause_left(Instant::now()).is_none() {
@@ -467,9 +467,9 @@
         }
     }
 
-    /// Returns whether it is likely to shed the next request.
-    pub(crate) fn is_shedding(&self) -> bool {
-        self.health.borrow().is_shedding()
+    /// Returns whether it is likely to shed or fail the next request.
+    pub(crate) fn is_unreliable(&self) -> bool {
+        self.health.borrow().is_unreliable()
     }
 
     /// Records a failure; returns whether the server is ejected by it.
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -323,7 +323,7 @@
         // A sub-request that is shed takes a retry.
         let may_be_shed = !tried.is_empty() || self.budget.borrow().allows_retry(now);
         let is_preferred =
-            |server: &Server| server.is_available(now) && (may_be_shed || !server.is_shedding());
+            |server: &Server| server.is_available(now) && (may_be_shed || !server.is_unreliable());
         match pick(&is_preferred) {
             Choice::None => {}
             choice => return choice,
