fix(bench): the soak's operator writes one configuration after the other

Trace: two writes overlapped, as the first had to be repeated in faults of the store. Relays 0 and 2 read version 9 at 23.470 s, the store held version 6 from 23.538 s on and still did at 29.9 s (all five relays list it again: ignored, it isn't newer); instances that had not seen 9 came to 6. Each repetition read the store's revision anew and so took the later configuration back. The store's rules say that versions increase, so the operator waits for the acknowledgement of the earlier one; no check changed.

--- a/crates/bench/src/soak/inject.rs
+++ b/crates/bench/src/soak/inject.rs
@@ -52,6 +52,10 @@
 const SERVER_GRACE: std::time::Duration = std::time::Duration::from_secs(4);
 /// Attempts to write a configuration, which fail while the store is faulty.
 const MAX_WRITE_ATTEMPTS: usize = 60;
+/// Instant of the acknowledgement of a configuration that the store hasn't acknowledged yet.
+const NOT_ACKED: u64 = u64::MAX / 2;
+/// Checks of whether an earlier configuration is acknowledged, before the next one is written anyway.
+const MAX_EARLIER_CHECKS: usize = 10 * MAX_WRITE_ATTEMPTS;
 /// Pause between two attempts to write a configuration.
 const WRITE_RETRY_DELAY: std::time::Duration = std::time::Duration::from_millis(100);
 
@@ -319,9 +323,10 @@
     };
     // Recorded before the write, because instances may apply the version before its acknowledgement arrives.
     harness.history.borrow_mut().versions.push(Version {
-        acked_us: u64::MAX / 2,
+        acked_us: NOT_ACKED,
         table: Arc::new(table),
     });
+    wait_for_earlier(harness, version).await;
     if write_configuration(harness, &value).await {
         if let Some(version) = harness.history.borrow_mut().versions.get_mut(version) {
             version.acked_us = now_us();
@@ -334,6 +339,21 @@
     );
 }
 
+/// Waits until the versions before `version` are acknowledged, as an operator writes one after the other: a repetition of
+/// an earlier write would take a later one back.
+async fn wait_for_earlier(harness: &Harness, version: usize) {
+    let is_acked = |earlier: &Version| earlier.acked_us != NOT_ACKED;
+    for _ in 0..MAX_EARLIER_CHECKS {
+        if harness.history.borrow().versions[..version]
+            .iter()
+            .all(is_acked)
+        {
+            return;
+        }
+        sleep(WRITE_RETRY_DELAY).await;
+    }
+}
+
 /// Writes a configuration; returns whether the store has accepted it.
 async fn write_configuration(harness: &Harness, value: &RawValue) -> bool {
     let (kind, name) = Directory::ROUTES;
