--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -55,6 +55,10 @@
     /// This costs the request a round trip. The server is used less, but isn't ejected: while the other replicas are
     /// paused or full, a server that accepts some of its requests serves more than none.
     pub fn record_shed(&mut self) {
+        self.raise_failure_ratio();
+    }
+
+    fn raise_failure_ratio(&mut self) {
         self.failure_ratio += OUTCOME_WEIGHT * (1.0 - self.failure_ratio);
     }
 
@@ -66,7 +70,7 @@
         }
         self.last_failure_at = Some(now);
         self.consecutive_failures += 1;
-        self.failure_ratio += OUTCOME_WEIGHT * (1.0 - self.failure_ratio);
+        self.raise_failure_ratio();
         let already_ejected = self.ejected_until.is_some_and(|until| now < until);
         if self.consecutive_failures < EJECTION_FAILURES || already_ejected {
             return Transition::None;
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -140,7 +140,8 @@
     /// Runs the call until it succeeds, no attempt is left, or its deadline passes.
     pub async fn run(self) -> Report {
         let mut execution = Execution {
-            sent: Vec::new(),
+            attempts: 0,
+            last_server: None,
             tried: Vec::new(),
             shedding: Vec::new(),
             shed_count: 0,
@@ -158,9 +159,12 @@
         let outcome = execution.run_attempts().await;
         Report {
             outcome,
-            attempts: execution.sent.len(),
+            attempts: execution.attempts,
             hedged: execution.hedged,
-            server: execution.sent.last().map(|server| server.id().clone()),
+            server: execution
+                .last_server
+                .as_ref()
+                .map(|server| server.id().clone()),
         }
     }
 
@@ -183,11 +187,13 @@
 
 struct Execution<'a> {
     call: Call<'a>,
-    /// Servers of all sub-requests, in the order in which these were sent.
-    sent: Vec<Rc<Server>>,
+    /// Number of sub-requests that were sent.
+    attempts: usize,
+    /// Server of the last sub-request.
+    last_server: Option<Rc<Server>>,
     /// Servers that must not get another sub-request of this call.
     tried: Vec<Rc<Server>>,
-    /// Servers that shed a sub-request and may get another one.
+    /// Servers that shed a sub-request and may get another one; none of them is among `tried`.
     shedding: Vec<Rc<Server>>,
     shed_count: usize,
     running: FuturesUnordered<Attempt>,
@@ -297,16 +303,12 @@
     }
 
     fn has_attempts_left(&self) -> bool {
-        let mut shedding = self.shedding.iter();
-        let may_repeat = shedding.any(|server| !contains(&self.tried, server));
-        may_repeat || self.may_use_further_server()
+        !self.shedding.is_empty() || self.may_use_further_server()
     }
 
     /// Returns whether a server that hasn't had this call yet may get it.
     fn may_use_further_server(&self) -> bool {
-        let shedding = self.shedding.iter();
-        let only_shedding = shedding.filter(|server| !contains(&self.tried, server));
-        let used = self.tried.len() - self.unsent + only_shedding.count();
+        let used = self.tried.len() - self.unsent + self.shedding.len();
         used < self.call.max_attempts.max(1)
     }
 
@@ -316,18 +318,20 @@
             return self.tried.clone();
         }
         let mut excluded = self.call.service.servers();
-        excluded
-            .retain(|server| contains(&self.tried, server) || !contains(&self.shedding, server));
+        excluded.retain(|server| !server.is_among(&self.shedding));
         excluded
     }
 
     /// Waits a moment if only servers that have shed sub-requests of this call are free.
     async fn wait_after_shed(&self) {
-        let mut others = self.excluded();
-        others.extend(self.shedding.iter().cloned());
+        if self.shedding.is_empty() {
+            return;
+        }
+        let mut excluded = self.excluded();
+        excluded.extend(self.shedding.iter().cloned());
         let service = &self.call.service;
         let baseline = self.call.scheduling.baseline;
-        if !self.shedding.is_empty() && service.try_choose(baseline, &others).is_none() {
+        if service.try_choose(baseline, &excluded).is_none() {
             sleep_until((Instant::now() + HEDGE_RETRY_DELAY).into()).await;
         }
     }
@@ -352,7 +356,7 @@
         let may_rerun = is_repeatable && self.call.crashes.may_retry(self.crashed).await;
         let service = self.call.service.clone();
         // The first sub-request that reaches a server is no repetition.
-        let needs_budget = self.unsent < self.sent.len();
+        let needs_budget = self.unsent < self.attempts;
         let is_allowed = may_rerun && self.has_attempts_left();
         if !is_allowed || (needs_budget && !service.take_budget(now, purpose)) {
             return Err(Refusal::Busy);
@@ -416,7 +420,9 @@
             }),
         );
         self.call.meter.exchanges.add(1);
-        self.sent.push(server.clone());
+        self.attempts += 1;
+        self.last_server = Some(server.clone());
+        self.shedding.retain(|one| !Rc::ptr_eq(one, &server));
         self.tried.push(server.clone());
         self.running.push(Attempt {
             server,
@@ -504,9 +510,7 @@
         self.has_hedge = false;
         self.hedge_not_before = Some(now + HEDGE_RETRY_DELAY);
         self.tried.retain(|one| !Rc::ptr_eq(one, &server));
-        if !contains(&self.shedding, &server) {
-            self.shedding.push(server);
-        }
+        self.shedding.push(server);
     }
 
     fn handle_failed_exchange(
@@ -591,10 +595,6 @@
     }
 }
 
-fn contains(servers: &[Rc<Server>], server: &Rc<Server>) -> bool {
-    servers.iter().any(|one| Rc::ptr_eq(one, server))
-}
-
 /// Returns a latency as a multiple of the baseline.
 pub(crate) fn latency_multiple(latency: Duration, baseline: Duration) -> f64 {
     latency.as_secs_f64() / baseline.as_secs_f64().max(1e-6)
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -213,6 +213,11 @@
         &self.target
     }
 
+    /// Returns whether it is one of `servers`.
+    pub(crate) fn is_among(self: &Rc<Self>, servers: &[Rc<Self>]) -> bool {
+        servers.iter().any(|one| Rc::ptr_eq(one, self))
+    }
+
     fn is_peer(&self) -> bool {
         self.notices.is_none()
     }
@@ -523,17 +528,19 @@
     /// A server that has sent any reply recently has a queue; ejecting it would make the queues of the
     /// remaining servers longer. Timeouts of peers are handled by [`crate::peer`].
     pub(crate) fn record_timeout(&self, sent_at: Instant) {
+        if self.is_peer() {
+            return;
+        }
         let now = Instant::now();
         if now.saturating_duration_since(sent_at) >= abandonment::LINGER {
             self.record_hang(now);
         }
-        let silent_since = Instant::now().checked_sub(SILENT_AFTER);
-        let has_replied = silent_since.is_some_and(|then| self.has_replied_since(then));
-        if self.is_peer() || has_replied {
+        let silent_since = now.checked_sub(SILENT_AFTER);
+        if silent_since.is_some_and(|then| self.has_replied_since(then)) {
             return;
         }
-        if let Transition::Ejected(until) = self.record_failure(Instant::now()) {
-            let ms = until.saturating_duration_since(Instant::now()).as_millis() as u64;
+        if let Transition::Ejected(until) = self.record_failure(now) {
+            let ms = until.saturating_duration_since(now).as_millis() as u64;
             info!(server = %self.id(), service = %self.description.service, out_ms = ms, "server: no reply, ejected.");
         }
     }
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -305,7 +305,7 @@
 
     fn choose(&self, now: Instant, baseline: Duration, tried: &[Rc<Server>]) -> Choice {
         let servers = self.servers.borrow();
-        let untried = |server: &&Rc<Server>| !tried.iter().any(|one| Rc::ptr_eq(one, server));
+        let untried = |server: &&Rc<Server>| !server.is_among(tried);
         let pick = |may_get_work: &dyn Fn(&Server) -> bool| {
             let all = servers.iter().filter(untried);
             let eligible: Vec<&Rc<Server>> = all.filter(|server| may_get_work(server)).collect();
@@ -320,15 +320,21 @@
                 None => Choice::Busy,
             }
         };
+        let is_available = |server: &Server| server.is_available(now);
+        let is_reliable = |server: &Server| server.is_available(now) && !server.is_unreliable();
         // A sub-request that is shed takes a retry.
-        let may_be_shed = !tried.is_empty() || self.budget.borrow().allows_retry(now);
-        let is_preferred =
-            |server: &Server| server.is_available(now) && (may_be_shed || !server.is_unreliable());
-        match pick(&is_preferred) {
-            Choice::None => {}
-            choice => return choice,
-        }
-        match pick(&|server| server.is_available(now)) {
+        let avoids_unreliable = tried.is_empty()
+            && servers.iter().any(|server| server.is_unreliable())
+            && !self.budget.borrow().allows_retry(now);
+        let preferred = match avoids_unreliable {
+            true => pick(&is_reliable),
+            false => Choice::None,
+        };
+        let available = match preferred {
+            Choice::None => pick(&is_available),
+            choice => choice,
+        };
+        match available {
             Choice::None => pick(&|server| server.is_last_resort(now)),
             choice => choice,
         }
--- a/crates/relay/tests/watchers.rs
+++ b/crates/relay/tests/watchers.rs
@@ -42,6 +42,12 @@
     reader: Node,
 }
 
+/// Writes a version of a configuration without shards.
+fn put_version(store: &SharedStore, version: u64) {
+    let shards = Vec::new();
+    store.put("config", "main", &Config { version, shards });
+}
+
 impl Fleet {
     async fn start() -> Self {
         Self::start_in_zones(&["a", "b"], 4).await
@@ -50,14 +56,7 @@
     /// Starts a fleet whose watchers are spread over the zones; the reader is in the first one.
     async fn start_in_zones(zones: &[&str], watchers: usize) -> Self {
         let store = Rc::new(SharedStore::default());
-        store.put(
-            "config",
-            "main",
-            &Config {
-                version: 1,
-                shards: Vec::new(),
-            },
-        );
+        put_version(&store, 1);
         let server = ServerEntry {
             service: "one".to_owned(),
             address: "127.0.0.1:9".parse().expect("an address"),
@@ -92,14 +91,7 @@
     }
 
     fn change(&self, version: u64) {
-        self.store.put(
-            "config",
-            "main",
-            &Config {
-                version,
-                shards: Vec::new(),
-            },
-        );
+        put_version(&self.store, version);
     }
 }
 
@@ -233,14 +225,7 @@
         let fleet = Fleet::start().await;
         let copied = {
             let store = SharedStore::default();
-            store.put(
-                "config",
-                "main",
-                &Config {
-                    version: 1,
-                    shards: Vec::new(),
-                },
-            );
+            put_version(&store, 1);
             store.copy()
         };
         let new = ServerEntry {
