--- a/review/standin.rs
+++ b/review/standin.rs
@@ -49,6 +49,30 @@
     unsafe { setsockopt(stream.as_raw_fd(), 1, 13, linger.as_ptr().cast(), 8) };
 }
 
+/// Starts a detached thread with a small stack.
+fn spawn(run: impl FnOnce() + Send + 'static) {
+    if let Err(error) = thread::Builder::new().stack_size(256 * 1024).spawn(run) {
+        eprintln!("a thread can't be started: {error}");
+        std::process::exit(2);
+    }
+}
+
+/// Counts the requests that are running.
+struct Running(Arc<AtomicU64>);
+
+impl Running {
+    fn new(count: &Arc<AtomicU64>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count.clone())
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 // ---------------------------------------------------------------------------------------------- record
 
 /// What was sent, answered and run, with milliseconds since the start.
@@ -276,7 +300,7 @@
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let this = this.clone();
-                thread::spawn(move || this.serve(stream));
+                spawn(move || this.serve(stream));
             }
         });
         Ok(store)
@@ -514,7 +538,7 @@
                 }
                 this.connections.fetch_add(1, Ordering::Relaxed);
                 let this = this.clone();
-                thread::spawn(move || {
+                spawn(move || {
                     this.serve(stream);
                     this.connections.fetch_sub(1, Ordering::Relaxed);
                 });
@@ -626,7 +650,6 @@
     front: SocketAddr,
     ready: SocketAddr,
     child: Mutex<Child>,
-    started_at: u64,
 }
 
 static NEXT_ADDRESS: AtomicU64 = AtomicU64::new(1);
@@ -666,7 +689,19 @@
         );
         let path = self.folder.join(format!("{name}.yaml"));
         fs::write(&path, settings)?;
-        let log = fs::File::create(self.folder.join(format!("{name}.log")))?;
+        let child = self.spawn_process(name)?;
+        self.record.add(format!("machine {name} in {zone}: started, front {ip}:{front}"));
+        Ok(Arc::new(Machine {
+            name: name.to_owned(),
+            front: SocketAddr::V4(SocketAddrV4::new(ip, front)),
+            ready: SocketAddr::V4(SocketAddrV4::new(ip, ready)),
+            child: Mutex::new(child),
+        }))
+    }
+    /// Starts the process of a machine with the command of the deploy file.
+    fn spawn_process(&self, name: &str) -> std::io::Result<Child> {
+        let path = self.folder.join(format!("{name}.yaml"));
+        let log = fs::File::options().create(true).append(true).open(self.folder.join(format!("{name}.log")))?;
         let mut command = Command::new(PROGRAM);
         command.arg("relay").env_clear().env("TANAGERYOKE_SETTINGS", &path);
         command.env("PATH", std::env::var("PATH").unwrap_or_default());
@@ -678,15 +713,17 @@
                 Ok(())
             });
         }
-        let child = command.spawn()?;
-        self.record.add(format!("machine {name} in {zone}: started, front {ip}:{front}"));
-        Ok(Arc::new(Machine {
-            name: name.to_owned(),
-            front: SocketAddr::V4(SocketAddrV4::new(ip, front)),
-            ready: SocketAddr::V4(SocketAddrV4::new(ip, ready)),
-            child: Mutex::new(child),
-            started_at: self.record.now(),
-        }))
+        command.spawn()
+    }
+    /// Starts the process of a stopped machine again.
+    fn restart(&self, machine: &Machine) -> std::io::Result<()> {
+        let path = self.folder.join(format!("{}.yaml", machine.name));
+        let settings = fs::read_to_string(&path)?.replace("bootstrap: true", "bootstrap: false");
+        fs::write(&path, settings)?;
+        let _ = machine.child.lock().unwrap().wait();
+        *machine.child.lock().unwrap() = self.spawn_process(&machine.name)?;
+        self.record.add(format!("machine {}: started again", machine.name));
+        Ok(())
     }
 }
 
@@ -738,12 +775,11 @@
 #[derive(Clone)]
 struct Balancer {
     in_rotation: Arc<Mutex<Vec<Arc<Machine>>>>,
-    next: Arc<AtomicU64>,
 }
 
 impl Balancer {
     fn start(machines: Arc<Mutex<Vec<Arc<Machine>>>>, stop: Arc<AtomicBool>) -> Self {
-        let balancer = Self { in_rotation: Arc::default(), next: Arc::default() };
+        let balancer = Self { in_rotation: Arc::default() };
         let rotation = balancer.in_rotation.clone();
         thread::spawn(move || {
             let mut misses: HashMap<String, u32> = HashMap::new();
@@ -763,10 +799,10 @@
         });
         balancer
     }
-    fn choose(&self) -> Option<Arc<Machine>> {
+    /// Returns the machine for a new connection of a requester.
+    fn choose(&self, requester: usize) -> Option<Arc<Machine>> {
         let rotation = self.in_rotation.lock().unwrap();
-        let number = self.next.fetch_add(1, Ordering::Relaxed) as usize;
-        (!rotation.is_empty()).then(|| rotation[number % rotation.len()].clone())
+        (!rotation.is_empty()).then(|| rotation[requester % rotation.len()].clone())
     }
 }
 
@@ -836,6 +872,9 @@
     }
 }
 
+/// Number of requesters, each with its own connections.
+const REQUESTERS: usize = 70;
+
 static NEXT_REQUEST: AtomicU64 = AtomicU64::new(1);
 
 fn new_id() -> String {
@@ -903,7 +942,7 @@
     fn sleep_until(&self, at: u64) {
         thread::sleep(ms(at.saturating_sub(self.record.now())));
     }
-    /// Sends requests at a steady rate until `until`, each on a thread of its own, on kept connections where one is free.
+    /// Sends requests at a steady rate until `until`, in turn from many requesters, each on its own kept connections.
     fn traffic(
         &self,
         balancer: &Balancer,
@@ -915,10 +954,10 @@
     ) -> thread::JoinHandle<()> {
         let (record, exchanges, stop) = (self.record.clone(), self.exchanges.clone(), self.stop.clone());
         let balancer = balancer.clone();
-        let free: Arc<Mutex<Vec<Link>>> = Arc::default();
+        let free: Arc<Vec<Mutex<Vec<Link>>>> = Arc::new((0..REQUESTERS).map(|_| Mutex::default()).collect());
         thread::spawn(move || {
             let start = Instant::now();
-            let mut running = Vec::new();
+            let running: Arc<AtomicU64> = Arc::default();
             let mut number = 0u64;
             while record.now() < until && !stop.load(Ordering::Relaxed) {
                 number += 1;
@@ -926,8 +965,12 @@
                 thread::sleep(due.saturating_duration_since(Instant::now()));
                 let (record, exchanges, free, balancer) =
                     (record.clone(), exchanges.clone(), free.clone(), balancer.clone());
-                running.push(thread::spawn(move || {
+                let guard = Running::new(&running);
+                spawn(move || {
+                    let _guard = guard;
                     let id = new_id();
+                    let requester = (number as usize * 7_919) % REQUESTERS;
+                    let free = &free[requester];
                     // A kept connection that the machine has closed meanwhile isn't used.
                     let kept = loop {
                         let Some(link) = free.lock().unwrap().pop() else { break None };
@@ -938,7 +981,7 @@
                             break Some(link);
                         }
                     };
-                    let link = kept.or_else(|| Link::open(balancer.choose()?));
+                    let link = kept.or_else(|| Link::open(balancer.choose(requester)?));
                     let Some(mut link) = link else {
                         let at = record.now();
                         exchanges.lock().unwrap().push(Exchange {
@@ -955,13 +998,10 @@
                     if stays_open {
                         free.lock().unwrap().push(link);
                     }
-                }));
-                if running.len() > 4_000 {
-                    running.retain(|one| !one.is_finished());
-                }
+                });
             }
-            for one in running {
-                let _ = one.join();
+            while running.load(Ordering::Relaxed) > 0 {
+                thread::sleep(ms(10));
             }
         })
     }
@@ -1028,6 +1068,12 @@
         eprintln!("{PROGRAM} isn't built");
         return ExitCode::from(2);
     }
+    // A script runs for 120 s at most; the machines end with this process.
+    spawn(|| {
+        thread::sleep(ms(117_000));
+        eprintln!("the case takes too long");
+        std::process::exit(2);
+    });
     let run = match case.as_str() {
         "late-copy" => late_copy,
         "stop" => stop_while_queued,
