--- a/review/cases.rs
+++ b/review/cases.rs
@@ -4,7 +4,7 @@
 /// again, on the same connection.
 fn late_copy(path: &Path) -> ExitCode {
     const ZONES: [&str; 2] = ["regina-core", "saskatoon-river"];
-    const SERVICES: [(&str, &str); 8] = [
+    const SERVICES: [(&str, &str); 12] = [
         ("hall-0", "/hold0/"),
         ("hall-1", "/hold1/"),
         ("hall-2", "/hold2/"),
@@ -13,6 +13,10 @@
         ("hall-5", "/hold5/"),
         ("hall-6", "/hold6/"),
         ("hall-7", "/hold7/"),
+        ("hall-8", "/hold8/"),
+        ("hall-9", "/hold9/"),
+        ("hall-10", "/hold10/"),
+        ("hall-11", "/hold11/"),
     ];
     // Two backends, two slots and a queue of twelve each as `booking-desk`, 43 connections as `invoice-hall` of the site.
     const SHAPE: Shape = Shape { slots: 2, queue: 12, work_ms: 60, max_connections: 43 };
