--- a/review/cases.rs
+++ b/review/cases.rs
@@ -418,3 +418,118 @@
     let verdict = run();
     conclude(&case, path, verdict)
 }
+
+/// Case 5: one machine is partitioned from the store while the configuration changes.
+fn peers_of_two_versions(path: &Path) -> ExitCode {
+    const ZONES: [&str; 4] = ["northmere-a", "northmere-b", "northmere-c", "northmere-d"];
+    const LARGE: f64 = 0.5;
+    const SMALL: f64 = 0.12;
+    const MACHINES: [(&str, usize, f64); 14] = [
+        ("front-northmere-a-1", 0, LARGE),
+        ("front-northmere-b-1", 1, LARGE),
+        ("front-northmere-c-1", 2, LARGE),
+        ("front-northmere-d-1", 3, SMALL),
+        ("front-northmere-a-2", 0, SMALL),
+        ("front-northmere-a-3", 0, SMALL),
+        ("front-northmere-a-4", 0, SMALL),
+        ("front-northmere-b-2", 1, SMALL),
+        ("front-northmere-b-3", 1, SMALL),
+        ("front-northmere-b-4", 1, SMALL),
+        ("front-northmere-c-2", 2, SMALL),
+        ("front-northmere-c-3", 2, SMALL),
+        ("front-northmere-d-2", 3, SMALL),
+        ("front-northmere-d-3", 3, SMALL),
+    ];
+    const SHAPE: Shape = Shape { slots: 4, queue: 16, work_ms: 40, max_connections: 460 };
+    const SERVICES: [&str; 3] = ["storyhook", "tallyroom", "storyhook-2"];
+    const DEADLINE_MS: u64 = 2_000;
+    const ROLLBACK_SLACK_MS: u64 = 250;
+    const ROUNDS: u64 = 6;
+    const ROUND_MS: u64 = 11_000;
+
+    let case = match Case::new(ZONES.to_vec()) {
+        Ok(case) => case,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(2);
+        }
+    };
+    let run = || -> Verdict {
+        let described: Vec<(&str, usize)> = SERVICES.iter().map(|name| (*name, SHAPE.max_connections)).collect();
+        let put = |version: u64, service: usize| -> u64 {
+            let routes = [route("slug", "/slug/", "safe", SERVICES[service], DEADLINE_MS, 400)];
+            case.store.put("config", "main", &config(version, &routes, &described));
+            let at = case.record.now();
+            case.record.say(format!("operator: version {version} is acknowledged, /slug/ goes to {}", SERVICES[service]));
+            at
+        };
+        let mut acks: Vec<(u64, usize)> = vec![(put(3, 0), 0)];
+        for service in SERVICES {
+            for number in 0..6 {
+                case.backend(&format!("i-{service}-{number}"), service, ZONES[number % 4], SHAPE)?;
+            }
+        }
+        let cut_path = case.store.path().map_err(text)?;
+        for (name, zone, cores) in MACHINES {
+            let store = if name == MACHINES[0].0 { &cut_path } else { &case.store };
+            let machine = case.fleet.start_machine(name, ZONES[zone], true, cores, store).map_err(text)?;
+            case.machines.lock().unwrap().push(machine);
+        }
+        case.wait_all_ready()?;
+        thread::sleep(ms(14_000));
+        let start = case.record.now();
+        let machines = case.machines.lock().unwrap().clone();
+        let traffic: Vec<_> = machines
+            .iter()
+            .filter(|machine| machine.name != MACHINES[0].0)
+            .map(|machine| {
+                let only = Balancer { in_rotation: Arc::new(Mutex::new(vec![machine.clone()])) };
+                case.traffic(&only, "GET", "/slug/2f", 40.0, DEADLINE_MS, start + ROUNDS * ROUND_MS)
+            })
+            .collect();
+        for round in 0..ROUNDS {
+            case.sleep_until(start + 1_000 + round * ROUND_MS);
+            if case.has_trouble {
+                cut_path.cut();
+                case.record.say(format!("trouble: {} is partitioned from the store for 5 s", MACHINES[0].0));
+            }
+            thread::sleep(ms(1_000));
+            let service = (round as usize + 1) % 3;
+            acks.push((put(10 + 3 * round, service), service));
+            case.sleep_until(start + 6_000 + round * ROUND_MS);
+            cut_path.heal();
+        }
+        for one in traffic {
+            one.join().map_err(|_| "the traffic's thread has failed".to_owned())?;
+        }
+        let exchanges: HashMap<String, Exchange> =
+            case.exchanges.lock().unwrap().iter().map(|one| (one.id.clone(), one.clone())).collect();
+        let mut arrivals: Vec<Arrival> = case.arrivals.lock().unwrap().iter().filter(|one| one.ran).cloned().collect();
+        arrivals.sort_by_key(|arrival| arrival.at);
+        // When a backend first saw the effect of a version in a request of each machine.
+        let mut seen: HashMap<String, (usize, u64)> = HashMap::new();
+        let mut broken: BTreeMap<String, usize> = BTreeMap::new();
+        for arrival in &arrivals {
+            let Some(exchange) = exchanges.get(&arrival.request) else { continue };
+            let shows = |(ack, service): &(u64, usize)| *ack <= arrival.at + 5 && SERVICES[*service] == arrival.service;
+            let Some(version) = acks.iter().rposition(shows) else { continue };
+            let entry = seen.entry(exchange.machine.clone()).or_insert((version, arrival.at));
+            if version > entry.0 {
+                *entry = (version, arrival.at);
+            }
+            if version < entry.0 && exchange.sent_at > entry.1 + ROLLBACK_SLACK_MS {
+                case.record.add(format!("CONFIG: request {} sent to {} at {} was run by {}, {} ms after a backend had seen the effect of the newer version in a request of this machine", arrival.request, exchange.machine, exchange.sent_at, arrival.server, exchange.sent_at - entry.1));
+                *broken.entry(exchange.machine.clone()).or_default() += 1;
+            }
+        }
+        for (machine, count) in &broken {
+            case.record.say(format!("CONFIG: {machine} regressed in {count} requests"));
+        }
+        if exchanges.len() < 1_000 {
+            return Err(format!("only {} requests", exchanges.len()));
+        }
+        Ok(broken.is_empty())
+    };
+    let verdict = run();
+    conclude(&case, path, verdict)
+}
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -275,6 +275,8 @@
     objects: Arc<(Mutex<Objects>, Condvar)>,
     /// When the connections that were open then went silent for good.
     silent_since: Arc<Mutex<Option<Instant>>>,
+    /// Whether the path to this address of the store is cut.
+    is_cut: Arc<AtomicBool>,
     /// When a watch of servers was last received, by peer address.
     watches: Arc<Mutex<HashMap<String, Instant>>>,
 }
@@ -293,17 +295,42 @@
             address: listener.local_addr()?,
             objects: Arc::default(),
             silent_since: Arc::default(),
+            is_cut: Arc::default(),
             watches: Arc::default(),
         };
         store.objects.0.lock().unwrap().revision = 500;
-        let this = store.clone();
+        store.listen(listener);
+        Ok(store)
+    }
+    fn listen(&self, listener: TcpListener) {
+        let this = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let this = this.clone();
                 spawn(move || this.serve(stream));
             }
         });
-        Ok(store)
+    }
+    /// Returns another path to the same store, which can be cut by itself.
+    fn path(&self) -> std::io::Result<Self> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let path = Self {
+            address: listener.local_addr()?,
+            silent_since: Arc::default(),
+            is_cut: Arc::default(),
+            ..self.clone()
+        };
+        path.listen(listener);
+        Ok(path)
+    }
+    fn cut(&self) {
+        self.is_cut.store(true, Ordering::Relaxed);
+        self.silence_open_connections();
+    }
+    fn heal(&self) {
+        // Connections that were opened during the cut have lost their bytes.
+        self.silence_open_connections();
+        self.is_cut.store(false, Ordering::Relaxed);
     }
     /// Writes an object for the operator or a backend; its return is the ack.
     fn put(&self, kind: &str, name: &str, spec: &str) -> u64 {
@@ -325,7 +352,10 @@
     }
     fn is_silent(&self, opened_at: Instant) -> Option<Instant> {
         let since = *self.silent_since.lock().unwrap();
-        since.filter(|since| opened_at < *since)
+        match self.is_cut.load(Ordering::Relaxed) {
+            true => since,
+            false => since.filter(|since| opened_at < *since),
+        }
     }
     /// Stays silent until the other side's TCP keepalive would have found out, then resets.
     ///
@@ -671,21 +701,20 @@
 
 struct Fleet {
     record: Record,
-    store: Store,
     folder: PathBuf,
     zones: Vec<&'static str>,
     grace_s: u64,
 }
 
 impl Fleet {
-    fn start_machine(&self, name: &str, zone: &str, is_first_start: bool) -> std::io::Result<Arc<Machine>> {
+    fn start_machine(&self, name: &str, zone: &str, is_first_start: bool, cpu_share: f64, store: &Store) -> std::io::Result<Arc<Machine>> {
         let (ip, internal, front, ready) = machine_address()?;
         let zones: String = self.zones.iter().map(|zone| format!("  {zone}: \"region\"\n")).collect();
         let settings = format!(
-            "node_name: \"{name}\"\nrole: \"relay\"\nmachine_class: \"front\"\nserves:\n  - \"front\"\nip: \"{ip}\"\nzone: \"{zone}\"\nregion: \"region\"\nzones:\n{zones}listen_addresses:\n  front: \"{ip}:{front}\"\n  ready: \"{ip}:{ready}\"\ninternal_port_range:\n  - {internal}\n  - {}\nseeds: []\nbootstrap: {is_first_start}\nloss_counts: false\nlimits:\n  cpu_share: 0.25\n  cores: 1\n  memory_mb: 260\n  max_fds: 4100\n  link_mbps: 1000.0\n  disk_mb: 0\ndata_dir: null\ndiscovery: \"platform\"\nentry: \"vip\"\nheartbeat_ms: 1200\nbounds:\n  reuse_after_s: 2\n  stability_window_ms: {STABILITY_WINDOW_MS}\n  drain_ms: {DRAIN_MS}\n  grace_s: {}\n  loss_slack_ms: {LOSS_SLACK_MS}\n  config_apply_ms: {CONFIG_APPLY_MS}\n  rollback_slack_ms: 250\n  max_skew_ms: 12000\n  retry_budget_ratio: 0.2\n  retry_window_s: 10\n  retry_budget_slack: 54\n  recovery_s: 12\nplatform:\n  address: \"{}\"\n  form: \"objects\"\n  writes_per_s: 400\n  reads_per_s: 2000\n  history_s: 20\n  value_bytes: 1048576\n  ttl_min_ms: 1000\n",
+            "node_name: \"{name}\"\nrole: \"relay\"\nmachine_class: \"front\"\nserves:\n  - \"front\"\nip: \"{ip}\"\nzone: \"{zone}\"\nregion: \"region\"\nzones:\n{zones}listen_addresses:\n  front: \"{ip}:{front}\"\n  ready: \"{ip}:{ready}\"\ninternal_port_range:\n  - {internal}\n  - {}\nseeds: []\nbootstrap: {is_first_start}\nloss_counts: false\nlimits:\n  cpu_share: {cpu_share}\n  cores: 1\n  memory_mb: 260\n  max_fds: 4100\n  link_mbps: 1000.0\n  disk_mb: 0\ndata_dir: null\ndiscovery: \"platform\"\nentry: \"vip\"\nheartbeat_ms: 1200\nbounds:\n  reuse_after_s: 2\n  stability_window_ms: {STABILITY_WINDOW_MS}\n  drain_ms: {DRAIN_MS}\n  grace_s: {}\n  loss_slack_ms: {LOSS_SLACK_MS}\n  config_apply_ms: {CONFIG_APPLY_MS}\n  rollback_slack_ms: 250\n  max_skew_ms: 12000\n  retry_budget_ratio: 0.2\n  retry_window_s: 10\n  retry_budget_slack: 54\n  recovery_s: 12\nplatform:\n  address: \"{}\"\n  form: \"objects\"\n  writes_per_s: 400\n  reads_per_s: 2000\n  history_s: 20\n  value_bytes: 1048576\n  ttl_min_ms: 1000\n",
             internal + 1,
             self.grace_s,
-            self.store.address
+            store.address
         );
         let path = self.folder.join(format!("{name}.yaml"));
         fs::write(&path, settings)?;
@@ -907,7 +936,7 @@
         let folder = std::env::temp_dir().join(format!("tanageryoke-review-{}", std::process::id()));
         fs::create_dir_all(&folder).map_err(text)?;
         let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-        let fleet = Fleet { record: record.clone(), store: store.clone(), folder, zones, grace_s: GRACE_MS / 1_000 };
+        let fleet = Fleet { record: record.clone(), folder, zones, grace_s: GRACE_MS / 1_000 };
         Ok(Self {
             record,
             store,
@@ -926,7 +955,7 @@
         Ok(backend)
     }
     fn add_machine(&self, name: &str, zone: &str, is_first_start: bool) -> Result<Arc<Machine>, String> {
-        let machine = self.fleet.start_machine(name, zone, is_first_start).map_err(text)?;
+        let machine = self.fleet.start_machine(name, zone, is_first_start, 0.25, &self.store).map_err(text)?;
         self.machines.lock().unwrap().push(machine.clone());
         Ok(machine)
     }
@@ -1079,6 +1108,7 @@
         "stop" => stop_while_queued,
         "lost-machines" => lost_machines,
         "silent-link" => silent_link,
+        "peers" => peers_of_two_versions,
         _ => {
             eprintln!("no case {case}");
             return ExitCode::from(2);
