--- a/review/cases.rs
+++ b/review/cases.rs
@@ -444,8 +444,8 @@
     const SERVICES: [&str; 3] = ["storyhook", "tallyroom", "storyhook-2"];
     const DEADLINE_MS: u64 = 2_000;
     const ROLLBACK_SLACK_MS: u64 = 250;
-    const ROUNDS: u64 = 6;
-    const ROUND_MS: u64 = 11_000;
+    const ROUNDS: u64 = 8;
+    const ROUND_MS: u64 = 9_000;
 
     let case = match Case::new(ZONES.to_vec()) {
         Ok(case) => case,
@@ -493,9 +493,12 @@
                 cut_path.cut();
                 case.record.say(format!("trouble: {} is partitioned from the store for 5 s", MACHINES[0].0));
             }
-            thread::sleep(ms(1_000));
-            let service = (round as usize + 1) % 3;
-            acks.push((put(10 + 3 * round, service), service));
+            // Two changes while the machine is cut off.
+            for change in 0..2 {
+                thread::sleep(ms(900));
+                let service = (round as usize * 2 + change as usize + 1) % 3;
+                acks.push((put(10 + 3 * round + change, service), service));
+            }
             case.sleep_until(start + 6_000 + round * ROUND_MS);
             cut_path.heal();
         }
