--- a/review/cases.rs
+++ b/review/cases.rs
@@ -444,8 +444,8 @@
     const SERVICES: [&str; 3] = ["storyhook", "tallyroom", "storyhook-2"];
     const DEADLINE_MS: u64 = 2_000;
     const ROLLBACK_SLACK_MS: u64 = 250;
-    const ROUNDS: u64 = 8;
-    const ROUND_MS: u64 = 9_000;
+    const ROUNDS: u64 = 7;
+    const ROUND_MS: u64 = 10_300;
 
     let case = match Case::new(ZONES.to_vec()) {
         Ok(case) => case,
@@ -495,7 +495,7 @@
             }
             // Two changes while the machine is cut off.
             for change in 0..2 {
-                thread::sleep(ms(900));
+                thread::sleep(ms([800, 500][change as usize]));
                 let service = (round as usize * 2 + change as usize + 1) % 3;
                 acks.push((put(10 + 3 * round + change, service), service));
             }
