--- a/review/standin.rs
+++ b/review/standin.rs
@@ -84,7 +84,10 @@
 
 impl Record {
     fn new() -> Self {
-        Self { started_at: Instant::now(), lines: Arc::default() }
+        Self {
+            started_at: Instant::now(),
+            lines: Arc::default(),
+        }
     }
     fn now(&self) -> u64 {
         self.started_at.elapsed().as_millis() as u64
@@ -100,7 +103,10 @@
     fn write(&self, path: &Path) {
         let mut lines = self.lines.lock().unwrap().clone();
         lines.sort_by_key(|(at, _)| *at);
-        let text: String = lines.iter().map(|(at, line)| format!("{at:>7} {line}\n")).collect();
+        let text: String = lines
+            .iter()
+            .map(|(at, line)| format!("{at:>7} {line}\n"))
+            .collect();
         if let Err(error) = fs::write(path, text) {
             eprintln!("record: {error}");
         }
@@ -117,7 +123,10 @@
 
 impl Message {
     fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(key, _)| key.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
     fn words(&self) -> Vec<&str> {
@@ -147,12 +156,20 @@
                 .filter_map(|line| line.split_once(':'))
                 .map(|(name, value)| (name.trim().to_owned(), value.trim().to_owned()))
                 .collect();
-            let length = headers.iter().find(|(name, _)| name.eq_ignore_ascii_case("content-length"));
-            let length: usize = length.and_then(|(_, value)| value.parse().ok()).unwrap_or(0);
+            let length = headers
+                .iter()
+                .find(|(name, _)| name.eq_ignore_ascii_case("content-length"));
+            let length: usize = length
+                .and_then(|(_, value)| value.parse().ok())
+                .unwrap_or(0);
             if buffer.len() >= end + 4 + length {
                 let body = buffer[end + 4..end + 4 + length].to_vec();
                 buffer.drain(..end + 4 + length);
-                return Ok(Message { first, headers, body });
+                return Ok(Message {
+                    first,
+                    headers,
+                    body,
+                });
             }
         }
         match stream.read(&mut chunk) {
@@ -219,7 +236,10 @@
 }
 
 fn json_field(text: &str, name: &str) -> Option<String> {
-    json_fields(text).into_iter().find(|(key, _)| key == name).map(|(_, value)| value)
+    json_fields(text)
+        .into_iter()
+        .find(|(key, _)| key == name)
+        .map(|(_, value)| value)
 }
 
 #[derive(Clone)]
@@ -251,9 +271,19 @@
             }
         }
         self.revision += 1;
-        let created = self.objects.get(&key).map_or(self.revision, |known| known.created);
-        let object = Object { revision: self.revision, created, spec: spec.to_owned() };
-        let event = format!(r#"{{"deleted":false,"object":{}}}"#, Self::json(name, &object));
+        let created = self
+            .objects
+            .get(&key)
+            .map_or(self.revision, |known| known.created);
+        let object = Object {
+            revision: self.revision,
+            created,
+            spec: spec.to_owned(),
+        };
+        let event = format!(
+            r#"{{"deleted":false,"object":{}}}"#,
+            Self::json(name, &object)
+        );
         self.events.push((self.revision, kind.to_owned(), event));
         self.objects.insert(key, object.clone());
         object
@@ -261,7 +291,10 @@
     fn delete(&mut self, kind: &str, name: &str) {
         if let Some(object) = self.objects.remove(&(kind.to_owned(), name.to_owned())) {
             self.revision += 1;
-            let event = format!(r#"{{"deleted":true,"object":{}}}"#, Self::json(name, &object));
+            let event = format!(
+                r#"{{"deleted":true,"object":{}}}"#,
+                Self::json(name, &object)
+            );
             self.events.push((self.revision, kind.to_owned(), event));
         }
     }
@@ -345,7 +378,11 @@
     }
     fn count(&self, kind: &str) -> usize {
         let objects = self.objects.0.lock().unwrap();
-        objects.objects.keys().filter(|(one, _)| one == kind).count()
+        objects
+            .objects
+            .keys()
+            .filter(|(one, _)| one == kind)
+            .count()
     }
     fn silence_open_connections(&self) {
         *self.silent_since.lock().unwrap() = Some(Instant::now());
@@ -371,11 +408,16 @@
     fn serve(&self, mut stream: TcpStream) {
         let opened_at = Instant::now();
         let _ = stream.set_nodelay(true);
-        let peer = stream.peer_addr().map(|peer| peer.to_string()).unwrap_or_default();
+        let peer = stream
+            .peer_addr()
+            .map(|peer| peer.to_string())
+            .unwrap_or_default();
         let mut buffer = Vec::new();
         let mut last_bytes_at = opened_at;
         loop {
-            let read = read_message(&mut stream, &mut buffer, |_| self.is_silent(opened_at).is_none());
+            let read = read_message(&mut stream, &mut buffer, |_| {
+                self.is_silent(opened_at).is_none()
+            });
             if let Some(since) = self.is_silent(opened_at) {
                 return self.end_silent(stream, since, last_bytes_at);
             }
@@ -391,7 +433,10 @@
                 "HTTP/1.1 {status} S\r\nContent-Type: application/json\r\nStore-Era: 1\r\nContent-Length: {}\r\n\r\n",
                 body.len()
             );
-            if stream.write_all(&[head.as_bytes(), body.as_bytes()].concat()).is_err() {
+            if stream
+                .write_all(&[head.as_bytes(), body.as_bytes()].concat())
+                .is_err()
+            {
                 return;
             }
             last_bytes_at = Instant::now();
@@ -401,7 +446,10 @@
         let words = request.words();
         let (method, target) = (words[0], *words.get(1)?);
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
-        let query: HashMap<&str, &str> = query.split('&').filter_map(|pair| pair.split_once('=')).collect();
+        let query: HashMap<&str, &str> = query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .collect();
         let mut parts = path.strip_prefix("/tanageryoke/objects/")?.split('/');
         let kind = parts.next()?.to_owned();
         let name = parts.next().map(str::to_owned);
@@ -417,17 +465,30 @@
             }
             if let Some(from) = query.get("watch") {
                 let from: u64 = from.parse().ok()?;
-                let wait: u64 = query.get("wait_ms").and_then(|wait| wait.parse().ok()).unwrap_or(0);
+                let wait: u64 = query
+                    .get("wait_ms")
+                    .and_then(|wait| wait.parse().ok())
+                    .unwrap_or(0);
                 if kind == "servers" {
-                    self.watches.lock().unwrap().insert(peer.to_owned(), Instant::now());
+                    self.watches
+                        .lock()
+                        .unwrap()
+                        .insert(peer.to_owned(), Instant::now());
                 }
                 let until = Instant::now() + ms(wait.min(30_000));
                 let mut objects = lock.lock().unwrap();
                 loop {
-                    let newer = objects.events.iter().filter(|(at, one, _)| *at > from && *one == kind);
+                    let newer = objects
+                        .events
+                        .iter()
+                        .filter(|(at, one, _)| *at > from && *one == kind);
                     let events: Vec<&str> = newer.map(|(_, _, event)| event.as_str()).collect();
                     if !events.is_empty() || Instant::now() >= until {
-                        let text = format!(r#"{{"events":[{}],"current_rev":{}}}"#, events.join(","), objects.revision);
+                        let text = format!(
+                            r#"{{"events":[{}],"current_rev":{}}}"#,
+                            events.join(","),
+                            objects.revision
+                        );
                         return Some((200, text));
                     }
                     if self.is_silent(opened_at).is_some() {
@@ -438,15 +499,24 @@
             }
             let objects = lock.lock().unwrap();
             let after = query.get("after").copied().unwrap_or("");
-            let of_kind = objects.objects.iter().filter(|((one, name), _)| *one == kind && name.as_str() > after);
-            let items: Vec<String> = of_kind.map(|((_, name), object)| Objects::json(name, object)).collect();
-            let text =
-                format!(r#"{{"items":[{}],"more":false,"current_rev":{}}}"#, items.join(","), objects.revision);
+            let of_kind = objects
+                .objects
+                .iter()
+                .filter(|((one, name), _)| *one == kind && name.as_str() > after);
+            let items: Vec<String> = of_kind
+                .map(|((_, name), object)| Objects::json(name, object))
+                .collect();
+            let text = format!(
+                r#"{{"items":[{}],"more":false,"current_rev":{}}}"#,
+                items.join(","),
+                objects.revision
+            );
             return Some((200, text));
         }
         let meta = json_field(&body, "meta")?;
         let spec = json_field(&body, "spec").unwrap_or_else(|| "null".to_owned());
-        let revision: Option<u64> = json_field(&meta, "revision").and_then(|text| text.parse().ok());
+        let revision: Option<u64> =
+            json_field(&meta, "revision").and_then(|text| text.parse().ok());
         let stated = json_field(&meta, "name").map(|name| name.trim_matches('"').to_owned());
         let name = name.or(stated)?;
         let mut objects = lock.lock().unwrap();
@@ -459,7 +529,10 @@
             }
             ("POST" | "PUT", _) => {
                 let object = objects.put(&kind, &name, &spec);
-                self.record.add(format!("store: {kind}/{name} written by the system, revision {}", object.revision));
+                self.record.add(format!(
+                    "store: {kind}/{name} written by the system, revision {}",
+                    object.revision
+                ));
                 (200, Objects::json(&name, &object))
             }
             _ => (405, "{}".to_owned()),
@@ -583,11 +656,18 @@
             self.service, self.address, self.zone, self.shape.slots, self.born
         );
         self.store.put("servers", &self.id, &entry);
-        self.record.add(format!("backend {} of {}: entry {state} accepted by the store", self.id, self.service));
+        self.record.add(format!(
+            "backend {} of {}: entry {state} accepted by the store",
+            self.id, self.service
+        ));
     }
     fn log(&self, request: &str, ran: bool) {
         let at = self.record.now();
-        self.record.add(format!("backend {}: request {request} {}", self.id, if ran { "runs" } else { "rejected, not run" }));
+        self.record.add(format!(
+            "backend {}: request {request} {}",
+            self.id,
+            if ran { "runs" } else { "rejected, not run" }
+        ));
         self.arrivals.lock().unwrap().push(Arrival {
             at,
             request: request.to_owned(),
@@ -601,13 +681,18 @@
         let mut buffer = Vec::new();
         let mut extra: Option<Vec<u8>> = None;
         loop {
-            let read = read_message(&mut stream, &mut buffer, |_| !self.is_stopped.load(Ordering::Relaxed));
+            let read = read_message(&mut stream, &mut buffer, |_| {
+                !self.is_stopped.load(Ordering::Relaxed)
+            });
             let Ok(request) = read else { return };
             // The late second copy of the previous answer arrives where the answer to this request is expected.
             if let Some(extra) = extra.take() {
                 self.extras.fetch_add(1, Ordering::Relaxed);
                 let id = request.header("x-request-id").unwrap_or("").to_owned();
-                self.record.add(format!("backend {}: late second copy of an answer is sent as request {id} has arrived", self.id));
+                self.record.add(format!(
+                    "backend {}: late second copy of an answer is sent as request {id} has arrived",
+                    self.id
+                ));
                 if stream.write_all(&extra).is_err() {
                     return;
                 }
@@ -623,18 +708,29 @@
     }
     fn answer(&self, request: &Message) -> Vec<u8> {
         if request.words().get(1) == Some(&"/health") {
-            return format!("HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id).into_bytes();
+            return format!(
+                "HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                self.id
+            )
+            .into_bytes();
         }
         let Some(id) = request.header("x-request-id").map(str::to_owned) else {
-            return b"HTTP/1.1 400 Bad Request\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".to_vec();
+            return b"HTTP/1.1 400 Bad Request\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                .to_vec();
         };
         let rejected = |status: &str| {
             format!("HTTP/1.1 {status}\r\nX-Request-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n").into_bytes()
         };
-        if request.header("x-target-instance").is_some_and(|target| target != self.id) {
+        if request
+            .header("x-target-instance")
+            .is_some_and(|target| target != self.id)
+        {
             return rejected("421 Misdirected Request");
         }
-        let wait: u64 = request.header("x-deadline-ms").and_then(|text| text.parse().ok()).unwrap_or(10_000);
+        let wait: u64 = request
+            .header("x-deadline-ms")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(10_000);
         let until = Instant::now() + ms(wait);
         {
             let mut slots = self.slots.lock().unwrap();
@@ -687,14 +783,28 @@
 /// Returns a loopback address of its own for a machine, and four free ports: two in a row, and two more.
 fn machine_address() -> std::io::Result<(Ipv4Addr, u16, u16, u16)> {
     let number = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed);
-    let ip = Ipv4Addr::new(127, 64 + (std::process::id() % 64) as u8, 1 + (number / 200) as u8, 1 + (number % 200) as u8);
+    let ip = Ipv4Addr::new(
+        127,
+        64 + (std::process::id() % 64) as u8,
+        1 + (number / 200) as u8,
+        1 + (number % 200) as u8,
+    );
     for _ in 0..100 {
         let first = TcpListener::bind((ip, 0))?;
         let port = first.local_addr()?.port();
-        let Some(next) = port.checked_add(1) else { continue };
-        let Ok(_second) = TcpListener::bind((ip, next)) else { continue };
+        let Some(next) = port.checked_add(1) else {
+            continue;
+        };
+        let Ok(_second) = TcpListener::bind((ip, next)) else {
+            continue;
+        };
         let (third, fourth) = (TcpListener::bind((ip, 0))?, TcpListener::bind((ip, 0))?);
-        return Ok((ip, port, third.local_addr()?.port(), fourth.local_addr()?.port()));
+        return Ok((
+            ip,
+            port,
+            third.local_addr()?.port(),
+            fourth.local_addr()?.port(),
+        ));
     }
     Err(std::io::Error::other("no free ports"))
 }
@@ -707,9 +817,20 @@
 }
 
 impl Fleet {
-    fn start_machine(&self, name: &str, zone: &str, is_first_start: bool, cpu_share: f64, store: &Store) -> std::io::Result<Arc<Machine>> {
+    fn start_machine(
+        &self,
+        name: &str,
+        zone: &str,
+        is_first_start: bool,
+        cpu_share: f64,
+        store: &Store,
+    ) -> std::io::Result<Arc<Machine>> {
         let (ip, internal, front, ready) = machine_address()?;
-        let zones: String = self.zones.iter().map(|zone| format!("  {zone}: \"region\"\n")).collect();
+        let zones: String = self
+            .zones
+            .iter()
+            .map(|zone| format!("  {zone}: \"region\"\n"))
+            .collect();
         let settings = format!(
             "node_name: \"{name}\"\nrole: \"relay\"\nmachine_class: \"front\"\nserves:\n  - \"front\"\nip: \"{ip}\"\nzone: \"{zone}\"\nregion: \"region\"\nzones:\n{zones}listen_addresses:\n  front: \"{ip}:{front}\"\n  ready: \"{ip}:{ready}\"\ninternal_port_range:\n  - {internal}\n  - {}\nseeds: []\nbootstrap: {is_first_start}\nloss_counts: false\nlimits:\n  cpu_share: {cpu_share}\n  cores: 1\n  memory_mb: 260\n  max_fds: 4100\n  link_mbps: 1000.0\n  disk_mb: 0\ndata_dir: null\ndiscovery: \"platform\"\nentry: \"vip\"\nheartbeat_ms: 1200\nbounds:\n  reuse_after_s: 2\n  stability_window_ms: {STABILITY_WINDOW_MS}\n  drain_ms: {DRAIN_MS}\n  grace_s: {}\n  loss_slack_ms: {LOSS_SLACK_MS}\n  config_apply_ms: {CONFIG_APPLY_MS}\n  rollback_slack_ms: 250\n  max_skew_ms: 12000\n  retry_budget_ratio: 0.2\n  retry_window_s: 10\n  retry_budget_slack: 54\n  recovery_s: 12\nplatform:\n  address: \"{}\"\n  form: \"objects\"\n  writes_per_s: 400\n  reads_per_s: 2000\n  history_s: 20\n  value_bytes: 1048576\n  ttl_min_ms: 1000\n",
             internal + 1,
@@ -719,7 +840,9 @@
         let path = self.folder.join(format!("{name}.yaml"));
         fs::write(&path, settings)?;
         let child = self.spawn_process(name)?;
-        self.record.add(format!("machine {name} in {zone}: started, front {ip}:{front}"));
+        self.record.add(format!(
+            "machine {name} in {zone}: started, front {ip}:{front}"
+        ));
         Ok(Arc::new(Machine {
             name: name.to_owned(),
             front: SocketAddr::V4(SocketAddrV4::new(ip, front)),
@@ -730,11 +853,20 @@
     /// Starts the process of a machine with the command of the deploy file.
     fn spawn_process(&self, name: &str) -> std::io::Result<Child> {
         let path = self.folder.join(format!("{name}.yaml"));
-        let log = fs::File::options().create(true).append(true).open(self.folder.join(format!("{name}.log")))?;
+        let log = fs::File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("{name}.log")))?;
         let mut command = Command::new(PROGRAM);
-        command.arg("relay").env_clear().env("TANAGERYOKE_SETTINGS", &path);
+        command
+            .arg("relay")
+            .env_clear()
+            .env("TANAGERYOKE_SETTINGS", &path);
         command.env("PATH", std::env::var("PATH").unwrap_or_default());
-        command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
+        command
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log);
         // SAFETY: `prctl` is safe to call between fork and exec. The process ends with this one (PR_SET_PDEATHSIG 1).
         unsafe {
             command.pre_exec(|| {
@@ -751,15 +883,21 @@
         fs::write(&path, settings)?;
         let _ = machine.child.lock().unwrap().wait();
         *machine.child.lock().unwrap() = self.spawn_process(&machine.name)?;
-        self.record.add(format!("machine {}: started again", machine.name));
+        self.record
+            .add(format!("machine {}: started again", machine.name));
         Ok(())
     }
 }
 
 impl Machine {
     fn is_ready(&self) -> bool {
-        let Ok(mut stream) = TcpStream::connect_timeout(&self.ready, ms(300)) else { return false };
-        let request = format!("GET /tanageryoke/readiness HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", self.ready);
+        let Ok(mut stream) = TcpStream::connect_timeout(&self.ready, ms(300)) else {
+            return false;
+        };
+        let request = format!(
+            "GET /tanageryoke/readiness HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n",
+            self.ready
+        );
         if stream.write_all(request.as_bytes()).is_err() {
             return false;
         }
@@ -808,7 +946,9 @@
 
 impl Balancer {
     fn start(machines: Arc<Mutex<Vec<Arc<Machine>>>>, stop: Arc<AtomicBool>) -> Self {
-        let balancer = Self { in_rotation: Arc::default() };
+        let balancer = Self {
+            in_rotation: Arc::default(),
+        };
         let rotation = balancer.in_rotation.clone();
         thread::spawn(move || {
             let mut misses: HashMap<String, u32> = HashMap::new();
@@ -868,27 +1008,50 @@
     fn open(machine: Arc<Machine>) -> Option<Self> {
         let stream = TcpStream::connect_timeout(&machine.front, ms(1_000)).ok()?;
         stream.set_nodelay(true).ok()?;
-        Some(Self { machine, stream, buffer: Vec::new() })
+        Some(Self {
+            machine,
+            stream,
+            buffer: Vec::new(),
+        })
     }
     /// Sends a request and waits for the answer; returns whether the connection stays open.
-    fn exchange(&mut self, record: &Record, method: &str, path: &str, id: &str, deadline_ms: u64) -> (Exchange, bool) {
+    fn exchange(
+        &mut self,
+        record: &Record,
+        method: &str,
+        path: &str,
+        id: &str,
+        deadline_ms: u64,
+    ) -> (Exchange, bool) {
         let body = if method == "POST" { "{\"hold\":1}" } else { "" };
-        let length = if method == "POST" { format!("Content-Length: {}\r\n", body.len()) } else { String::new() };
+        let length = if method == "POST" {
+            format!("Content-Length: {}\r\n", body.len())
+        } else {
+            String::new()
+        };
         let request = format!(
             "{method} {path} HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\n{length}\r\n{body}"
         );
         let sent_at = record.now();
         let until = Instant::now() + ms(deadline_ms);
         let read = match self.stream.write_all(request.as_bytes()) {
-            Ok(()) => read_message(&mut self.stream, &mut self.buffer, |_| Instant::now() < until),
+            Ok(()) => read_message(&mut self.stream, &mut self.buffer, |_| {
+                Instant::now() < until
+            }),
             Err(_) => Err(ReadError::Closed),
         };
         let mut stays_open = false;
         let answer = match read {
             Ok(message) => {
-                let closes = message.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
+                let closes = message
+                    .header("connection")
+                    .is_some_and(|value| value.eq_ignore_ascii_case("close"));
                 stays_open = !closes;
-                let status = message.words().get(1).and_then(|status| status.parse().ok()).unwrap_or(0);
+                let status = message
+                    .words()
+                    .get(1)
+                    .and_then(|status| status.parse().ok())
+                    .unwrap_or(0);
                 let stamp = message.header("x-server-stamp").unwrap_or("").to_owned();
                 Answer::Status(status, stamp)
             }
@@ -896,8 +1059,19 @@
             Err(ReadError::Timeout) => Answer::Late,
         };
         let machine = self.machine.name.clone();
-        record.add(format!("requester: {id} sent to {machine} at {sent_at}, answer {answer:?}"));
-        (Exchange { id: id.to_owned(), machine, sent_at, ended_at: record.now(), answer }, stays_open)
+        record.add(format!(
+            "requester: {id} sent to {machine} at {sent_at}, answer {answer:?}"
+        ));
+        (
+            Exchange {
+                id: id.to_owned(),
+                machine,
+                sent_at,
+                ended_at: record.now(),
+                answer,
+            },
+            stays_open,
+        )
     }
 }
 
@@ -907,7 +1081,10 @@
 static NEXT_REQUEST: AtomicU64 = AtomicU64::new(1);
 
 fn new_id() -> String {
-    format!("{:016x}", 0x9c41_0000_0000_0000u64 | NEXT_REQUEST.fetch_add(1, Ordering::Relaxed))
+    format!(
+        "{:016x}",
+        0x9c41_0000_0000_0000u64 | NEXT_REQUEST.fetch_add(1, Ordering::Relaxed)
+    )
 }
 
 // ---------------------------------------------------------------------------------------------- cases
@@ -933,10 +1110,16 @@
     fn new(zones: Vec<&'static str>) -> Result<Self, String> {
         let record = Record::new();
         let store = Store::start(&record).map_err(text)?;
-        let folder = std::env::temp_dir().join(format!("tanageryoke-review-{}", std::process::id()));
+        let folder =
+            std::env::temp_dir().join(format!("tanageryoke-review-{}", std::process::id()));
         fs::create_dir_all(&folder).map_err(text)?;
         let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-        let fleet = Fleet { record: record.clone(), folder, zones, grace_s: GRACE_MS / 1_000 };
+        let fleet = Fleet {
+            record: record.clone(),
+            folder,
+            zones,
+            grace_s: GRACE_MS / 1_000,
+        };
         Ok(Self {
             record,
             store,
@@ -948,14 +1131,36 @@
             has_trouble,
         })
     }
-    fn backend(&self, id: &str, service: &str, zone: &str, shape: Shape) -> Result<Arc<Backend>, String> {
-        let backend =
-            Backend::start(&self.record, &self.store, &self.arrivals, id, service, zone, shape).map_err(text)?;
+    fn backend(
+        &self,
+        id: &str,
+        service: &str,
+        zone: &str,
+        shape: Shape,
+    ) -> Result<Arc<Backend>, String> {
+        let backend = Backend::start(
+            &self.record,
+            &self.store,
+            &self.arrivals,
+            id,
+            service,
+            zone,
+            shape,
+        )
+        .map_err(text)?;
         backend.announce("ready");
         Ok(backend)
     }
-    fn add_machine(&self, name: &str, zone: &str, is_first_start: bool) -> Result<Arc<Machine>, String> {
-        let machine = self.fleet.start_machine(name, zone, is_first_start, 0.25, &self.store).map_err(text)?;
+    fn add_machine(
+        &self,
+        name: &str,
+        zone: &str,
+        is_first_start: bool,
+    ) -> Result<Arc<Machine>, String> {
+        let machine = self
+            .fleet
+            .start_machine(name, zone, is_first_start, 0.25, &self.store)
+            .map_err(text)?;
         self.machines.lock().unwrap().push(machine.clone());
         Ok(machine)
     }
@@ -981,9 +1186,14 @@
         deadline_ms: u64,
         until: u64,
     ) -> thread::JoinHandle<()> {
-        let (record, exchanges, stop) = (self.record.clone(), self.exchanges.clone(), self.stop.clone());
+        let (record, exchanges, stop) = (
+            self.record.clone(),
+            self.exchanges.clone(),
+            self.stop.clone(),
+        );
         let balancer = balancer.clone();
-        let free: Arc<Vec<Mutex<Vec<Link>>>> = Arc::new((0..REQUESTERS).map(|_| Mutex::default()).collect());
+        let free: Arc<Vec<Mutex<Vec<Link>>>> =
+            Arc::new((0..REQUESTERS).map(|_| Mutex::default()).collect());
         thread::spawn(move || {
             let start = Instant::now();
             let running: Arc<AtomicU64> = Arc::default();
@@ -992,8 +1202,12 @@
                 number += 1;
                 let due = start + Duration::from_secs_f64(number as f64 / per_s);
                 thread::sleep(due.saturating_duration_since(Instant::now()));
-                let (record, exchanges, free, balancer) =
-                    (record.clone(), exchanges.clone(), free.clone(), balancer.clone());
+                let (record, exchanges, free, balancer) = (
+                    record.clone(),
+                    exchanges.clone(),
+                    free.clone(),
+                    balancer.clone(),
+                );
                 let guard = Running::new(&running);
                 spawn(move || {
                     let _guard = guard;
@@ -1002,7 +1216,9 @@
                     let free = &free[requester];
                     // A kept connection that the machine has closed meanwhile isn't used.
                     let kept = loop {
-                        let Some(link) = free.lock().unwrap().pop() else { break None };
+                        let Some(link) = free.lock().unwrap().pop() else {
+                            break None;
+                        };
                         let _ = link.stream.set_nonblocking(true);
                         let is_open = matches!(link.stream.peek(&mut [0]), Err(error) if error.kind() == std::io::ErrorKind::WouldBlock);
                         let _ = link.stream.set_nonblocking(false);
@@ -1022,7 +1238,8 @@
                         });
                         return;
                     };
-                    let (exchange, stays_open) = link.exchange(&record, method, path, &id, deadline_ms);
+                    let (exchange, stays_open) =
+                        link.exchange(&record, method, path, &id, deadline_ms);
                     exchanges.lock().unwrap().push(exchange);
                     if stays_open {
                         free.lock().unwrap().push(link);
@@ -1036,8 +1253,16 @@
     }
     fn runs(&self) -> HashMap<String, Vec<Arrival>> {
         let mut runs: HashMap<String, Vec<Arrival>> = HashMap::new();
-        for arrival in self.arrivals.lock().unwrap().iter().filter(|arrival| arrival.ran) {
-            runs.entry(arrival.request.clone()).or_default().push(arrival.clone());
+        for arrival in self
+            .arrivals
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(|arrival| arrival.ran)
+        {
+            runs.entry(arrival.request.clone())
+                .or_default()
+                .push(arrival.clone());
         }
         runs
     }
@@ -1050,8 +1275,16 @@
             };
             *counts.entry(kind).or_default() += 1;
         }
-        let rejected = self.arrivals.lock().unwrap().iter().filter(|arrival| !arrival.ran).count();
-        self.record.say(format!("summary: answers {counts:?}, rejections by backends {rejected}"));
+        let rejected = self
+            .arrivals
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(|arrival| !arrival.ran)
+            .count();
+        self.record.say(format!(
+            "summary: answers {counts:?}, rejections by backends {rejected}"
+        ));
     }
 }
 
@@ -1079,7 +1312,14 @@
     )
 }
 
-fn route(name: &str, prefix: &str, kind: &str, service: &str, timeout_ms: u64, aim_ms: u64) -> String {
+fn route(
+    name: &str,
+    prefix: &str,
+    kind: &str,
+    service: &str,
+    timeout_ms: u64,
+    aim_ms: u64,
+) -> String {
     format!(
         r#"{{"name":"{name}","hostname":"desk.example","path_prefix":"{prefix}","type":"{kind}","timeout_ms":{timeout_ms},"target_latency_ms":{aim_ms},"priority":2,"service":"{service}","max_attempts":2}}"#
     )
