fix(relay): a planned stop answers every request that the instance has read

Cause: only `shut_down` knew when the drain ends. Queued requests waited for up to half of their own time, requests were sent to servers with the caller's deadline, and the process ended under them.

Why the fix works: the end of the drain is known to services, calls and queries (`relay::drain`). At the signal, queued requests that can't be served in time are refused, truly not run; later ones are checked before they are sent; sub-requests carry a deadline no later than the end; what still runs then is answered 504, queries with the parts they have.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -216,6 +216,8 @@
 enum Event {
     AttemptEnded(Box<EndedAttempt>),
     HedgeDue,
+    /// The instance has started to shut down, which may end before the deadline.
+    DrainChanged,
     /// A server has served a part of the query, so that hedges may be sent.
     Proven,
     ReplyOverdue,
@@ -232,7 +234,7 @@
         loop {
             match self.next_event().await {
                 Event::DeadlinePassed => return self.late_outcome(),
-                Event::Proven => {}
+                Event::Proven | Event::DrainChanged => {}
                 Event::HedgeDue => self.send_hedge(),
                 Event::ReplyOverdue => self.record_overdue(),
                 Event::AttemptEnded(ended) => match self.handle_ended(*ended) {
@@ -253,22 +255,31 @@
     }
 
     async fn next_event(&mut self) -> Event {
-        let deadline = self.call.scheduling.deadline;
+        let deadline = self.deadline();
         let hedge_at = self.hedge_at();
         let overdue_at = self.overdue_at().filter(|at| *at < deadline);
         let until = hedge_at.into_iter().chain(overdue_at).min();
         let timer = std::pin::pin!(sleep_until(until.unwrap_or(deadline).into()));
         let proof = std::pin::pin!(self.call.crashes.prove_for_hedge());
-        let waits = std::pin::pin!(select(timer, proof));
+        let drain = std::pin::pin!(self.call.service.drain().changed());
+        let changes = std::pin::pin!(select(proof, drain));
+        let waits = std::pin::pin!(select(timer, changes));
         match select(self.running.next(), waits).await {
             Either::Left((Some(ended), _)) => Event::AttemptEnded(Box::new(ended)),
-            Either::Right((Either::Right(_), _)) => Event::Proven,
+            Either::Right((Either::Right((Either::Left(_), _)), _)) => Event::Proven,
+            Either::Right((Either::Right((Either::Right(_), _)), _)) => Event::DrainChanged,
             Either::Right(_) if until.is_some() && until == hedge_at => Event::HedgeDue,
             Either::Right(_) if until.is_some() => Event::ReplyOverdue,
             _ => Event::DeadlinePassed,
         }
     }
 
+    /// Returns when the call ends without a reply: at its deadline, or with the shutdown of the instance.
+    fn deadline(&self) -> Instant {
+        let deadline = self.call.scheduling.deadline;
+        self.call.service.drain().limit(deadline)
+    }
+
     /// Returns when the reply of a sub-request is overdue whose server isn't recorded as silent yet.
     fn overdue_at(&self) -> Option<Instant> {
         let waiting = self.running.iter().filter(|attempt| !attempt.is_overdue);
@@ -299,7 +310,7 @@
         let at = self
             .hedge_not_before
             .map_or(at, |earliest| earliest.max(at));
-        (at < self.call.scheduling.deadline).then_some(at)
+        (at < self.deadline()).then_some(at)
     }
 
     fn has_attempts_left(&self) -> bool {
@@ -402,7 +413,8 @@
     /// Sends a sub-request; `has_budget` tells that it was counted in the retry budget.
     fn send(&mut self, server: Rc<Server>, has_budget: bool) {
         let now = Instant::now();
-        let time_left = self.call.scheduling.deadline.saturating_duration_since(now);
+        let deadline = self.deadline();
+        let time_left = deadline.saturating_duration_since(now);
         let caller_request = self.call.caller_request;
         let request = caller_request.outgoing(self.call.names, server.target(), time_left);
         let number = self.call.service.next_exchange();
@@ -411,7 +423,7 @@
         let receiver = server.send(
             request,
             number,
-            self.call.scheduling.deadline,
+            deadline,
             baseline,
             self.call.kind == Kind::AtMostOnce,
             Some(Witness {
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -96,6 +96,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Text of the answer to a request that a peer may have run.
 const NO_PEER_ANSWER: &str = "no answer of a peer";
+/// Text of the answer to a request that was still running when the instance ended.
+const SHUT_DOWN: &str = "the instance has shut down";
 /// Minimum read buffer that `hyper` accepts.
 const MIN_READ_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -234,9 +236,18 @@
         waited,
         origin,
     };
-    let mut answer = match origin {
-        Origin::Caller => respond(relay, request, in_flight.request_id(), arrival).await,
-        Origin::Peer => respond_to_peer(relay, request, in_flight.request_id(), arrived_at).await,
+    let id = in_flight.request_id();
+    let mut answer = {
+        let answer = async {
+            match origin {
+                Origin::Caller => respond(relay, request, id, arrival).await,
+                Origin::Peer => respond_to_peer(relay, request, id, arrived_at).await,
+            }
+        };
+        match select(pin!(answer), pin!(relay.drained())).await {
+            Either::Left((answer, _)) => answer,
+            Either::Right(_) => refuse(relay, id, StatusCode::GATEWAY_TIMEOUT, SHUT_DOWN),
+        }
     };
     in_flight.complete();
     activity.is_busy.set(false);
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -211,18 +211,21 @@
         (shard, report)
     };
     let mut calls: FuturesUnordered<_> = services.into_iter().map(run).collect();
-    let deadlines = Deadlines {
-        objective: scheduling.answer_by,
-        deadline: scheduling.deadline,
-    };
     let min_shards = gather.min_shards();
+    let drain = relay.registry().drain();
     loop {
+        let deadlines = Deadlines {
+            objective: scheduling.answer_by,
+            deadline: drain.limit(scheduling.deadline),
+        };
         match completion::next_step(Instant::now(), deadlines, query.progress(min_shards)) {
             Step::Answer => return (query, true),
             Step::GiveUp => return (query, false),
             Step::Wait(until) => {
                 let timer = pin!(sleep_until(until.into()));
-                if let Either::Left((Some(ended), _)) = select(calls.next(), timer).await {
+                let drain_changed = pin!(drain.changed());
+                let waits = select(timer, drain_changed);
+                if let Either::Left((Some(ended), _)) = select(calls.next(), waits).await {
                     let (shard, report) = ended;
                     query.record_report(shard, report, relay.names());
                 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod connection;
 mod description;
 mod directory;
+pub mod drain;
 pub mod feed;
 pub mod follow;
 pub mod forward;
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -53,6 +53,7 @@
 use web::Stop;
 
 use crate::{
+    drain::Drain,
     headers::HeaderNames,
     links::Links,
     peers::{
@@ -105,6 +106,7 @@
     plan: RefCell<Plan>,
     peers: Peers,
     links: Rc<Links>,
+    drain: Rc<Drain>,
     watchers: RefCell<Vec<Member>>,
     instances_listed: Stop,
     shard_services: RefCell<HashSet<Arc<str>>>,
@@ -127,7 +129,17 @@
     pub fn new(settings: Settings, started_at: Instant) -> Rc<Self> {
         let local = settings.local.clone();
         let budget = Budget::new(settings.retry_budget, 1, started_at);
-        let peers = || Service::new(Arc::from("peers"), local.zone.clone(), budget.clone(), None);
+        let drain = Rc::<Drain>::default();
+        let peers = || {
+            let name = Arc::from("peers");
+            Service::new(
+                name,
+                local.zone.clone(),
+                budget.clone(),
+                None,
+                drain.clone(),
+            )
+        };
         let peers = Peers::new(peers(), peers());
         Rc::new(Self {
             settings: RefCell::new(settings),
@@ -138,6 +150,7 @@
             plan: RefCell::new(Plan::Everyone),
             peers,
             links: Rc::default(),
+            drain,
             watchers: RefCell::default(),
             instances_listed: Stop::new(),
             shard_services: RefCell::default(),
@@ -172,12 +185,17 @@
             self.started_at,
         );
         let links = Some(self.links.clone());
-        let service = Service::new(name.clone(), zone, budget, links);
+        let service = Service::new(name.clone(), zone, budget, links, self.drain.clone());
         let mut services = self.services.borrow_mut();
         services.insert(name.clone(), service.clone());
         service
     }
 
+    /// Returns the shutdown of this instance.
+    pub(crate) fn drain(&self) -> &Rc<Drain> {
+        &self.drain
+    }
+
     /// Returns all services.
     pub fn services(&self) -> Vec<Rc<Service>> {
         self.services.borrow().values().cloned().collect()
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -96,7 +96,6 @@
     mirror: Mirror,
     quarantine: Rc<Quarantine>,
     in_flight: Cell<usize>,
-    draining: Cell<bool>,
 }
 
 impl Relay {
@@ -120,7 +119,6 @@
             quarantine: Quarantine::new(meter.crashes.clone()),
             meter,
             in_flight: Cell::new(0),
-            draining: Cell::new(false),
         })
     }
 
@@ -186,17 +184,23 @@
 
     /// Returns whether the instance is ready to receive callers' requests.
     pub fn is_ready(&self) -> bool {
-        !self.draining.get() && self.table.borrow().is_some() && self.registry.is_listed()
+        !self.is_draining() && self.table.borrow().is_some() && self.registry.is_listed()
     }
 
-    /// Starts a graceful shutdown: the instance is no longer ready and closes callers' connections.
-    pub fn start_drain(&self) {
-        self.draining.set(true);
+    /// Starts a graceful shutdown, which ends at `ends_at`: the instance is no longer ready, closes callers' connections
+    /// and refuses requests that no server would have answered by then.
+    pub fn start_drain(&self, ends_at: Instant) {
+        self.registry.drain().start(ends_at);
+    }
+
+    /// Waits until a shutdown has ended.
+    pub(crate) async fn drained(&self) {
+        self.registry.drain().ended().await;
     }
 
     /// Returns whether the instance is shutting down.
     pub fn is_draining(&self) -> bool {
-        self.draining.get()
+        self.registry.drain().has_started()
     }
 
     /// Returns the number of requests in flight.
@@ -260,6 +264,7 @@
             deadline,
             rank: rank(caller_request),
             baseline: route_latency.baseline(),
+            objective: route.objective,
         };
         let crashes = self.quarantine.track(caller_request);
         let context = RequestContext {
@@ -427,7 +432,7 @@
     ) -> Response<Bytes> {
         match query.may_have_run || query.answered() > 0 {
             false => self.refusal(context, "too few shards took the query", NO_SERVER_RETRY),
-            true if Instant::now() >= context.scheduling.deadline => {
+            true if Instant::now() >= self.registry.drain().limit(context.scheduling.deadline) => {
                 answer::with_text(StatusCode::GATEWAY_TIMEOUT, "too few shards in time")
             }
             true => self.broken(context, "too few shards answered"),
@@ -600,6 +605,8 @@
 fn expected_wait(cause: Cause, baseline: Duration) -> Duration {
     match cause {
         Cause::Refused(Refusal::NoServer) => NO_SERVER_RETRY,
+        // Another instance may have room at once.
+        Cause::Refused(Refusal::Leaving) => baseline,
         _ => baseline * BUSY_RETRY_BASELINES,
     }
 }
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -5,6 +5,7 @@
         Cell,
         RefCell, //
     },
+    pin::pin,
     rc::Rc,
     sync::Arc,
     time::{
@@ -15,6 +16,10 @@
 
 use config::preset::Class;
 use futures_channel::oneshot;
+use futures_util::future::{
+    select,
+    Either, //
+};
 use monoio::time::timeout;
 use policy::{
     admission, choice,
@@ -32,12 +37,15 @@
 };
 
 use crate::{
+    drain::Drain,
     links::Links,
     server::Server, //
 };
 
 /// Maximum number of requests that wait for a server of one service; more couldn't be served in time.
 const MAX_QUEUED: usize = 64;
+/// Time that a server has for a request of an instance that shuts down, as a multiple of the baseline latency.
+const DRAIN_BASELINES: u32 = 4;
 
 /// Why no server was chosen for a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,6 +56,8 @@
     Busy,
     /// The request timed out in the queue.
     Late,
+    /// The instance shuts down before a server would have answered.
+    Leaving,
 }
 
 /// Queue order, deadlines and baseline latency of a request.
@@ -65,6 +75,15 @@
     pub rank: Rank,
     /// Baseline latency of its route.
     pub baseline: Duration,
+    /// Latency objective of its route.
+    pub objective: Duration,
+}
+
+impl Scheduling {
+    /// Returns the time that a server is expected to need at the most.
+    fn service_time(&self) -> Duration {
+        (self.baseline * DRAIN_BASELINES).min(self.objective)
+    }
 }
 
 /// The servers, the queue and the retry budget of a service.
@@ -77,6 +96,7 @@
     budget: RefCell<Budget>,
     /// Links to backend servers; none for peers.
     links: Option<Rc<Links>>,
+    drain: Rc<Drain>,
     last_exchange: Cell<u64>,
 }
 
@@ -92,6 +112,7 @@
         zone: Arc<str>,
         budget: Budget,
         links: Option<Rc<Links>>,
+        drain: Rc<Drain>,
     ) -> Rc<Self> {
         Rc::new(Self {
             name,
@@ -100,6 +121,7 @@
             queue: RefCell::new(Queue::new(MAX_QUEUED)),
             budget: RefCell::new(budget),
             links,
+            drain,
             last_exchange: Cell::new(0),
         })
     }
@@ -114,6 +136,11 @@
         self.links.as_ref()
     }
 
+    /// Returns the shutdown of this instance.
+    pub(crate) fn drain(&self) -> &Drain {
+        &self.drain
+    }
+
     /// Returns the servers, sorted by id so that all instances have the same order.
     pub fn servers(&self) -> Vec<Rc<Server>> {
         self.servers.borrow().clone()
@@ -205,7 +232,8 @@
     /// # Errors
     ///
     /// Fails at once if no server is available or the expected wait is too long, and later if the request
-    /// is displaced from the queue or times out in it.
+    /// is displaced from the queue or times out in it. Also fails if the instance shuts down before a server would have
+    /// answered.
     pub(crate) async fn choose_or_wait(
         &self,
         scheduling: Scheduling,
@@ -213,6 +241,9 @@
     ) -> Result<Rc<Server>, Refusal> {
         loop {
             let now = Instant::now();
+            if now > self.drain.limit_start(now, scheduling.service_time()) {
+                return Err(Refusal::Leaving);
+            }
             match self.choose(now, scheduling.baseline, tried) {
                 Choice::Server(server) => return Ok(server),
                 Choice::None => return Err(Refusal::NoServer),
@@ -252,9 +283,8 @@
     }
 
     async fn wait(&self, now: Instant, scheduling: Scheduling) -> Result<(), Refusal> {
-        let time_left = scheduling.wait_until.saturating_duration_since(now);
-        if self.expected_wait(now, scheduling) > time_left {
-            return Err(Refusal::Busy);
+        if self.expected_wait(now, scheduling) > self.wait_left(now, scheduling) {
+            return Err(self.late_refusal(Refusal::Busy));
         }
         let (sender, receiver) = oneshot::channel();
         let pushed = self.queue.borrow_mut().push(
@@ -268,25 +298,49 @@
             Push::Full(_) => return Err(Refusal::Busy),
         };
         let _guard = QueueGuard { service: self, key };
-        self.wait_for_turn(receiver, scheduling.wait_until).await
+        self.wait_for_turn(receiver, scheduling).await
+    }
+
+    /// Returns how long a request may still wait for a server.
+    fn wait_left(&self, now: Instant, scheduling: Scheduling) -> Duration {
+        let wait_until = self
+            .drain
+            .limit_start(scheduling.wait_until, scheduling.service_time());
+        wait_until.saturating_duration_since(now)
+    }
+
+    /// Returns why a request that would be served too late is refused: `refusal`, or the shutdown.
+    fn late_refusal(&self, refusal: Refusal) -> Refusal {
+        match self.drain.has_started() {
+            true => Refusal::Leaving,
+            false => refusal,
+        }
     }
 
     /// Waits until a request at the head of the queue is woken, as an exchange has ended or a rate limit allows
-    /// a request.
+    /// a request. When the instance starts to shut down, a request that would wait for too long is refused at once.
     async fn wait_for_turn(
         &self,
         mut receiver: oneshot::Receiver<()>,
-        wait_until: Instant,
+        scheduling: Scheduling,
     ) -> Result<(), Refusal> {
         loop {
             let now = Instant::now();
-            let time_left = wait_until.saturating_duration_since(now);
+            let time_left = self.wait_left(now, scheduling);
             let limit_wait = self.limit_wait(now).filter(|wait| *wait < time_left);
-            match timeout(limit_wait.unwrap_or(time_left), &mut receiver).await {
-                Ok(Ok(())) => return Ok(()),
-                Ok(Err(_)) => return Err(Refusal::Busy),
+            let drain_changed = pin!(self.drain.changed());
+            let turn_or_drain = select(&mut receiver, drain_changed);
+            match timeout(limit_wait.unwrap_or(time_left), turn_or_drain).await {
+                Ok(Either::Left((Ok(()), _))) => return Ok(()),
+                Ok(Either::Left((Err(_), _))) => return Err(Refusal::Busy),
+                Ok(Either::Right(_)) => {
+                    let now = Instant::now();
+                    if self.expected_wait(now, scheduling) > self.wait_left(now, scheduling) {
+                        return Err(Refusal::Leaving);
+                    }
+                }
                 Err(_) if limit_wait.is_some() => self.wake_next(),
-                Err(_) => return Err(Refusal::Late),
+                Err(_) => return Err(self.late_refusal(Refusal::Late)),
             }
         }
     }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -61,7 +61,7 @@
 };
 
 /// Timeout of a test.
-const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+pub const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Runs a test on its own runtime.
 pub fn run<F: Future<Output = ()>>(test: F) {
--- a/crates/relay/tests/departures.rs
+++ b/crates/relay/tests/departures.rs
@@ -174,7 +174,9 @@
         assert_eq!(small.get("/read/a").await.text(), "bye");
         assert_eq!(small.relay.meter().delegated.get(), 1);
         for instance in &large {
-            instance.relay.start_drain();
+            instance
+                .relay
+                .start_drain(Instant::now() + common::TEST_TIMEOUT);
         }
         let both = vec![leaving.description("one"), staying.description("one")];
         small.relay.registry().replace(both, Instant::now());
--- a/crates/relay/tests/forward.rs
+++ b/crates/relay/tests/forward.rs
@@ -343,7 +343,9 @@
     run(async {
         let fake = FakeServer::start("s1", |_| serve("ok"));
         let instance = instance_with(read_and_write_routes(), &[("one", &fake)]);
-        instance.relay.start_drain();
+        instance
+            .relay
+            .start_drain(Instant::now() + common::TEST_TIMEOUT);
         assert!(!instance.relay.is_ready());
         let answer = instance.get("/read/a").await;
         assert_eq!(answer.status(), 200);
--- a/crates/relay/tests/limits.rs
+++ b/crates/relay/tests/limits.rs
@@ -164,7 +164,9 @@
             large.iter().for_each(|one| one.relay.registry().sweep(now));
         }
         for instance in &large {
-            instance.relay.start_drain();
+            instance
+                .relay
+                .start_drain(Instant::now() + common::TEST_TIMEOUT);
         }
         let arrivals = limited.arrivals();
         for _ in 0..4 {
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -75,8 +75,12 @@
     run(async {
         let fake = FakeServer::start("s1", |_| serve("ok"));
         let (small, large) = fleet(&fake);
-        large[0].relay.start_drain();
-        large[1].relay.start_drain();
+        large[0]
+            .relay
+            .start_drain(Instant::now() + common::TEST_TIMEOUT);
+        large[1]
+            .relay
+            .start_drain(Instant::now() + common::TEST_TIMEOUT);
         small
             .relay
             .set_table(Arc::new(table(2, read_and_write_routes())));
--- a/crates/relay/tests/watchers.rs
+++ b/crates/relay/tests/watchers.rs
@@ -166,7 +166,10 @@
     run(async {
         let fleet = Fleet::start().await;
         for index in [0, 1] {
-            fleet.watchers[index].instance.relay.start_drain();
+            fleet.watchers[index]
+                .instance
+                .relay
+                .start_drain(Instant::now() + common::TEST_TIMEOUT);
             fleet.watchers[index].instance.stop.set();
         }
         fleet.change(2);
@@ -180,7 +183,10 @@
     run(async {
         let fleet = Fleet::start().await;
         for watcher in &fleet.watchers {
-            watcher.instance.relay.start_drain();
+            watcher
+                .instance
+                .relay
+                .start_drain(Instant::now() + common::TEST_TIMEOUT);
             watcher.instance.stop.set();
         }
         // Polls that they hold are still answered.
--- a/crates/tanageryoke/src/commands/relay.rs
+++ b/crates/tanageryoke/src/commands/relay.rs
@@ -68,9 +68,11 @@
 /// Time after which the balancer has noticed that an instance isn't ready: it polls readiness every second
 /// and needs two failures.
 const BALANCER_LAG: Duration = Duration::from_millis(2_600);
-/// Share of the time between the signal and the kill after which the drain ends and requests that still run
-/// are aborted.
+/// Share of the time between the signal and the kill after which the drain ends: requests that still run are answered
+/// that they may have run.
 const DRAIN_SHARE: f64 = 0.85;
+/// Share of that time after which the process ends, even if answers couldn't be sent.
+const EXIT_SHARE: f64 = 0.92;
 /// Interval between checks of the work in flight.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval between reads of the settings file, which may change without a signal.
@@ -230,7 +232,8 @@
     let started_at = Instant::now();
     let relay = &context.relay;
     info!(in_flight = relay.in_flight(), "relay: leaving.");
-    relay.start_drain();
+    let grace = context.platform_settings.borrow().grace;
+    relay.start_drain(started_at + grace.mul_f64(DRAIN_SHARE));
     let local = member(&context.platform_settings.borrow());
     let announcement = roster::announce::<Directory>(context.store.clone(), local, true);
     if timeout(ANNOUNCE_TIMEOUT, announcement).await.is_err() {
@@ -238,12 +241,7 @@
     }
     sleep(BALANCER_LAG.saturating_sub(started_at.elapsed())).await;
     stop.set();
-    let deadline = started_at
-        + context
-            .platform_settings
-            .borrow()
-            .grace
-            .mul_f64(DRAIN_SHARE);
+    let deadline = started_at + grace.mul_f64(EXIT_SHARE);
     info!(in_flight = relay.in_flight(), "relay: draining.");
     // A connection that was just accepted may still send a request.
     sleep(POLL_INTERVAL * 5).await;
--- a/crates/tanageryoke/tests/relay.rs
+++ b/crates/tanageryoke/tests/relay.rs
@@ -4,6 +4,7 @@
 mod process;
 
 use std::{
+    collections::HashSet,
     io::{
         BufRead,
         BufReader,
@@ -21,6 +22,10 @@
         Command,
         Stdio, //
     },
+    sync::{
+        Arc,
+        Mutex, //
+    },
     thread,
     time::{
         Duration,
@@ -68,19 +73,32 @@
     listen
 }
 
-/// Starts a backend server that replies to every request with the request's id and a signature.
-fn start_server() -> SocketAddr {
+/// A backend server that replies to every request with the request's id and a signature.
+struct Server {
+    address: SocketAddr,
+    /// Ids of the requests that it has begun to run.
+    ran: Arc<Mutex<HashSet<String>>>,
+}
+
+/// Starts a backend server that takes `service_time` for each request.
+fn start_server(service_time: Duration) -> Server {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
     let address = listener.local_addr().expect("an address");
+    let ran = Arc::<Mutex<HashSet<String>>>::default();
+    let server = Server {
+        address,
+        ran: ran.clone(),
+    };
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            thread::spawn(move || reply_to_requests(stream));
+            let ran = ran.clone();
+            thread::spawn(move || reply_to_requests(stream, service_time, &ran));
         }
     });
-    address
+    server
 }
 
-fn reply_to_requests(stream: TcpStream) {
+fn reply_to_requests(stream: TcpStream, service_time: Duration, ran: &Mutex<HashSet<String>>) {
     let mut reader = BufReader::new(stream.try_clone().expect("a stream"));
     let mut writer = stream;
     let mut id = String::new();
@@ -93,6 +111,8 @@
             }
         }
         if line == "\r\n" {
+            ran.lock().expect("ids").insert(id.clone());
+            thread::sleep(service_time);
             let (request, signature) = (names.request, names.signature);
             let reply = format!("HTTP/1.1 200 OK\r\n{request}: {id}\r\n{signature}: s\r\ncontent-length: 2\r\n\r\nok");
             if writer.write_all(reply.as_bytes()).is_err() {
@@ -103,7 +123,7 @@
     }
 }
 
-fn write_objects(store: SocketAddr, server: SocketAddr) {
+fn write_objects(store: SocketAddr, config: &str, server: SocketAddr) {
     let entry = SERVER.replace("ADDRESS", &server.to_string());
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
         .enable_timer()
@@ -112,7 +132,7 @@
     runtime.block_on(async {
         let client = Client::new(store, Duration::from_secs(1));
         for (kind, name, value) in [
-            (Directory::ROUTES.0, Directory::ROUTES.1, CONFIG),
+            (Directory::ROUTES.0, Directory::ROUTES.1, config),
             (Directory::SERVERS, "i-1", &entry),
             (Directory::SERVERS, "spoilt", "\"what another writer left\""),
         ] {
@@ -201,19 +221,20 @@
     }
 }
 
+fn is_ready(instance: &Instance) -> bool {
+    get(instance.readiness, names::READINESS_PATH).starts_with("HTTP/1.1 200")
+}
+
 #[test]
 fn an_instance_serves_reloads_and_shuts_down() {
     let store = start_store();
-    let server = start_server();
+    let server = start_server(Duration::ZERO);
     let mut instance = start(store);
-    let is_ready = |instance: &Instance| {
-        get(instance.readiness, names::READINESS_PATH).starts_with("HTTP/1.1 200")
-    };
     wait_for("a start", || {
         get(instance.admin, "/healthz").starts_with("HTTP/1.1 200")
     });
     assert!(!is_ready(&instance), "ready without a configuration");
-    write_objects(store, server);
+    write_objects(store, CONFIG, server.address);
     wait_for("readiness", || is_ready(&instance));
     wait_for("an answer", || {
         get(instance.callers, "/p/x").starts_with("HTTP/1.1 200")
@@ -261,6 +282,56 @@
     }
 }
 
+/// Guards against planned stops that close connections whose requests wait in the queue or run at a server.
+#[test]
+fn every_request_is_answered_at_a_shutdown_under_load() {
+    const CALLERS: usize = 60;
+    let store = start_store();
+    let server = start_server(Duration::from_millis(900));
+    let instance = start(store);
+    let config = CONFIG
+        .replace("\"safe\"", "\"unsafe\"")
+        .replace("\"timeout_ms\": 2000", "\"timeout_ms\": 10000");
+    write_objects(store, &config, server.address);
+    wait_for("readiness", || is_ready(&instance));
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|number| {
+            let address = instance.callers;
+            thread::spawn(move || {
+                let names = names::headers();
+                let (id, deadline) = (names.request, names.deadline);
+                let request = format!("GET /p/x HTTP/1.1\r\nhost: h\r\n{id}: c{number}\r\n{deadline}: 10000\r\nconnection: close\r\n\r\n");
+                send_request(address, &request).unwrap_or_default()
+            })
+        })
+        .collect();
+    wait_for("a queue", || !server.ran.lock().expect("ids").is_empty());
+    thread::sleep(Duration::from_millis(100));
+    send_signal(&instance.child, "-TERM");
+    let mut statuses: Vec<String> = Vec::new();
+    for (number, caller) in callers.into_iter().enumerate() {
+        let answer = caller.join().expect("a caller");
+        let status = answer.get(9..12).unwrap_or("none").to_owned();
+        let has_run = server
+            .ran
+            .lock()
+            .expect("ids")
+            .contains(&format!("c{number}"));
+        assert!(
+            status != "503" || !has_run,
+            "c{number} is refused and has run"
+        );
+        statuses.push(status);
+    }
+    assert!(
+        !statuses.iter().any(|status| status == "none"),
+        "{statuses:?}"
+    );
+    for status in ["200", "503"] {
+        assert!(statuses.iter().any(|one| one == status), "{statuses:?}");
+    }
+}
+
 #[test]
 fn invalid_settings_give_exit_code_2() {
     let output = Command::new(PROGRAM)
