fix(relay): a request that was shed is repeated on another connection

Cause: the repeat of a shed request has the same id and took the idle connection that was used last, where the late copy of the rejection stands before the reply to the repeat, with its id. It was taken for a second rejection.

Why the fix works: a call doesn't send its request again on a connection that has carried it, so that an id comes once on a connection. At the connection limit an idle connection gives its place to a new one (`repeated_request_replaces_the_connection_at_the_limit`).

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -58,7 +58,10 @@
         Verdict, //
     },
     request::CallerRequest,
-    server::Server,
+    server::{
+        Exchange,
+        Server, //
+    },
     service::{
         Refusal,
         Scheduling,
@@ -145,6 +148,7 @@
             tried: Vec::new(),
             shedding: Vec::new(),
             shed_count: 0,
+            used_connections: Vec::new(),
             running: FuturesUnordered::new(),
             pending_failure: None,
             may_have_run: false,
@@ -196,6 +200,8 @@
     /// Servers that shed a sub-request and may get another one; none of them is among `tried`.
     shedding: Vec<Rc<Server>>,
     shed_count: usize,
+    /// Connections that have carried a sub-request of this call.
+    used_connections: Vec<connection::Id>,
     running: FuturesUnordered<Attempt>,
     pending_failure: Option<PendingFailure>,
     may_have_run: bool,
@@ -420,17 +426,19 @@
         let number = self.call.service.next_exchange();
         let baseline = self.call.scheduling.baseline;
         let turn = self.call.crashes.turn();
-        let receiver = server.send(
+        let sent = server.send(Exchange {
             request,
             number,
             deadline,
             baseline,
-            self.call.kind == Kind::AtMostOnce,
-            Some(Witness {
+            is_at_most_once: self.call.kind == Kind::AtMostOnce,
+            witness: Some(Witness {
                 crashes: self.call.crashes.clone(),
                 turn,
             }),
-        );
+            used: &self.used_connections,
+        });
+        self.used_connections.push(sent.connection);
         self.call.meter.exchanges.add(1);
         self.attempts += 1;
         self.last_server = Some(server.clone());
@@ -445,7 +453,7 @@
             baseline,
             is_overdue: false,
             has_ended: false,
-            receiver,
+            receiver: sent.receiver,
         });
     }
 
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -13,6 +13,10 @@
         Pin, //
     },
     rc::Rc,
+    sync::atomic::{
+        AtomicU64,
+        Ordering, //
+    },
     task::{
         Context,
         Poll, //
@@ -158,12 +162,26 @@
     }
 }
 
+/// Identifies a connection within the process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Id(u64);
+
+impl Id {
+    fn next() -> Self {
+        static LAST: AtomicU64 = AtomicU64::new(0);
+        Self(LAST.fetch_add(1, Ordering::Relaxed))
+    }
+}
+
 /// Sends jobs to a connection's task.
 ///
 /// Each connection has exactly one. It is moved to the task with each job and back to the server when
 /// the connection is idle, so that dropping the handle of an idle connection ends its task.
 #[derive(Debug)]
-pub(crate) struct Handle(mpsc::UnboundedSender<Assignment>);
+pub(crate) struct Handle {
+    id: Id,
+    sender: mpsc::UnboundedSender<Assignment>,
+}
 
 struct Assignment {
     job: Job,
@@ -171,13 +189,18 @@
 }
 
 impl Handle {
+    /// Returns the id of the connection.
+    pub(crate) fn id(&self) -> Id {
+        self.id
+    }
+
     /// Sends a job to the task.
     ///
     /// # Errors
     ///
     /// Returns the job if the connection has ended.
     pub(crate) fn send(self, job: Job) -> Result<(), Box<Job>> {
-        let sender = self.0.clone();
+        let sender = self.sender.clone();
         let assignment = Assignment { job, handle: self };
         sender
             .unbounded_send(assignment)
@@ -186,14 +209,16 @@
 
     /// Returns whether the connection has ended.
     pub(crate) fn is_closed(&self) -> bool {
-        self.0.is_closed()
+        self.sender.is_closed()
     }
 }
 
 /// Spawns the task of a new connection, with an optional job to run as soon as it is open.
-pub(crate) fn spawn(server: Rc<Server>, first_job: Option<Job>) {
+pub(crate) fn spawn(server: Rc<Server>, first_job: Option<Job>) -> Id {
+    let id = Id::next();
     server.connection_opened();
-    monoio::spawn(run(server, first_job));
+    monoio::spawn(run(server, id, first_job));
+    id
 }
 
 /// Returns whether a server accepts a connection, which is closed at once; none if that isn't known in time.
@@ -202,13 +227,13 @@
     connected.ok().map(|stream| stream.is_ok())
 }
 
-async fn run(server: Rc<Server>, first_job: Option<Job>) {
+async fn run(server: Rc<Server>, id: Id, first_job: Option<Job>) {
     let (sender, mut jobs) = mpsc::unbounded();
     match connect(&server).await {
         Ok(mut connection) => {
             server.record_contact();
             connection
-                .serve(&server, Handle(sender), &mut jobs, first_job)
+                .serve(&server, Handle { id, sender }, &mut jobs, first_job)
                 .await
         }
         Err(kind) => {
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -35,7 +35,10 @@
     },
     relay::Relay,
     request::CallerRequest,
-    server::Server,
+    server::{
+        Exchange,
+        Server, //
+    },
     service::Service,
 };
 
@@ -212,7 +215,16 @@
             .headers_mut()
             .insert(HOP_HEADER, hop_header(relay, caller_request, now));
         let number = self.service.next_exchange();
-        let mut receiver = peer.send(request, number, now + time_left, baseline, false, None);
+        let sent = peer.send(Exchange {
+            request,
+            number,
+            deadline: now + time_left,
+            baseline,
+            is_at_most_once: false,
+            witness: None,
+            used: &[],
+        });
+        let mut receiver = sent.receiver;
         let first_wait = time_left.min((self.objective * UNRESPONSIVE_OBJECTIVES).max(MIN_WAIT));
         let mut result = timeout(first_wait, &mut receiver).await;
         if result.is_err() && peer.has_replied_since(now) {
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -143,6 +143,33 @@
     pub slowness: f64,
 }
 
+/// A request to send to a server.
+pub(crate) struct Exchange<'a> {
+    /// The request.
+    pub(crate) request: Request<Full<Bytes>>,
+    /// Identifies the exchange.
+    pub(crate) number: u64,
+    /// When the reply is no longer of use.
+    pub(crate) deadline: Instant,
+    /// Expected latency.
+    pub(crate) baseline: Duration,
+    /// Whether the request must run at most once.
+    pub(crate) is_at_most_once: bool,
+    /// Is told if the connection ends without a reply after its caller has left; none for a peer.
+    pub(crate) witness: Option<Witness>,
+    /// Connections that have carried the same request, and so don't carry it again: a late second copy of an earlier
+    /// reply has the id of the request, too.
+    pub(crate) used: &'a [connection::Id],
+}
+
+/// A request that was sent.
+pub(crate) struct Sent {
+    /// Connection that carries it.
+    pub(crate) connection: connection::Id,
+    /// Receives the result.
+    pub(crate) receiver: oneshot::Receiver<Result<Reply, Failure>>,
+}
+
 impl Server {
     /// Creates a backend server.
     pub(crate) fn new(
@@ -384,16 +411,17 @@
         pending.iter().map(multiple).fold(0.0, f64::max)
     }
 
-    /// Sends a request; `number` identifies the exchange, `baseline` is its expected latency.
-    pub(crate) fn send(
-        self: &Rc<Self>,
-        request: Request<Full<Bytes>>,
-        number: u64,
-        deadline: Instant,
-        baseline: Duration,
-        is_at_most_once: bool,
-        witness: Option<Witness>,
-    ) -> oneshot::Receiver<Result<Reply, Failure>> {
+    /// Sends a request.
+    pub(crate) fn send(self: &Rc<Self>, exchange: Exchange<'_>) -> Sent {
+        let Exchange {
+            request,
+            number,
+            deadline,
+            baseline,
+            is_at_most_once,
+            witness,
+            used,
+        } = exchange;
         let (reply, receiver) = oneshot::channel();
         let now = Instant::now();
         self.in_flight.set(self.in_flight.get() + 1);
@@ -407,14 +435,26 @@
             reply,
             witness,
         };
-        while let Some(handle) = self.pop_idle() {
+        while let Some(handle) = self.pop_idle(used) {
+            let connection = handle.id();
             match handle.send(job) {
-                Ok(()) => return receiver,
+                Ok(()) => {
+                    return Sent {
+                        connection,
+                        receiver,
+                    }
+                }
                 Err(returned) => job = *returned,
             }
         }
-        connection::spawn(self.clone(), Some(job));
-        receiver
+        // A new connection takes the place of an idle one that must not be used.
+        if self.open.get() >= self.usable_connections(now) {
+            self.idle.borrow_mut().pop();
+        }
+        Sent {
+            connection: connection::spawn(self.clone(), Some(job)),
+            receiver,
+        }
     }
 
     /// Returns whether a connection to it is open and idle.
@@ -422,8 +462,13 @@
         self.idle.borrow().iter().any(|handle| !handle.is_closed())
     }
 
-    fn pop_idle(&self) -> Option<Handle> {
-        self.idle.borrow_mut().pop()
+    /// Takes the idle connection that was used last, except for those among `used`.
+    fn pop_idle(&self, used: &[connection::Id]) -> Option<Handle> {
+        let mut idle = self.idle.borrow_mut();
+        let index = idle
+            .iter()
+            .rposition(|handle| !used.contains(&handle.id()))?;
+        Some(idle.remove(index))
     }
 
     /// Opens a connection ahead of work, if there is none.
--- a/crates/relay/tests/common/fake.rs
+++ b/crates/relay/tests/common/fake.rs
@@ -154,6 +154,9 @@
     Noise,
     /// States that it didn't run it.
     Shed,
+    /// Serves it with the body after a delay. If it didn't run an earlier request of the connection, it first sends the
+    /// reply that states that once more.
+    ServeAfterCopy(Duration, Vec<u8>),
     /// States that it is another server.
     Misplaced,
     /// Replies with an error.
@@ -274,12 +277,21 @@
             stream,
             buffer: Vec::new(),
         };
+        let mut shed_id = None;
         while let Some(request) = connection.read().await {
             let number = self.arrivals();
             let id = request.header("id").unwrap_or_default().to_owned();
             let behavior = (self.behaviors)(number, &request);
             self.requests.borrow_mut().push(request);
             self.is_busy.set(true);
+            match (&behavior, shed_id.take()) {
+                (Behavior::Shed, _) => shed_id = Some(id.clone()),
+                (Behavior::ServeAfterCopy(..), Some(shed_id)) => {
+                    let copy = self.rejection(&shed_id);
+                    connection.write(copy).await;
+                }
+                _ => {}
+            }
             let is_open = self.respond(&mut connection, behavior, &id, number).await;
             self.is_busy.set(false);
             if !is_open {
@@ -306,7 +318,7 @@
             bytes
         };
         match behavior {
-            Behavior::Serve(wait, body) => {
+            Behavior::Serve(wait, body) | Behavior::ServeAfterCopy(wait, body) => {
                 sleep(wait).await;
                 connection.write(reply("200 OK", &own_headers, &body)).await
             }
@@ -337,10 +349,8 @@
                 false
             }
             Behavior::Shed => {
-                let fields = "not-run: 1\r\n";
-                connection
-                    .write(reply("503 Service Unavailable", fields, b""))
-                    .await
+                let rejection = self.rejection(id);
+                connection.write(rejection).await
             }
             Behavior::Misplaced => {
                 connection
@@ -383,6 +393,11 @@
         }
     }
 
+    /// Returns the reply that states that the request with this id wasn't run.
+    fn rejection(&self, id: &str) -> String {
+        format!("HTTP/1.1 503 Service Unavailable\r\nid: {id}\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n")
+    }
+
     /// Returns the description of this server as one of `service`.
     pub fn description(&self, service: &str) -> Description {
         Description {
--- a/crates/relay/tests/sheds.rs
+++ b/crates/relay/tests/sheds.rs
@@ -2,14 +2,18 @@
 
 mod common;
 
-use std::time::{
-    Duration,
-    Instant, //
+use std::{
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use common::{
     get,
     instance_with,
+    post,
     query_route,
     read_and_write_routes,
     run,
@@ -18,6 +22,11 @@
     FakeServer,
     RawConnection, //
 };
+use route::{
+    Limits,
+    Service,
+    Table, //
+};
 
 /// Returns whether the `number`th request is among three of four; the first one isn't.
 fn is_shed(number: usize) -> bool {
@@ -90,6 +99,46 @@
     });
 }
 
+/// Guards against a late second copy of a rejection that is taken for the reply to the repeated request.
+#[test]
+fn late_copy_of_a_rejection_does_not_end_the_repeated_request() {
+    run(async {
+        let fake = FakeServer::start("s1", |number| match number {
+            0 => serve("warm"),
+            1 => Behavior::Shed,
+            _ => Behavior::ServeAfterCopy(Duration::from_millis(30), b"ok".to_vec()),
+        });
+        let instance = instance_with(read_and_write_routes(), &[("one", &fake)]);
+        assert_eq!(instance.get("/read/a").await.status(), 200);
+        let answer = instance.ask(&post("/write/a", "x")).await;
+        assert_eq!((answer.status(), answer.text().as_str()), (200, "ok"));
+        let arrivals = fake.arrivals();
+        assert_eq!(arrivals, 3, "ran {} times", arrivals - 2);
+    });
+}
+
+/// The server accepts one connection, which has carried the request already.
+#[test]
+fn repeated_request_replaces_the_connection_at_the_limit() {
+    run(async {
+        let fake = FakeServer::start("s1", |number| match number {
+            1 => Behavior::Shed,
+            _ => serve("ok"),
+        });
+        let instance = instance_with(read_and_write_routes(), &[("one", &fake)]);
+        let service = Service {
+            name: "one".into(),
+            health_path: "/health".into(),
+            max_connections: 1,
+        };
+        let table = Table::new(2, read_and_write_routes(), vec![service], Limits::default());
+        instance.relay.set_table(Arc::new(table));
+        assert_eq!(instance.get("/read/a").await.status(), 200);
+        assert_eq!(instance.ask(&post("/write/a", "x")).await.status(), 200);
+        assert_eq!((fake.accepted.get(), fake.connections.get()), (2, 1));
+    });
+}
+
 /// A server has served a request a moment ago and sheds everything from then on.
 #[test]
 fn repeats_of_one_call_are_limited() {
