fix(relay): a connection is closed after the reply to another request

What callers saw: on a connection to a server that had sent an extra reply, the next request failed as well (502), as it got the reply to the one before it, and so on until the connection was idle when a reply came.

Cause: an extra reply that arrives while a request is in flight is told apart by its id, but the connection stayed in use although the reply to that request was still to come.

Evidence: `relay/sheds` `connection_is_not_used_again_after_the_reply_to_another_request` on: 502 in place of 200.

Why the fix works: the connection compares the id of the reply with that of the request and isn't reused if they differ.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -428,6 +428,7 @@
         let turn = self.call.crashes.turn();
         let sent = server.send(Exchange {
             request,
+            id: (self.call.names.request.clone(), caller_request.id.clone()),
             number,
             deadline,
             baseline,
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -42,6 +42,8 @@
 use http::{
     header::CONNECTION,
     HeaderMap,
+    HeaderName,
+    HeaderValue,
     Request,
     Response, //
 };
@@ -72,6 +74,7 @@
         Reservation, //
     },
     quarantine::Witness,
+    reply::is_foreign,
     server::Server,
 };
 
@@ -145,6 +148,8 @@
 pub(crate) struct Job {
     /// The request.
     pub(crate) request: Request<Full<Bytes>>,
+    /// Id of the request, and the header that carries it.
+    pub(crate) id: (HeaderName, HeaderValue),
     /// Whether the request must run at most once.
     pub(crate) is_at_most_once: bool,
     /// When the reply is no longer of use.
@@ -400,6 +405,7 @@
         }
         let Job {
             request,
+            id: (id_header, id),
             deadline,
             mut reply,
             witness,
@@ -439,6 +445,8 @@
             },
         }
         let reuse = match &result {
+            // The reply to this request may still arrive.
+            Ok(reply) if is_foreign(reply, &id, &id_header) => Reuse::Never,
             Ok(reply) if self.is_reusable(reply.headers()) => {
                 Reuse::Until(Instant::now() + idle_timeout(reply.headers()))
             }
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -217,6 +217,7 @@
         let number = self.service.next_exchange();
         let sent = peer.send(Exchange {
             request,
+            id: (relay.names().request.clone(), caller_request.id.clone()),
             number,
             deadline: now + time_left,
             baseline,
--- a/crates/relay/src/reply.rs
+++ b/crates/relay/src/reply.rs
@@ -2,6 +2,7 @@
 
 use http::{
     header::CONTENT_ENCODING,
+    HeaderName,
     HeaderValue,
     StatusCode, //
 };
@@ -37,10 +38,18 @@
     Wrong(Fault),
 }
 
+/// Returns whether a reply carries the id of another request than the given one.
+pub(crate) fn is_foreign(reply: &Reply, request: &HeaderValue, id_header: &HeaderName) -> bool {
+    reply
+        .headers()
+        .get(id_header)
+        .is_some_and(|id| id != request)
+}
+
 /// Classifies the reply to the request with the given id.
 pub fn classify(reply: &Reply, request: &HeaderValue, names: &HeaderNames) -> Verdict {
     let headers = reply.headers();
-    if headers.get(&names.request).is_some_and(|id| id != request) {
+    if is_foreign(reply, request, &names.request) {
         return Verdict::Wrong(Fault::Foreign);
     }
     let success = reply.status().is_success();
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -20,6 +20,7 @@
 use bytes::Bytes;
 use futures_channel::oneshot;
 use http::{
+    HeaderName,
     HeaderValue,
     Request, //
 };
@@ -147,6 +148,8 @@
 pub(crate) struct Exchange<'a> {
     /// The request.
     pub(crate) request: Request<Full<Bytes>>,
+    /// Id of the request, and the header that carries it.
+    pub(crate) id: (HeaderName, HeaderValue),
     /// Identifies the exchange.
     pub(crate) number: u64,
     /// When the reply is no longer of use.
@@ -415,6 +418,7 @@
     pub(crate) fn send(self: &Rc<Self>, exchange: Exchange<'_>) -> Sent {
         let Exchange {
             request,
+            id,
             number,
             deadline,
             baseline,
@@ -430,6 +434,7 @@
         self.pending.borrow_mut().push((number, now, baseline));
         let mut job = Job {
             request,
+            id,
             is_at_most_once,
             deadline,
             reply,
--- a/crates/relay/tests/sheds.rs
+++ b/crates/relay/tests/sheds.rs
@@ -117,6 +117,23 @@
     });
 }
 
+/// Guards against a connection that stays one reply behind: each of its requests would get the reply to the one before.
+#[test]
+fn connection_is_not_used_again_after_the_reply_to_another_request() {
+    run(async {
+        let fake = FakeServer::start("s1", |number| match number {
+            0 => Behavior::Shed,
+            _ => Behavior::ServeAfterCopy(Duration::from_millis(30), b"ok".to_vec()),
+        });
+        let instance = instance_with(read_and_write_routes(), &[("one", &fake)]);
+        let post = |id: &str| post("/write/a", "x").replace("q1", id);
+        assert_eq!(instance.ask(&post("q1")).await.status(), 503);
+        assert_eq!(instance.ask(&post("q2")).await.status(), 502);
+        let answer = instance.ask(&post("q3")).await;
+        assert_eq!((answer.status(), answer.text().as_str()), (200, "ok"));
+    });
+}
+
 /// The server accepts one connection, which has carried the request already.
 #[test]
 fn repeated_request_replaces_the_connection_at_the_limit() {
