fix(relay, policy): an instance without watchers watches the store itself until one supplies it

After six of seven machines were lost for good and replaced, versions stayed out of force on some instances for up to 4 s after the ack, for as long as the fleet ran; requests ran at the service of the older version.

Cause: the entries of lost instances stay, so more than 12 are listed and four of them are to watch the store, all lost. The others read the store once and then not again until 2 to 5 s had passed, whatever came.

Why the fix works: such an instance watches the store, one watch after the other, and asks one watcher beside each. If no watcher replies at all it starts that within a second of its last supply; if those that reply hold old readings, or after a start, it waits as before, as the store may be down for all or all may have started. A failed read of the store ends it, so calls in an outage don't grow. The log line tells why there is no supply, and for how long.

--- a/crates/policy/src/watchers.rs
+++ b/crates/policy/src/watchers.rs
@@ -19,9 +19,13 @@
 /// is noticed within less.
 pub const MAX_AGE: Duration = Duration::from_millis(3_600);
 /// Time without a supply after which an instance asks the store itself, and the range over which instances are
-/// spread that lose their supply together.
+/// spread that lack a supply at the same time.
 const MIN_UNSUPPLIED: Duration = Duration::from_millis(2_000);
 const UNSUPPLIED_SPREAD: Duration = Duration::from_millis(3_000);
+/// The same if no watcher replies any more. With the poll that finds this out, a change takes effect within the shortest
+/// limit of a configuration, 3 s.
+const MIN_UNREACHABLE: Duration = Duration::from_millis(200);
+const UNREACHABLE_SPREAD: Duration = Duration::from_millis(800);
 
 /// An instance of the fleet.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -91,8 +95,23 @@
     order
 }
 
+/// Why no watcher supplies an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Shortage {
+    /// None has supplied it yet: the whole fleet may have started with it.
+    Start,
+    /// None replies.
+    Unreachable,
+    /// What those hold that reply is too old: the store may be unavailable to all.
+    Outdated,
+}
+
 /// Returns how long an instance is without a supply before it asks the store itself.
-pub fn patience(name: &str) -> Duration {
+pub fn patience(name: &str, shortage: Shortage) -> Duration {
     let share = (fnv1a(name.as_bytes()) % 1_000) as f64 / 1_000.0;
-    MIN_UNSUPPLIED + UNSUPPLIED_SPREAD.mul_f64(share)
+    let (min, spread) = match shortage {
+        Shortage::Start | Shortage::Outdated => (MIN_UNSUPPLIED, UNSUPPLIED_SPREAD),
+        Shortage::Unreachable => (MIN_UNREACHABLE, UNREACHABLE_SPREAD),
+    };
+    min + spread.mul_f64(share)
 }
--- a/crates/policy/tests/watchers.rs
+++ b/crates/policy/tests/watchers.rs
@@ -9,7 +9,8 @@
     choose,
     order,
     patience,
-    Candidate, //
+    Candidate,
+    Shortage, //
 };
 
 /// A fleet of `small` and `large` instances, dealt to the zones in turn.
@@ -126,7 +127,7 @@
     }
     let mut seconds = [0; 6];
     for local in &candidates {
-        let patience = patience(local.name);
+        let patience = patience(local.name, Shortage::Outdated);
         assert!((Duration::from_secs(2)..=Duration::from_secs(5)).contains(&patience));
         seconds[patience.as_secs() as usize] += 1;
     }
@@ -135,3 +136,20 @@
         "{seconds:?}"
     );
 }
+
+/// All watchers are lost. A poll of 1.5 s, with 0.4 s more for a reply that doesn't come, finds that out; the others must
+/// fit into the 3 s after which a change has to be in force, and the instances must not ask the store all at once.
+#[test]
+fn loss_of_all_watchers_is_noticed_within_the_limit_of_a_configuration() {
+    let fleet = fleet(6, 18, 277);
+    let mut fifths = [0; 5];
+    for (name, ..) in &fleet {
+        let patience = patience(name, Shortage::Unreachable);
+        assert!(patience <= Duration::from_millis(1_000), "{patience:?}");
+        fifths[(patience.as_millis() as usize / 200).min(4)] += 1;
+    }
+    assert!(
+        fifths.iter().all(|count| *count < fleet.len() / 2),
+        "{fifths:?}"
+    );
+}
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -10,6 +10,7 @@
         VecDeque, //
     },
     net::SocketAddr,
+    pin::pin,
     rc::Rc,
     time::{
         Duration,
@@ -18,6 +19,10 @@
 };
 
 use bytes::Bytes;
+use futures_util::future::{
+    select,
+    Either, //
+};
 use http::Method;
 use monoio::time::timeout;
 use platform::{
@@ -25,7 +30,10 @@
     Store,
     Transport, //
 };
-use policy::watchers;
+use policy::watchers::{
+    self,
+    Shortage, //
+};
 use tracing::{
     debug,
     info, //
@@ -78,6 +86,23 @@
     Unsupplied,
 }
 
+/// Why a watcher doesn't supply a reading.
+#[derive(Debug, Clone, Copy)]
+enum Denial {
+    /// It doesn't reply.
+    Silent(Failure),
+    /// Its reply isn't a reading that this instance can use.
+    Unusable(Failure),
+}
+
+impl Denial {
+    fn failure(self) -> Failure {
+        match self {
+            Self::Silent(failure) | Self::Unusable(failure) => failure,
+        }
+    }
+}
+
 /// Reads of one kind of objects.
 #[derive(Debug, Clone, Copy)]
 struct Reads {
@@ -85,6 +110,10 @@
     turn: u64,
     /// When a watcher supplied the last reading, or the store was asked instead.
     supplied_at: Instant,
+    /// Whether any watcher has supplied a reading.
+    was_supplied: bool,
+    /// Whether the store is read until a watcher supplies this instance again.
+    is_direct: bool,
     /// Latest position that was read.
     latest: Option<Position>,
 }
@@ -156,17 +185,14 @@
     ) -> Result<Reading, ReadError> {
         let reading = match self.role().await {
             StoreRole::Watcher => self.read_store(kind, after, limits.store_wait).await?,
+            StoreRole::Reader if self.is_direct(kind) => {
+                self.read_directly(kind, after, limits).await?
+            }
             StoreRole::Reader => match self.read_feed(kind, after, limits).await {
-                Ok(reading) => reading,
-                Err(ReadError::Unsupplied) if self.is_store_due(kind) => {
-                    info!(
-                        kind,
-                        "source: no watcher supplies this instance, the store is read."
-                    );
-                    self.relay.meter().unsupplied.add(1);
-                    self.read_store(kind, after, limits.store_wait).await?
+                Err(ReadError::Unsupplied) if self.is_direct(kind) => {
+                    self.read_directly(kind, after, limits).await?
                 }
-                Err(error) => return Err(error),
+                result => result?,
             },
         };
         self.with_reads(kind, |reads| {
@@ -206,25 +232,104 @@
         })
     }
 
-    /// Asks watchers in turn until one supplies a reading.
-    async fn read_feed(
+    /// Reads the store, and finds out meanwhile whether a watcher supplies this instance again.
+    ///
+    /// After a failure, watchers are asked again and the store waits for its turn, as it may be unavailable to all.
+    async fn read_directly(
         &self,
         kind: &'static str,
         after: Option<Position>,
         limits: Limits,
     ) -> Result<Reading, ReadError> {
-        let (turn, latest) = self.with_reads(kind, |reads| {
+        let read = self.read_store(kind, after, limits.store_wait);
+        let supply = pin!(self.find_supply(kind, after, limits.max_age));
+        let result = match select(pin!(read), supply).await {
+            Either::Left((result, _)) => result,
+            Either::Right(((), read)) => read.await,
+        };
+        let is_answered = matches!(
+            result,
+            Ok(_) | Err(ReadError::Failed(Failure::Compacted | Failure::Restored))
+        );
+        if !is_answered {
+            self.with_reads(kind, |reads| {
+                reads.is_direct = false;
+                reads.supplied_at = Instant::now();
+            });
+        }
+        result
+    }
+
+    /// Asks one watcher whether it supplies this instance; the next one is asked at the next read.
+    async fn find_supply(&self, kind: &'static str, after: Option<Position>, max_age: Duration) {
+        let (turn, latest) = self.next_turn(kind);
+        let watchers = self.watchers_to_ask(kind, turn);
+        let (Some(watcher), Some(_)) = (watchers.first(), after) else {
+            return;
+        };
+        let known = (watcher.address, kind);
+        let query = Query {
+            kind,
+            after,
+            wait: Duration::ZERO,
+            generation: self.generations.borrow().get(&known).copied(),
+            is_probe: true,
+        };
+        match self.ask(watcher, known, query, max_age, latest).await {
+            Ok(_) => {
+                info!(kind, watcher = %watcher.name, "source: a watcher supplies this instance again.");
+                self.record_supply(known);
+                self.with_reads(kind, |reads| reads.is_direct = false);
+            }
+            Err(_) => self.record_failed(known),
+        }
+    }
+
+    fn is_direct(&self, kind: &'static str) -> bool {
+        self.with_reads(kind, |reads| reads.is_direct)
+    }
+
+    /// Counts a read; returns its number and the latest position that was read.
+    fn next_turn(&self, kind: &'static str) -> (u64, Option<Position>) {
+        self.with_reads(kind, |reads| {
             reads.turn += 1;
             (reads.turn, reads.latest)
+        })
+    }
+
+    fn watchers_to_ask(&self, kind: &'static str, turn: u64) -> Vec<Member> {
+        let registry = self.relay.registry();
+        registry.watchers_to_ask(turn, |watcher| self.has_failed(watcher, kind))
+    }
+
+    fn record_supply(&self, known: (SocketAddr, &'static str)) {
+        self.failed_at.borrow_mut().remove(&known);
+        self.with_reads(known.1, |reads| {
+            reads.supplied_at = Instant::now();
+            reads.was_supplied = true;
         });
+    }
+
+    fn record_failed(&self, known: (SocketAddr, &'static str)) {
+        let mut failed_at = self.failed_at.borrow_mut();
+        failed_at.insert(known, Instant::now());
+    }
+
+    /// Asks watchers in turn until one supplies a reading; if none does for a while, the store is read next.
+    async fn read_feed(
+        &self,
+        kind: &'static str,
+        after: Option<Position>,
+        limits: Limits,
+    ) -> Result<Reading, ReadError> {
+        let (turn, latest) = self.next_turn(kind);
         // A complete listing is long, and traffic between zones is billed.
         let turn = match after {
             None => turn * 2,
             Some(_) => turn,
         };
-        let registry = self.relay.registry();
-        let local_zone = registry.local_zone();
-        let watchers = registry.watchers_to_ask(turn, |watcher| self.has_failed(watcher, kind));
+        let local_zone = self.relay.registry().local_zone();
+        let watchers = self.watchers_to_ask(kind, turn);
         let mut tries: VecDeque<(Member, bool)> = watchers
             .into_iter()
             .map(|watcher| {
@@ -235,6 +340,7 @@
             .collect();
         // Whether a watcher is known to hold changes.
         let mut is_changed = false;
+        let mut is_any_reachable = false;
         while let Some((watcher, is_probe)) = tries.pop_front() {
             let wait = match is_changed {
                 true => CHANGED_WAIT,
@@ -259,22 +365,27 @@
                 // This watcher lacks the changes.
                 Ok(Some(reading)) if is_changed && is_empty(&reading) && !tries.is_empty() => {}
                 Ok(Some(reading)) => {
-                    self.failed_at.borrow_mut().remove(&known);
+                    self.record_supply(known);
                     self.era.set(self.era.get().max(reading.listing.era));
-                    self.with_reads(kind, |reads| reads.supplied_at = Instant::now());
                     self.relay.meter().supplied.add(1);
                     return Ok(reading);
                 }
-                Err(failure @ (Failure::Compacted | Failure::Restored)) => {
+                Err(Denial::Unusable(failure @ (Failure::Compacted | Failure::Restored))) => {
                     return Err(ReadError::Failed(failure));
                 }
-                Err(failure) => {
-                    debug!(watcher = %watcher.name, kind, %failure, "source: watcher doesn't supply.");
-                    let mut failed_at = self.failed_at.borrow_mut();
-                    failed_at.insert(known, Instant::now());
+                Err(denial) => {
+                    debug!(watcher = %watcher.name, kind, failure = %denial.failure(), "source: watcher doesn't supply.");
+                    is_any_reachable |= matches!(denial, Denial::Unusable(_));
+                    self.record_failed(known);
                 }
             }
         }
+        // Not all of them are asked in one read.
+        let next = self.watchers_to_ask(kind, turn);
+        let has_untried = next
+            .first()
+            .is_some_and(|watcher| !self.has_failed(watcher, kind));
+        self.turn_to_store(kind, is_any_reachable || has_untried);
         Err(ReadError::Unsupplied)
     }
 
@@ -293,7 +404,7 @@
         query: Query<'_>,
         max_age: Duration,
         latest: Option<Position>,
-    ) -> Result<Option<Reading>, Failure> {
+    ) -> Result<Option<Reading>, Denial> {
         let transport = {
             let mut transports = self.transports.borrow_mut();
             let transport = transports
@@ -304,36 +415,48 @@
         let request = transport
             .request(Method::GET, &query.target())
             .body(Bytes::new())
-            .map_err(|_| Failure::Invalid)?;
+            .map_err(|_| Denial::Unusable(Failure::Invalid))?;
         let wait = match query.after {
             Some(_) => query.wait + REPLY_MARGIN,
             None => LIST_TIMEOUT,
         };
-        let response = transport.send(request, wait).await?;
+        let response = transport.send(request, wait).await;
+        let response = response.map_err(Denial::Silent)?;
         if let Some(generation) = feed::stated_generation(&response) {
             self.generations.borrow_mut().insert(known, generation);
         }
-        let reading = feed::parse_reply(&response, max_age)?;
+        let reading = feed::parse_reply(&response, max_age).map_err(Denial::Unusable)?;
         match &reading {
             // It is behind what this instance has read elsewhere.
             Some(reading) if Some(Position::of(&reading.listing)) < latest => {
-                Err(Failure::Unavailable)
+                Err(Denial::Unusable(Failure::Unavailable))
             }
             _ => Ok(reading),
         }
     }
 
-    /// Returns whether the store is to be asked for a kind that no watcher supplies, and counts that as a supply, so
-    /// that it isn't asked again at once.
-    fn is_store_due(&self, kind: &'static str) -> bool {
-        let patience = watchers::patience(&self.relay.registry().local_name());
+    /// Has the store read next if no watcher has supplied the kind for long enough.
+    fn turn_to_store(&self, kind: &'static str, may_be_supplied: bool) {
+        let name = self.relay.registry().local_name();
         self.with_reads(kind, |reads| {
-            let is_due = reads.supplied_at.elapsed() >= patience;
-            if is_due {
-                reads.supplied_at = Instant::now();
+            let shortage = match may_be_supplied {
+                _ if !reads.was_supplied => Shortage::Start,
+                true => Shortage::Outdated,
+                false => Shortage::Unreachable,
+            };
+            let unsupplied = reads.supplied_at.elapsed();
+            reads.is_direct = unsupplied >= watchers::patience(&name, shortage);
+            if reads.is_direct {
+                let ms = unsupplied.as_millis() as u64;
+                info!(
+                    kind,
+                    ?shortage,
+                    ms,
+                    "source: no watcher supplies this instance, the store is read."
+                );
+                self.relay.meter().unsupplied.add(1);
             }
-            is_due
-        })
+        });
     }
 
     fn with_reads<T>(&self, kind: &'static str, change: impl FnOnce(&mut Reads) -> T) -> T {
@@ -341,6 +464,8 @@
         change(reads.entry(kind).or_insert(Reads {
             turn: 0,
             supplied_at: self.started_at,
+            was_supplied: false,
+            is_direct: false,
             latest: None,
         }))
     }
--- a/crates/relay/tests/watchers.rs
+++ b/crates/relay/tests/watchers.rs
@@ -28,6 +28,8 @@
 const MAX_DELAY: Duration = Duration::from_millis(2_500);
 /// Time within which a change must be in force on all instances of a large fleet.
 const MAX_CONFIGURATION_DELAY: Duration = Duration::from_millis(5_000);
+/// Shortest time after which a change has to be in force on the users' platform.
+const SHORTEST_CONFIGURATION_LIMIT: Duration = Duration::from_millis(3_000);
 /// Time within which an instance without any watcher must have read the store itself.
 const MAX_UNSUPPLIED: Duration = Duration::from_millis(9_000);
 
@@ -48,6 +50,22 @@
     store.put("config", "main", &Config { version, shards });
 }
 
+fn lost_entry() -> InstanceEntry {
+    InstanceEntry {
+        address: "127.0.0.1:9".parse().expect("an address"),
+        zone: "a".to_owned(),
+        cores: 0.5,
+        leaving: false,
+    }
+}
+
+/// Writes entries of large instances that don't run.
+fn put_lost_instances(store: &SharedStore, count: usize) {
+    for index in 0..count {
+        store.put("instances", &format!("lost-{index}"), &lost_entry());
+    }
+}
+
 impl Fleet {
     async fn start() -> Self {
         Self::start_in_zones(&["a", "b"], 4).await
@@ -198,6 +216,76 @@
     });
 }
 
+/// The entries of lost instances stay in the store, among them those of all watchers. Two changes follow each other, so that the
+/// second one comes when the store has just been read.
+#[test]
+fn changes_are_in_force_in_time_although_all_watchers_are_lost_for_good() {
+    run(async {
+        let store = Rc::new(SharedStore::default());
+        put_version(&store, 1);
+        put_lost_instances(&store, 13);
+        let readers: Vec<Node> = (0..6)
+            .map(|index| Node::start(&store, &format!("reader-{index}"), "a", 0.1))
+            .collect();
+        for reader in &readers {
+            reader.time_until_version(1, MAX_UNSUPPLIED).await;
+            let registry = reader.instance.relay.registry();
+            assert_eq!(registry.store_role(), StoreRole::Reader);
+        }
+        for version in [2, 4] {
+            sleep(Duration::from_millis(1_000)).await;
+            put_version(&store, version);
+            sleep(Duration::from_millis(330)).await;
+            put_version(&store, version + 1);
+            let changed_at = Instant::now();
+            for reader in &readers {
+                reader.time_until_version(version + 1, MAX_UNSUPPLIED).await;
+            }
+            let delay = changed_at.elapsed();
+            assert!(delay < SHORTEST_CONFIGURATION_LIMIT, "{version}: {delay:?}");
+        }
+    });
+}
+
+/// The connections to all watchers are refused from one moment on; later one of them is back.
+#[test]
+fn reader_that_loses_all_watchers_reads_the_store_until_one_is_back() {
+    run(async {
+        let fleet = Fleet::start().await;
+        fleet.change(2);
+        fleet.reader.time_until_version(2, MAX_DELAY).await;
+        put_lost_instances(&fleet.store, 1);
+        for (index, watcher) in fleet.watchers.iter().enumerate() {
+            watcher.instance.stop.set();
+            // Its entry names an address at which nobody listens.
+            fleet
+                .store
+                .put("instances", &format!("watcher-{index}"), &lost_entry());
+        }
+        for version in 3..6 {
+            fleet.change(version);
+            let delay = fleet
+                .reader
+                .time_until_version(version, MAX_UNSUPPLIED)
+                .await;
+            assert!(delay < SHORTEST_CONFIGURATION_LIMIT, "{version}: {delay:?}");
+        }
+        let back = Node::start(&fleet.store, "watcher-0", "a", 0.5);
+        back.time_until_version(5, MAX_UNSUPPLIED).await;
+        // The reader lists the instances again after a pause, and finds the watcher at its next reads of the store.
+        sleep(Duration::from_millis(4_000)).await;
+        let mut calls = Vec::new();
+        for version in 6..10 {
+            fleet.change(version);
+            let delay = fleet.reader.time_until_version(version, MAX_DELAY).await;
+            assert!(delay < MAX_DELAY, "{version}: {delay:?}");
+            sleep(Duration::from_millis(300)).await;
+            calls.push(fleet.reader.link.calls.get());
+        }
+        assert!(calls[3] <= calls[1] + 1, "{calls:?}");
+    });
+}
+
 /// The store keeps a change from all watches, reports a revision that includes it, and then drops its history. The
 /// watchers list again, at the revision that readers are at already.
 #[test]
