--- a/crates/relay/tests/common/fake.rs
+++ b/crates/relay/tests/common/fake.rs
@@ -150,6 +150,8 @@
     Unframed(Vec<u8>),
     /// Closes the connection before the body is complete.
     Truncate,
+    /// Sends these bytes and closes the connection.
+    Cut(Vec<u8>),
     /// Sends bytes that aren't HTTP.
     Noise,
     /// States that it didn't run it.
@@ -344,6 +346,10 @@
                 connection.write(bytes).await;
                 false
             }
+            Behavior::Cut(bytes) => {
+                connection.write(bytes).await;
+                false
+            }
             Behavior::Noise => {
                 connection.write("nonsense nonsense\r\n\r\n").await;
                 false
--- a/crates/relay/tests/forward.rs
+++ b/crates/relay/tests/forward.rs
@@ -50,6 +50,29 @@
     });
 }
 
+/// Guards against a reply that ends within its head or body, and is passed on as complete with an empty or short body.
+#[test]
+fn reply_that_is_cut_at_any_byte_is_not_passed_on() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nid: q1\r\nsigned: s\r\n";
+    let by_length = format!("{HEAD}content-length: 12\r\n\r\nthe 12 bytes");
+    let chunked = format!("{HEAD}transfer-encoding: chunked\r\n\r\n5\r\nchunk\r\n0\r\n\r\n");
+    let unframed = format!("{HEAD}\r\n");
+    run(async move {
+        for reply in [by_length, chunked, unframed] {
+            let reply = reply.into_bytes();
+            for length in 0..reply.len() {
+                let bytes = reply[..length].to_vec();
+                let fake = FakeServer::start("s1", move |_| Behavior::Cut(bytes.clone()));
+                let instance = instance_with(read_and_write_routes(), &[("one", &fake)]);
+                let answer = instance.ask(&post("/write/a", "x")).await;
+                let shown = String::from_utf8_lossy(&reply[..length]).into_owned();
+                assert_eq!(answer.status(), 502, "{shown}");
+                assert_eq!(answer.header("signed"), None, "{shown}");
+            }
+        }
+    });
+}
+
 #[test]
 fn chunked_body_is_passed_on_completely() {
     run(async {
--- a/crates/web/tests/client.rs
+++ b/crates/web/tests/client.rs
@@ -51,6 +51,28 @@
     }
 }
 
+/// The server closes the connection within the head or the body.
+#[test]
+fn response_that_is_cut_at_any_byte_is_a_failure() {
+    const WHOLE: [&[u8]; 2] = [
+        b"HTTP/1.1 200 OK\r\nx-id: 1\r\ncontent-length: 12\r\n\r\nthe 12 bytes",
+        b"HTTP/1.1 200 OK\r\nx-id: 1\r\ntransfer-encoding: chunked\r\n\r\n5\r\nchunk\r\n0\r\n\r\n",
+    ];
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(async {
+        for whole in WHOLE {
+            for length in 0..whole.len() {
+                let result = exchange(&whole[..length]).await;
+                let shown = String::from_utf8_lossy(&whole[..length]);
+                assert!(!result.starts_with("200"), "{shown}: {result}");
+            }
+        }
+    });
+}
+
 #[test]
 fn response_is_complete_or_a_failure() {
     let cases: [(&str, &[u8]); 9] = [
