fix(relay, policy): entries of instances that are gone no longer count

What callers saw: nothing at once.

Cause: nothing in the store expires, and nobody wrote the entry of another instance.

Why the fix works: each instance probes the next one by name, and further ones while they don't accept a connection, so that each is probed by one that is up. After 30 s without any success, observed without gaps, and only if another instance can be reached, the entry is marked as leaving by a conditional write. An instance that runs after all writes it again.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -35,6 +35,7 @@
 //! ```
 
 pub mod abandonment;
+pub mod absence;
 pub mod admission;
 mod bucket;
 pub mod choice;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 //! keeps routes, servers and instances in sync with the store, which it reads through a [`source`]: either
 //! itself, or through the [`feed`] of an instance that does.
 
+pub mod absence;
 pub mod answer;
 pub mod call;
 pub mod caller;
--- a/crates/tanageryoke/src/commands/relay.rs
+++ b/crates/tanageryoke/src/commands/relay.rs
@@ -28,6 +28,7 @@
     RuntimeBuilder, //
 };
 use relay::{
+    absence,
     caller::Origin,
     follow,
     links,
@@ -210,6 +211,10 @@
         recovery.clone(),
     ));
     monoio::spawn(quarantine::report::<Directory>(source.clone()));
+    monoio::spawn(absence::watch::<Directory>(
+        source.clone(),
+        absence::Settings::default(),
+    ));
     monoio::spawn(roster::instances::<Directory>(
         source,
         recovery,
