fix(relay): a peer with a later configuration tells its version before it is used

Cause: a hop states the sender's version and peers that aren't older accept it, so that a sender that lags behind is answered by peers of both versions and doesn't learn which one was used.

Evidence: `relay/peers` on: `older_configuration_is_not_used_after_the_later_one_of_a_peer`, `…_while_a_request_runs_by_the_later_one` (4 of 6 requests at the old service), `instance_behind_its_peers_refuses_requests_that_no_peer_takes` fail.

Why the fix works: a peer with a later version declines once and states it; the sender states it from then on, so older peers decline. That happens before any server sees the effect, so it holds for slow requests as well. What no peer takes is refused while the instance's own version is older. Senders of earlier releases don't send the new field and are answered as before.

--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -278,7 +278,7 @@
         return answer::with_text(StatusCode::BAD_REQUEST, "expected a query of a peer");
     };
     if let Err(decline) = peer::admit(relay, hop) {
-        return peer::decline_answer(decline);
+        return peer::decline_answer(relay, decline);
     }
     let arrival = Arrival {
         arrived_at,
@@ -309,8 +309,12 @@
         .and_then(|table| table.find(host, request.uri().path()))
         .cloned();
     let delegates = arrival.origin == Origin::Caller && !relay.registry().gathers_queries();
+    let from_caller = arrival.origin == Origin::Caller;
+    // Earlier requests of callers may have been answered by a later configuration; a peer states the one that it needs.
+    let is_outdated = |table: &Table| from_caller && table.version() < relay.known_version();
     if route.is_none() && !delegates {
         return match table {
+            Some(table) if is_outdated(&table) => relay.refuse_outdated(id),
             Some(_) => refuse(StatusCode::NOT_FOUND, "no route"),
             None => {
                 let status = StatusCode::SERVICE_UNAVAILABLE;
@@ -347,7 +351,6 @@
         return refusal;
     }
     let route = route.as_deref();
-    let from_caller = arrival.origin == Origin::Caller;
     if from_caller && relay.registry().links().are_lost() {
         return pass_on(relay, &caller_request, route, false).await;
     }
@@ -360,6 +363,7 @@
         }
     }
     match (table, route) {
+        (Some(table), _) if is_outdated(&table) => relay.refuse_outdated(id),
         (Some(table), Some(route)) => {
             let local = answer_while_linked(relay, &table, route, &caller_request).await;
             let may_have_run = match local {
@@ -369,8 +373,8 @@
             };
             match arrival.origin {
                 Origin::Caller => pass_on(relay, &caller_request, Some(route), may_have_run).await,
-                Origin::Peer if may_have_run => peer::decline_answer(Decline::Abandoned),
-                Origin::Peer => peer::decline_answer(Decline::Unlinked),
+                Origin::Peer if may_have_run => peer::decline_answer(relay, Decline::Abandoned),
+                Origin::Peer => peer::decline_answer(relay, Decline::Unlinked),
             }
         }
         (Some(_), None) => refuse(StatusCode::NOT_FOUND, "no route"),
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -42,8 +42,9 @@
     service::Service,
 };
 
-/// In a request: the sender's configuration version, whether the store is available to it, and the time
-/// that the caller has waited, in microseconds. In a reply: the time that the peer took, in microseconds.
+/// In a request: the latest configuration version that the sender knows of, whether the store is available to it, the
+/// time that the caller has waited, in microseconds, and 1, as the sender is to be told of later versions
+/// before they are used. In a reply: the time that the peer took, in microseconds.
 const HOP_HEADER: HeaderName = HeaderName::from_static("tanageryoke-hop");
 /// In a reply: ids of servers that said that they are leaving, separated by commas.
 const LEAVING_HEADER: HeaderName = HeaderName::from_static("tanageryoke-leaving");
@@ -52,6 +53,9 @@
 /// Present if a peer declined the request; [`ABANDONED`] if it may have run.
 const DECLINED_HEADER: HeaderName = HeaderName::from_static("tanageryoke-declined");
 
+/// In the reply to a declined request: the version of the peer's configuration, which the sender didn't know of.
+const VERSION_HEADER: HeaderName = HeaderName::from_static("tanageryoke-version");
+
 /// Value of [`DECLINED_HEADER`] for a request that a peer gave up after servers may have run it.
 const ABANDONED: HeaderValue = HeaderValue::from_static("abandoned");
 
@@ -115,16 +119,22 @@
         let Some((service, peer)) = peers.try_choose(baseline, &tried, is_unlinked) else {
             break;
         };
-        tried.push(peer.clone());
         let attempt = PeerAttempt {
             relay,
             caller_request,
             service,
-            peer,
+            peer: peer.clone(),
             objective,
             reply_timeout,
         };
-        match attempt.run().await {
+        let attempted = attempt.run().await;
+        // The peer takes the request once this instance knows of its version.
+        if !matches!(attempted, Attempted::Outdated) {
+            tried.push(peer);
+        }
+        match attempted {
+            Attempted::Outdated => {}
+
             Attempted::Answered(answer) => return Delegation::Answered(answer),
             Attempted::Declined { is_abandoned } => may_have_run |= is_abandoned,
             // This instance answers the request instead, if it has links.
@@ -145,6 +155,8 @@
         /// Whether it did so after servers may have run it.
         is_abandoned: bool,
     },
+    /// The peer has a later configuration than this instance knew of, and knows now.
+    Outdated,
     /// No byte of it was sent.
     Unsent,
     /// It was sent, and no answer arrived.
@@ -176,6 +188,11 @@
         let id = caller_request.id.to_str().unwrap_or("unprintable");
         let ms = now.elapsed().as_millis() as u64;
         match result {
+            Some(Ok(Ok(reply))) if learn_version(relay, &reply) => {
+                let version = relay.known_version();
+                info!(request = id, peer = %peer.id(), ms, version, "peer: it has a later configuration.");
+                Attempted::Outdated
+            }
             Some(Ok(Ok(reply))) if reply.headers().contains_key(DECLINED_HEADER) => {
                 let is_out = peer.record_failure(Instant::now()) != Transition::None;
                 let is_abandoned = reply.headers()[DECLINED_HEADER] == ABANDONED;
@@ -277,13 +294,20 @@
 }
 
 fn hop_header(relay: &Relay, caller_request: &CallerRequest, now: Instant) -> HeaderValue {
-    let version = relay.table().map_or(0, |table| table.version());
+    let version = relay.known_version();
     let reaches_store = u8::from(!relay.registry().is_store_unavailable());
     let elapsed_here = now.saturating_duration_since(caller_request.arrived_at);
     let hop_overhead = relay.registry().peers().hop_overhead();
     let waited_us = (caller_request.waited + elapsed_here + hop_overhead).as_micros();
-    let text = format!("{version};{reaches_store};{waited_us}");
-    HeaderValue::from_str(&text).unwrap_or_else(|_| HeaderValue::from_static("0;0;0"))
+    let text = format!("{version};{reaches_store};{waited_us};1");
+    HeaderValue::from_str(&text).unwrap_or_else(|_| HeaderValue::from_static("0;0;0;1"))
+}
+
+/// Records the version that a peer states which declined a request; returns whether it is later than the known ones.
+fn learn_version(relay: &Relay, reply: &Reply) -> bool {
+    let stated = reply.headers().get(VERSION_HEADER);
+    let stated = stated.and_then(|version| version.to_str().ok()?.parse().ok());
+    stated.is_some_and(|version| relay.learn_version(version))
 }
 
 fn into_answer(mut reply: Reply) -> Response<Bytes> {
@@ -328,6 +352,8 @@
     version: u64,
     reaches_store: bool,
     waited: Duration,
+    /// Whether the sender is told of a later version before it is used; instances of earlier releases aren't.
+    learns_versions: bool,
 }
 
 impl HopInfo {
@@ -347,11 +373,13 @@
     let version = fields.next()?.parse().ok()?;
     let reaches_store = fields.next()? == "1";
     // Instances of earlier releases don't send the waited time.
-    let waited = fields.next().and_then(|waited| waited.parse().ok());
+    let waited = fields.next();
+    let waited = waited.and_then(|waited| waited.parse().ok());
     Some(HopInfo {
         version,
         reaches_store,
         waited: Duration::from_micros(waited.unwrap_or(0)).min(MAX_WAITED),
+        learns_versions: fields.next() == Some("1"),
     })
 }
 
@@ -362,8 +390,11 @@
     Leaving,
     /// It has too many requests in flight.
     Full,
-    /// The sender has a newer configuration.
+    /// The sender knows of a newer configuration.
     Older,
+    /// The sender doesn't know of the configuration of this instance. It must, so that it doesn't have a later request
+    /// answered by an older one.
+    Newer,
     /// The store is available to the sender, but not to this instance.
     CutOff,
     /// Its links to the backend servers are lost.
@@ -385,6 +416,7 @@
         () if relay.registry().links().are_lost() => Err(Decline::Unlinked),
         () if version < hop.version => Err(Decline::Older),
         () if relay.registry().is_store_unavailable() && hop.reaches_store => Err(Decline::CutOff),
+        () if version > hop.version && hop.learns_versions => Err(Decline::Newer),
         () => Ok(()),
     }
 }
@@ -403,7 +435,7 @@
 }
 
 /// Builds the answer to a declined request.
-pub(crate) fn decline_answer(decline: Decline) -> Response<Bytes> {
+pub(crate) fn decline_answer(relay: &Relay, decline: Decline) -> Response<Bytes> {
     info!(?decline, "peer: request of a peer declined.");
     let mut answer = answer::refusal("declined", MIN_WAIT);
     let value = match decline {
@@ -411,5 +443,10 @@
         _ => HeaderValue::from_static("1"),
     };
     answer.headers_mut().insert(DECLINED_HEADER, value);
+    if decline == Decline::Newer {
+        let version = relay.table().map_or(0, |table| table.version());
+        let version = HeaderValue::from(version);
+        answer.headers_mut().insert(VERSION_HEADER, version);
+    }
     answer
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -90,6 +90,8 @@
     margin: Duration,
     registry: Rc<Registry>,
     table: RefCell<Option<Arc<Table>>>,
+    /// Latest configuration version that a peer stated.
+    peer_version: Cell<u64>,
     route_latencies: RefCell<HashMap<Arc<str>, Rc<Statistics>>>,
     request_counters: RefCell<HashMap<Arc<str>, u64>>,
     meter: Meter,
@@ -113,6 +115,7 @@
             margin,
             registry,
             table: RefCell::default(),
+            peer_version: Cell::new(0),
             route_latencies: RefCell::default(),
             request_counters: RefCell::default(),
             mirror: Mirror::default(),
@@ -157,6 +160,19 @@
         self.table.borrow().clone()
     }
 
+    /// Returns the latest configuration version that is known to this instance, whose table may be older.
+    pub fn known_version(&self) -> u64 {
+        let version = self.table().map_or(0, |table| table.version());
+        version.max(self.peer_version.get())
+    }
+
+    /// Records the configuration version of a peer; returns whether it is later than the known ones.
+    pub(crate) fn learn_version(&self, version: u64) -> bool {
+        let is_later = version > self.known_version();
+        self.peer_version.set(self.peer_version.get().max(version));
+        is_later
+    }
+
     /// Returns the limits on callers' requests and connections.
     pub(crate) fn limits(&self) -> Limits {
         let table = self.table.borrow();
@@ -571,6 +587,13 @@
     pub(crate) fn unconfigured_answer(&self) -> Response<Bytes> {
         answer::refusal("no configuration yet", NO_CONFIGURATION_RETRY)
     }
+
+    /// Refuses a request for which this instance has an older configuration than its peers have answered by.
+    pub(crate) fn refuse_outdated(&self, request: &str) -> Response<Bytes> {
+        let text = "a later configuration isn't read yet";
+        self.record_unrouted(request, text, StatusCode::SERVICE_UNAVAILABLE);
+        answer::refusal(text, NO_CONFIGURATION_RETRY)
+    }
 }
 
 /// One request with its route and its scheduling parameters.
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -149,6 +149,120 @@
     });
 }
 
+/// Sets a configuration in which the route `read` leads to the service.
+fn set_version(instance: &Instance, version: u64, service: &str) {
+    let target = route::Target::Service(service.into());
+    let read = common::route("read", route::Kind::Idempotent, target);
+    instance
+        .relay
+        .set_table(Arc::new(table(version, vec![read])));
+}
+
+/// Starts a fleet whose first large instance sends requests to a new server by a later configuration, which the others lack.
+fn fleet_with_two_versions(
+    old: &Rc<FakeServer>,
+    new: &Rc<FakeServer>,
+) -> (Instance, Vec<Instance>) {
+    let (small, large) = fleet(old);
+    for instance in large.iter().chain([&small]) {
+        let servers = vec![old.description("one"), new.description("two")];
+        instance.relay.registry().replace(servers, Instant::now());
+    }
+    set_version(&large[0], 2, "two");
+    (small, large)
+}
+
+/// Guards against answers by a later configuration of one peer and then again by the older one of another, while this instance
+/// doesn't have the later one yet.
+#[test]
+fn older_configuration_is_not_used_after_the_later_one_of_a_peer() {
+    run(async {
+        let old = FakeServer::start("s1", |_| serve("old"));
+        let new = FakeServer::start("s2", |_| serve("new"));
+        let (small, large) = fleet_with_two_versions(&old, &new);
+        while small.get("/read/a").await.text() != "new" {}
+        set_version(&large[2], 2, "two");
+        let ends_at = Instant::now() + common::TEST_TIMEOUT;
+        large[0].relay.start_drain(ends_at);
+        for number in 0..20 {
+            assert_eq!(small.get("/read/a").await.text(), "new", "{number}");
+        }
+    });
+}
+
+/// The peer runs the first request by the later configuration for a while.
+#[test]
+fn older_configuration_is_not_used_while_a_request_runs_by_the_later_one() {
+    run(async {
+        let old = FakeServer::start("s1", |_| serve("old"));
+        let slow = |_| Behavior::Serve(Duration::from_millis(500), b"new".to_vec());
+        let new = FakeServer::start("s2", slow);
+        let (small, _large) = fleet_with_two_versions(&old, &new);
+        let mut callers = Vec::new();
+        while new.arrivals() == 0 {
+            let mut caller = common::RawConnection::open(small.address).await;
+            caller.write(common::get("/read/a")).await;
+            monoio::time::sleep(Duration::from_millis(20)).await;
+            callers.push(caller);
+        }
+        let ran_before = old.arrivals();
+        for _ in 0..6 {
+            let mut caller = common::RawConnection::open(small.address).await;
+            caller.write(common::get("/read/a")).await;
+            callers.push(caller);
+        }
+        monoio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(old.arrivals(), ran_before);
+    });
+}
+
+#[test]
+fn instance_behind_its_peers_refuses_requests_that_no_peer_takes() {
+    run(async {
+        let old = FakeServer::start("s1", |_| serve("old"));
+        let new = FakeServer::start("s2", |_| serve("new"));
+        let (small, large) = fleet_with_two_versions(&old, &new);
+        while small.get("/read/a").await.text() != "new" {}
+        let ran_before = old.arrivals();
+        for instance in &large {
+            let ends_at = Instant::now() + common::TEST_TIMEOUT;
+            instance.relay.start_drain(ends_at);
+        }
+        let refusal = small.get("/read/a").await;
+        assert_eq!(refusal.status(), 503);
+        assert!(refusal.header("retry-after").is_some());
+        assert_eq!(small.get("/unknown/a").await.status(), 503);
+        assert_eq!(old.arrivals(), ran_before);
+        set_version(&small, 2, "two");
+        assert_eq!(small.get("/read/a").await.text(), "new");
+    });
+}
+
+/// Instances of earlier releases don't state that they learn of versions.
+#[test]
+fn sender_of_an_earlier_release_is_answered_by_a_later_configuration() {
+    run(async {
+        let old = FakeServer::start("s1", |_| serve("old"));
+        let new = FakeServer::start("s2", |_| serve("new"));
+        let (_small, large) = fleet_with_two_versions(&old, &new);
+        for (fields, status) in [
+            ("1;1", 200),
+            ("1;1;100", 200),
+            ("1;1;100;1", 503),
+            ("2;1;100;1", 200),
+        ] {
+            let mut peer = common::RawConnection::open(large[0].peer_address).await;
+            let hop = format!("\r\ntanageryoke-hop: {fields}\r\n\r\n");
+            peer.write(common::get("/read/a").replacen("\r\n\r\n", &hop, 1))
+                .await;
+            let answer = peer.read().await.unwrap_or_default();
+            assert_eq!(answer.status(), status, "{fields}");
+            let version = answer.header("tanageryoke-version");
+            assert_eq!(version, (status == 503).then_some("2"), "{fields}");
+        }
+    });
+}
+
 #[test]
 fn request_that_a_failed_peer_may_have_run_is_not_repeated() {
     run(async {
