fix(relay): replies of servers can't set the headers that instances exchange

A server's reply with `tanageryoke-declined` was taken by the asking instance as declined by the peer, and would be sent again; with `tanageryoke-version` it would have stated a version.

Cause: only three of the headers were removed, and only from replies of peers.

Evidence: `relay/peers` `reply_of_a_server_neither_declines_nor_states_a_version`; a reply with the first header was never passed on before.

Why the fix works: all of them are removed from each reply before an instance adds its own.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     connection::Reply,
+    peer,
     request, //
 };
 
@@ -22,6 +23,7 @@
 pub fn from_reply(reply: Reply) -> Response<Bytes> {
     let (mut head, body) = reply.into_parts();
     head.headers = request::without_hop_by_hop(head.headers);
+    peer::remove_hop_headers(&mut head.headers);
     let mut answer = Response::new(body);
     *answer.status_mut() = head.status;
     *answer.headers_mut() = head.headers;
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -207,7 +207,7 @@
                 relay.meter().delegated.add(1);
                 record_notices(relay, &reply);
                 info!(request = id, peer = %peer.id(), status = reply.status().as_u16(), ms, "peer: answered.");
-                Attempted::Answered(into_answer(reply))
+                Attempted::Answered(answer::from_reply(reply))
             }
             failure => self.failed(id, ms, failure),
         }
@@ -305,16 +305,23 @@
 
 /// Records the version that a peer states which declined a request; returns whether it is later than the known ones.
 fn learn_version(relay: &Relay, reply: &Reply) -> bool {
-    let stated = reply.headers().get(VERSION_HEADER);
+    let is_declined = reply.headers().contains_key(DECLINED_HEADER);
+    let stated = reply.headers().get(VERSION_HEADER).filter(|_| is_declined);
     let stated = stated.and_then(|version| version.to_str().ok()?.parse().ok());
     stated.is_some_and(|version| relay.learn_version(version))
 }
 
-fn into_answer(mut reply: Reply) -> Response<Bytes> {
-    reply.headers_mut().remove(HOP_HEADER);
-    reply.headers_mut().remove(LEAVING_HEADER);
-    reply.headers_mut().remove(LIMITS_HEADER);
-    answer::from_reply(reply)
+/// Removes the headers that instances exchange, which a server's reply must not set.
+pub(crate) fn remove_hop_headers(headers: &mut HeaderMap) {
+    for name in [
+        HOP_HEADER,
+        LEAVING_HEADER,
+        LIMITS_HEADER,
+        DECLINED_HEADER,
+        VERSION_HEADER,
+    ] {
+        headers.remove(name);
+    }
 }
 
 /// Returns the items of a header with a comma-separated list; none if it is missing or isn't text.
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -238,6 +238,22 @@
     });
 }
 
+/// A server's reply has the headers by which a peer declines a request and states a later version.
+#[test]
+fn reply_of_a_server_neither_declines_nor_states_a_version() {
+    run(async {
+        let fields = "tanageryoke-declined: 1\r\ntanageryoke-version: 99\r\n";
+        let fake = FakeServer::start("s1", |_| Behavior::Reply("200 OK", fields.to_owned(), "ok"));
+        let (small, _large) = fleet(&fake);
+        for _ in 0..3 {
+            let answer = small.get("/read/a").await;
+            assert_eq!((answer.status(), answer.text().as_str()), (200, "ok"));
+        }
+        assert_eq!(delegated(&small), 3);
+        assert_eq!(small.relay.known_version(), 1);
+    });
+}
+
 /// Instances of earlier releases don't state that they learn of versions.
 #[test]
 fn sender_of_an_earlier_release_is_answered_by_a_later_configuration() {
