fix(relay): queries that come too late in a shutdown are refused before shards are asked

A query that arrives when no server would answer before the end was refused with a Retry-After of a second, as if no server were known; another instance takes it at once. It is checked for all requests before a server is chosen now (`relay/drain`, the query in `request_late_in_a_shutdown_is_refused_and_not_sent`; failed before on its Retry-After).

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -290,7 +290,16 @@
             scheduling,
             crashes: &crashes,
         };
+        let now = Instant::now();
+        let latest_start = self
+            .registry
+            .drain()
+            .limit_start(now, scheduling.service_time());
         let answer = match &route.target {
+            _ if latest_start < now => {
+                let text = "the instance shuts down";
+                self.refuse(&context, text, 0, Refusal::Leaving, scheduling.baseline)
+            }
             Target::Gather(gather) => self.query(&context, gather, &route_latency).await,
             Target::Service(service) => self.forward(&context, service, &route_latency).await,
             Target::Split(split) => match split.pick(self.next_request_number(route)) {
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -81,7 +81,7 @@
 
 impl Scheduling {
     /// Returns the time that a server is expected to need at the most.
-    fn service_time(&self) -> Duration {
+    pub(crate) fn service_time(&self) -> Duration {
         (self.baseline * DRAIN_BASELINES).min(self.objective)
     }
 }
--- a/crates/relay/tests/drain.rs
+++ b/crates/relay/tests/drain.rs
@@ -83,12 +83,21 @@
 fn request_late_in_a_shutdown_is_refused_and_not_sent() {
     run(async {
         let fake = FakeServer::start("s1", |_| serve("ok"));
-        let instance = instance_with(read_and_write_routes(), &[("one", &fake)]);
+        let mut routes = read_and_write_routes();
+        routes.push(query_route(&["one"], 5, 1.0));
+        let instance = instance_with(routes, &[("one", &fake)]);
         let ends_at = Instant::now() + Duration::from_millis(100);
         instance.relay.start_drain(ends_at);
-        for request in [get("/read/a"), post("/write/a", "x")] {
+        for request in [get("/read/a"), post("/write/a", "x"), get("/all/a")] {
             let refusal = instance.ask(&request).await;
             assert_eq!(refusal.status(), 503);
+            let retry_after: f64 = refusal
+                .header("retry-after")
+                .unwrap_or("9")
+                .parse()
+                .expect("seconds");
+            // Another instance takes it at once.
+            assert!(retry_after < 0.1, "{retry_after}");
             assert_eq!(refusal.header("connection"), Some("close"));
         }
         assert_eq!(fake.arrivals(), 0);
