fix(relay, platform, policy): the servers' list is read again soon after a failed call

After connections to the store fell silent or were reset, instances that could reach it sent requests to draining servers up to 5 s after the ack, where 3 s are allowed.

Cause: after a failed call the task of the servers waited up to 3 s for a notice that only the routes' task gives, which had come before or didn't come at all; a retry could take another broken idle connection; and each failed call counted as an outage in which entries expire, so that servers whose entry was removed were used for 2.5 s more.

`policy/servers` `outage_in_which_no_entry_expires_keeps_no_server`.

Why the fix works: the task that fails first probes the store and tells the others, so that a failed call costs 0.1 to 0.5 s whoever finds it; a failed exchange drops the idle connections; an outage counts from two heartbeats of the servers on, which the platform's settings state.

In an outage one task probes as before.

--- a/crates/bench/src/soak/topology.rs
+++ b/crates/bench/src/soak/topology.rs
@@ -35,6 +35,7 @@
             WRITE_PREFIX, //
         },
         HEALTH,
+        HEARTBEAT, //
     },
 };
 
@@ -266,6 +267,7 @@
             store: store_link,
             retry_budget: RETRY_BUDGET,
             server_drain_time: SERVER_DRAIN,
+            server_heartbeat: HEARTBEAT,
             grace: GRACE,
             is_first_start: false,
         },
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -102,7 +102,9 @@
         request: Request<Bytes>,
         wait: Duration,
     ) -> Result<Response<Bytes>, web::client::Failure> {
-        let exchange = connection.exchange(request, wait).await?;
+        // What broke this connection may have broken the idle ones.
+        let exchange = connection.exchange(request, wait).await;
+        let exchange = exchange.inspect_err(|_| self.idle.borrow_mut().clear())?;
         self.put_idle(exchange.connection);
         Ok(exchange.response)
     }
--- a/crates/policy/src/expiry.rs
+++ b/crates/policy/src/expiry.rs
@@ -17,7 +17,7 @@
 pub struct Outage {
     /// Since when the store has been unavailable; `None` while it is available.
     pub unavailable_since: Option<Instant>,
-    /// When the last outage ended.
+    /// When the last outage ended in which entries can have expired.
     pub ended_at: Option<Instant>,
 }
 
@@ -31,18 +31,23 @@
 }
 
 impl Outage {
-    /// Records that the store is unavailable.
-    pub fn record_unavailable(&mut self, now: Instant) {
-        self.unavailable_since.get_or_insert(now);
+    /// Records that the store has been unavailable since `since`.
+    pub fn record_unavailable(&mut self, since: Instant) {
+        self.unavailable_since.get_or_insert(since);
     }
 
     /// Records that the store is available; returns whether it was unavailable before.
-    pub fn record_available(&mut self, now: Instant) -> bool {
-        let was_unavailable = self.unavailable_since.take().is_some();
-        if was_unavailable {
+    ///
+    /// Entries expire in an outage of `min_expiry` or longer; a shorter one, such as a broken connection, leaves no
+    /// running server without its entry.
+    pub fn record_available(&mut self, now: Instant, min_expiry: Duration) -> bool {
+        let Some(since) = self.unavailable_since.take() else {
+            return false;
+        };
+        if now.saturating_duration_since(since) >= min_expiry {
             self.ended_at = Some(now);
         }
-        was_unavailable
+        true
     }
 
     /// Records that the store was restored from an older copy, which may lack entries as after an outage.
--- a/crates/policy/tests/servers.rs
+++ b/crates/policy/tests/servers.rs
@@ -23,6 +23,8 @@
 };
 
 const DRAIN: Duration = Duration::from_secs(3);
+/// Shortest outage of the store in which entries expire.
+const MIN_EXPIRY: Duration = Duration::from_millis(2_400);
 
 #[test]
 fn pause_does_not_raise_slowness() {
@@ -132,7 +134,7 @@
     let mut outage = Outage::default();
     outage.record_unavailable(now);
     let available_at = now + Duration::from_secs(10);
-    assert!(outage.record_available(available_at));
+    assert!(outage.record_available(available_at, MIN_EXPIRY));
     let retention = outage.retention(available_at, DRAIN);
     let Retention::Kept(until) = retention else {
         panic!("{retention:?}")
@@ -147,6 +149,21 @@
     ));
 }
 
+/// Guards against a broken connection to the store that keeps a server in use whose entry was removed.
+#[test]
+fn outage_in_which_no_entry_expires_keeps_no_server() {
+    let now = Instant::now();
+    let mut outage = Outage::default();
+    outage.record_unavailable(now);
+    let available_at = now + MIN_EXPIRY / 2;
+    assert!(outage.record_available(available_at, MIN_EXPIRY));
+    let retention = outage.retention(available_at, DRAIN);
+    assert!(
+        matches!(retention, Retention::LastResort(_)),
+        "{retention:?}"
+    );
+}
+
 #[test]
 fn entry_removed_without_outage_leaves_last_resort_within_drain() {
     let now = Instant::now();
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -5,6 +5,7 @@
 //! [`crate::mirror`].
 
 use std::{
+    cell::Cell,
     pin::pin,
     rc::Rc,
     sync::Arc,
@@ -75,8 +76,7 @@
 /// Initial and maximum backoff after a failed call to the store.
 pub(crate) const MIN_BACKOFF: Duration = Duration::from_millis(100);
 pub(crate) const MAX_BACKOFF: Duration = Duration::from_millis(500);
-/// Maximum wait after a failed call for a task that relies on another task to detect the recovery of the
-/// store.
+/// Maximum wait after a failed call for a task that relies on another one, which probes the store.
 const MAX_RECOVERY_WAIT: Duration = Duration::from_millis(3_000);
 
 /// Returns whether changes are urgent for this instance: it answers requests itself, or supplies others.
@@ -112,9 +112,24 @@
 pub struct StoreRecovery {
     recovered: Rc<Notification>,
     restored: Rc<Notification>,
+    /// Name of the task that probes the store.
+    prober: Rc<Cell<Option<&'static str>>>,
 }
 
 impl StoreRecovery {
+    /// Returns whether the task probes the store, which it does from now on if no other one does.
+    fn probes(&self, task: &'static str) -> bool {
+        let prober = self.prober.get().unwrap_or(task);
+        self.prober.set(Some(prober));
+        prober == task
+    }
+
+    /// Records that the task no longer probes the store.
+    fn end_probes(&self, task: &'static str) {
+        let prober = self.prober.get().filter(|prober| *prober != task);
+        self.prober.set(prober);
+    }
+
     fn notify(&self) {
         self.recovered.send();
     }
@@ -137,8 +152,9 @@
 /// Handler of the objects of one kind.
 pub(crate) trait Follower {
     const NAME: &'static str;
-    /// Whether this task probes an unavailable store with backoff instead of waiting for a notification.
-    const PROBES_STORE: bool = false;
+    /// Whether this task probes an unavailable store with backoff, if no other one does, instead of waiting for a
+    /// notification.
+    const MAY_PROBE: bool = false;
     /// Returns the pause between a change and the next watch.
     fn pause(&self) -> Duration {
         Duration::ZERO
@@ -151,7 +167,8 @@
     fn limits(&self) -> Limits;
     fn listed(&mut self, listing: Listing, now: Instant);
     fn changed(&mut self, listing: Listing, now: Instant);
-    fn store_failed(&mut self, _now: Instant) {}
+    /// Handles a failed call; the store has been unavailable since `since`.
+    fn store_failed(&mut self, _since: Instant) {}
     fn store_answered(&mut self, _now: Instant) {}
     /// Handles the restoration of the store from an older copy, before the objects are listed again.
     fn store_restored(&mut self, _now: Instant) {}
@@ -191,7 +208,8 @@
     let mut era = source.latest(kind).map(|position| position.era);
     let mut is_unavailable = false;
     loop {
-        let result = read(&source, kind, position, follower.limits(), &recovery).await;
+        let (started_at, limits) = (Instant::now(), follower.limits());
+        let result = read(&source, kind, position, limits, &recovery).await;
         let now = Instant::now();
         if era.is_some_and(|era| era != source.era()) {
             info!(
@@ -208,6 +226,7 @@
             Ok(reading) => {
                 let read = Position::of(&reading.listing);
                 if std::mem::take(&mut is_unavailable) {
+                    recovery.end_probes(F::NAME);
                     recovery.notify();
                     info!(
                         kind,
@@ -239,7 +258,10 @@
                     sleep(pause).await;
                 }
             }
-            Err(ReadError::Unsupplied) => sleep(backoff.next_wait()).await,
+            Err(ReadError::Unsupplied) => {
+                recovery.end_probes(F::NAME);
+                sleep(backoff.next_wait()).await;
+            }
             Err(ReadError::Failed(Failure::Restored)) => position = None,
             Err(ReadError::Failed(Failure::Compacted)) => {
                 info!(
@@ -255,9 +277,12 @@
                     let revision = position.map(|position| position.revision);
                     warn!(kind, revision, %error, "follow: {} can't be read.", F::NAME);
                 }
-                follower.store_failed(now);
+                // A call that timed out may have been sent to a store that was unavailable already.
+                let has_timed_out = now - started_at >= limits.store_wait;
+                follower.store_failed(if has_timed_out { started_at } else { now });
                 position = position.filter(|_| !follower.relists_after_failure());
-                match F::PROBES_STORE {
+                // A watch tells only when it ends whether the store is available.
+                match F::MAY_PROBE && position.is_none() && recovery.probes(F::NAME) {
                     true => sleep(backoff.next_wait()).await,
                     false => recovery.wait(MAX_RECOVERY_WAIT).await,
                 }
@@ -282,7 +307,7 @@
 
 impl<D: Directory> Follower for Routes<D> {
     const NAME: &'static str = "routes";
-    const PROBES_STORE: bool = true;
+    const MAY_PROBE: bool = true;
 
     fn relists_after_failure(&self) -> bool {
         true
@@ -339,6 +364,7 @@
 
 impl<D: Directory> Follower for Servers<D> {
     const NAME: &'static str = "servers";
+    const MAY_PROBE: bool = true;
 
     fn pause(&self) -> Duration {
         match is_urgent(&self.relay) {
@@ -374,8 +400,8 @@
         }
     }
 
-    fn store_failed(&mut self, now: Instant) {
-        self.relay.registry().store_unavailable(now);
+    fn store_failed(&mut self, since: Instant) {
+        self.relay.registry().store_unavailable(since);
     }
 
     fn store_answered(&mut self, now: Instant) {
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -73,6 +73,10 @@
 /// described its service.
 const MAX_UNDESCRIBED_CONNECTIONS: usize = 1;
 
+/// Heartbeats that are missed in the shortest outage of the store in which entries expire. They expire after three
+/// intervals, of which one may have passed before it.
+const MISSED_HEARTBEATS: u32 = 2;
+
 /// Settings of a registry.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -82,6 +86,8 @@
     pub retry_budget: Bound,
     /// Time for which a draining server keeps serving.
     pub drain_time: Duration,
+    /// Interval at which servers confirm their entries.
+    pub heartbeat: Duration,
     /// Names of the headers in servers' replies.
     pub names: Rc<HeaderNames>,
 }
@@ -224,14 +230,15 @@
         }
     }
 
-    /// Records that the store is unavailable.
-    pub fn store_unavailable(&self, now: Instant) {
-        self.outage.borrow_mut().record_unavailable(now);
+    /// Records that the store has been unavailable since `since`.
+    pub fn store_unavailable(&self, since: Instant) {
+        self.outage.borrow_mut().record_unavailable(since);
     }
 
     /// Records that the store is available.
     pub fn store_available(&self, now: Instant) {
-        if self.outage.borrow_mut().record_available(now) {
+        let min_expiry = self.settings.borrow().heartbeat * MISSED_HEARTBEATS;
+        if self.outage.borrow_mut().record_available(now, min_expiry) {
             info!("registry: the store is available again.");
         }
     }
--- a/crates/relay/tests/common/store.rs
+++ b/crates/relay/tests/common/store.rs
@@ -123,10 +123,14 @@
     era: Cell<u64>,
     /// Whether the store sends nothing to the instance any more.
     pub is_silent: Cell<bool>,
+    /// Whether the store refuses each call.
+    pub is_down: Cell<bool>,
     /// Whether watches report the current revision without the changes before it.
     pub is_deaf: Cell<bool>,
     /// Kinds whose next watch finds that the history is gone.
     pub forgotten: RefCell<BTreeSet<String>>,
+    /// Kinds whose watch has its connection broken at the next change or wake-up.
+    pub broken: RefCell<BTreeSet<String>>,
     /// Calls that the instance has made, stale reads excluded.
     pub calls: Cell<usize>,
 }
@@ -142,6 +146,9 @@
 
     async fn call(&self, wait: Duration) -> Result<(), Failure> {
         self.calls.set(self.calls.get() + 1);
+        if self.is_down.get() {
+            return Err(Failure::Unavailable);
+        }
         if self.is_silent.get() {
             monoio::time::sleep(wait + Duration::from_millis(700)).await;
             return Err(Failure::Lost);
@@ -244,6 +251,9 @@
             let changed = self.shared.changed.wait();
             // Both a change and the timeout are handled by the next round.
             let _ = timeout(left, changed).await;
+            if self.broken.borrow_mut().remove(kind) {
+                return Err(Failure::Lost);
+            }
             if self.is_silent.get() {
                 monoio::time::sleep(left + Duration::from_millis(700)).await;
                 return Err(Failure::Lost);
