--- a/crates/bench/src/servers/handler.rs
+++ b/crates/bench/src/servers/handler.rs
@@ -1,6 +1,7 @@
 //! The HTTP interface of a backend server.
 
 use std::{
+    cell::RefCell,
     rc::Rc,
     time::Duration, //
 };
@@ -50,6 +51,8 @@
 /// Range of the pauses that the server asks for, in seconds.
 const MIN_PAUSE_S: f64 = 0.1;
 const MAX_PAUSE_S: f64 = 2.0;
+/// Rejections that are sent a second time, late, as a multiple of the share of faulty replies: few requests are rejected.
+const LATE_COPIES: f64 = 20.0;
 /// Number of header lines of an endless head.
 const ENDLESS_LINES: usize = 40_000;
 
@@ -94,12 +97,18 @@
 pub struct Handler {
     server: Rc<Server>,
     socket: Socket,
+    /// Id of the request that was rejected last, until the next one comes.
+    rejected: RefCell<Option<String>>,
 }
 
 impl Handler {
     /// Makes the handler of the connection on `socket`.
     pub fn new(server: Rc<Server>, socket: Socket) -> Self {
-        Self { server, socket }
+        Self {
+            server,
+            socket,
+            rejected: RefCell::default(),
+        }
     }
 
     fn health(&self) -> Response<Bytes> {
@@ -184,8 +193,14 @@
         };
         let Some(permit) = permit else {
             self.log_arrival(request, id, at_us, Disposition::Refused);
-            return self.refuse(StatusCode::SERVICE_UNAVAILABLE);
+            self.rejected.replace(Some(id.to_owned()));
+            let mut reply = self.refuse(StatusCode::SERVICE_UNAVAILABLE);
+            if let Ok(id) = HeaderValue::from_str(id) {
+                reply.headers_mut().insert(&server.names.request, id);
+            }
+            return reply;
         };
+        self.copy_rejection();
         let run = self.log_arrival(request, id, at_us, Disposition::Ran);
         sleep(server.draw_service_time()).await;
         let reply = self.run(request, id, run).await;
@@ -216,6 +231,20 @@
         reply
     }
 
+    /// Sends the rejection of the request before once more, in some of the cases.
+    fn copy_rejection(&self) {
+        let share = self.server.options.mischief * LATE_COPIES;
+        let rejected = self.rejected.take();
+        let rejected = rejected.filter(|_| rand::rng().random_bool(share.clamp(0.0, 1.0)));
+        if let Some(id) = rejected {
+            let (request, not_run) = (&self.server.names.request, &self.server.names.not_run);
+            let head = format!("{request}: {id}\r\n{not_run}: 1\r\n");
+            let copy =
+                format!("HTTP/1.1 503 Service Unavailable\r\n{head}content-length: 0\r\n\r\n");
+            self.socket.write(copy.as_bytes());
+        }
+    }
+
     /// Returns whether the server rejects the request and asks for a pause.
     fn wants_pause(&self) -> bool {
         let share = self.server.options.mischief * PAUSE_SHARE;
