fix(relay): a store that is away isn't asked more often by instances without watchers

With no watcher in reach and the store away, an instance asked it again after 0.2 to 1 s for each kind, hundreds of instances at once, where it had been 2 to 5 s.

Cause: the short wait for instances that no watcher replies to also held after a failed read of the store.

Why the fix works: a failed read of the store brings back the long wait until a watcher has supplied the instance.

--- a/crates/policy/src/watchers.rs
+++ b/crates/policy/src/watchers.rs
@@ -98,7 +98,7 @@
 /// Why no watcher supplies an instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Shortage {
-    /// None has supplied it yet: the whole fleet may have started with it.
+    /// None has supplied it since its start, or since the store failed: that may hold for the whole fleet.
     Start,
     /// None replies.
     Unreachable,
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -110,7 +110,7 @@
     turn: u64,
     /// When a watcher supplied the last reading, or the store was asked instead.
     supplied_at: Instant,
-    /// Whether any watcher has supplied a reading.
+    /// Whether any watcher has supplied a reading since the start, or since the store failed.
     was_supplied: bool,
     /// Whether the store is read until a watcher supplies this instance again.
     is_direct: bool,
@@ -234,7 +234,7 @@
 
     /// Reads the store, and finds out meanwhile whether a watcher supplies this instance again.
     ///
-    /// After a failure, watchers are asked again and the store waits for its turn, as it may be unavailable to all.
+    /// After a failure, watchers are asked again, and the store only after a longer wait, as it may be unavailable to all.
     async fn read_directly(
         &self,
         kind: &'static str,
@@ -254,6 +254,7 @@
         if !is_answered {
             self.with_reads(kind, |reads| {
                 reads.is_direct = false;
+                reads.was_supplied = false;
                 reads.supplied_at = Instant::now();
             });
         }
--- a/crates/relay/tests/watchers.rs
+++ b/crates/relay/tests/watchers.rs
@@ -247,6 +247,33 @@
     });
 }
 
+/// The store is away from readers that have no watchers, perhaps hundreds of them.
+#[test]
+fn store_that_is_away_is_asked_rarely_without_watchers() {
+    const OUTAGE: Duration = Duration::from_secs(8);
+    run(async {
+        let fleet = Fleet::start().await;
+        fleet.change(2);
+        fleet.reader.time_until_version(2, MAX_DELAY).await;
+        for watcher in &fleet.watchers {
+            watcher.instance.stop.set();
+        }
+        let reader = &fleet.reader;
+        reader.link.is_down.set(true);
+        // Polls that they hold are still answered.
+        sleep(MAX_DELAY).await;
+        let before = reader.link.calls.get();
+        sleep(OUTAGE).await;
+        let calls = reader.link.calls.get() - before;
+        // Four kinds, each after 2 s at the earliest.
+        assert!(calls <= 16, "{calls} calls");
+        reader.link.is_down.set(false);
+        fleet.change(3);
+        let delay = reader.time_until_version(3, MAX_UNSUPPLIED).await;
+        assert!(delay < MAX_UNSUPPLIED, "{delay:?}");
+    });
+}
+
 /// The connections to all watchers are refused from one moment on; later one of them is back.
 #[test]
 fn reader_that_loses_all_watchers_reads_the_store_until_one_is_back() {
