fix(relay): repeats of idempotent requests open no connection

New connections take slots of servers that are overloaded.

Cause: a repeat avoided the connections that had carried the request, whatever its kind.

Why the fix works: only for requests that must run once does a late copy do harm; others take a used connection if no other is idle (`relay/sheds` `repeated_request_that_may_run_twice_opens_no_connection`).

--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -160,8 +160,8 @@
     pub(crate) is_at_most_once: bool,
     /// Is told if the connection ends without a reply after its caller has left; none for a peer.
     pub(crate) witness: Option<Witness>,
-    /// Connections that have carried the same request, and so don't carry it again: a late second copy of an earlier
-    /// reply has the id of the request, too.
+    /// Connections that have carried the same request, where a late second copy of an earlier reply would have the id of the
+    /// request, too. They carry it again only if it may be repeated and no other connection is idle.
     pub(crate) used: &'a [connection::Id],
 }
 
@@ -440,7 +440,11 @@
             reply,
             witness,
         };
-        while let Some(handle) = self.pop_idle(used) {
+        let other = |server: &Self| match is_at_most_once {
+            true => None,
+            false => server.pop_idle(&[]),
+        };
+        while let Some(handle) = self.pop_idle(used).or_else(|| other(self)) {
             let connection = handle.id();
             match handle.send(job) {
                 Ok(()) => {
--- a/crates/relay/tests/sheds.rs
+++ b/crates/relay/tests/sheds.rs
@@ -156,6 +156,22 @@
     });
 }
 
+/// New connections take slots of servers that are overloaded.
+#[test]
+fn repeated_request_that_may_run_twice_opens_no_connection() {
+    run(async {
+        let fake = FakeServer::start("s1", |number| match number {
+            1 | 2 => Behavior::Shed,
+            _ => serve("ok"),
+        });
+        let instance = instance_with(read_and_write_routes(), &[("one", &fake)]);
+        for _ in 0..2 {
+            assert_eq!(instance.get("/read/a").await.status(), 200);
+        }
+        assert_eq!((fake.arrivals(), fake.accepted.get()), (4, 1));
+    });
+}
+
 /// A server has served a request a moment ago and sheds everything from then on.
 #[test]
 fn repeats_of_one_call_are_limited() {
