fix(relay): a request is waited for while the peer that works on it is busy

What callers saw: 502, "no answer of a peer", while the instance that a request had been passed on to still worked on it.

Cause: after two objectives without a reply of the peer to this sender the request was given up. A small instance sends a peer few requests a second, so its silence towards one sender says nothing.

Why it works: a silent peer is probed on a new connection after one objective and then after each two; a reply, of whatever status, shows that it works. A suspended process replies to nothing, so that it is found as early as before. A query is waited for as long as a peer may work on it, three objectives.

The test request_that_a_busy_peer_still_works_on_is_waited_for failed before: 502 in place of 200.

--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -72,6 +72,7 @@
     answer,
     feed,
     in_flight::InFlight,
+    liveness,
     peer::{
         self,
         Decline,
@@ -224,6 +225,10 @@
         }
         _ => {}
     }
+    if origin == Origin::Peer && liveness::is_probe(&request) {
+        activity.is_busy.set(false);
+        return answer::with_text(StatusCode::OK, "alive").map(Full::new);
+    }
     let id = request.headers().get(&relay.names().request);
     let id = id.and_then(|id| id.to_str().ok()).unwrap_or("none");
     let in_flight = InFlight::new(relay.clone(), id.to_owned());
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,6 +27,7 @@
 mod in_flight;
 pub mod latency;
 pub mod links;
+mod liveness;
 pub mod maintenance;
 pub mod merge;
 pub mod meter;
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -6,6 +6,7 @@
 //! sender's state and whether the peer declined the request.
 
 use std::{
+    pin::pin,
     rc::Rc,
     time::{
         Duration,
@@ -15,15 +16,22 @@
 
 use bytes::Bytes;
 use futures_channel::oneshot;
+use futures_util::future::{
+    select,
+    Either, //
+};
 use http::{
     HeaderMap,
     HeaderName,
     HeaderValue,
     Response, //
 };
-use monoio::time::timeout;
+use monoio::time::sleep_until;
 use policy::health::Transition;
-use route::Route;
+use route::{
+    Route,
+    Target, //
+};
 use tracing::info;
 
 use crate::{
@@ -33,7 +41,11 @@
         Failure,
         Reply, //
     },
-    relay::Relay,
+    liveness,
+    relay::{
+        Relay,
+        DEADLINE_OBJECTIVES, //
+    },
     request::CallerRequest,
     server::{
         Exchange,
@@ -64,9 +76,11 @@
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Requests in flight above which an instance declines those of peers: more would wait for the processor.
 const MAX_IN_FLIGHT: usize = 48;
-/// Timeout of a peer that has sent no reply to any request, as a multiple of the latency objective: the
+/// Time without any reply of a peer after which a request to it is given up, as a multiple of the latency objective: the
 /// caller still has time to try another instance.
 const UNRESPONSIVE_OBJECTIVES: u32 = 2;
+/// Share of that time after which the peer is probed.
+const PROBE_SHARE: f64 = 0.5;
 /// Maximum number of peers that are tried for one request: each that declines costs a round trip.
 const MAX_PEERS_PER_REQUEST: usize = 3;
 /// Maximum number of peers that are tried for one request while the links of this instance are lost: those of several
@@ -105,7 +119,7 @@
     route: Option<&Route>,
 ) -> Delegation {
     let objective = route.map_or(DEFAULT_OBJECTIVE, |route| route.objective);
-    let reply_timeout = route.map_or(DEFAULT_TIMEOUT, |route| route.timeout);
+    let reply_timeout = route.map_or(DEFAULT_TIMEOUT, max_processing_time);
     let is_unlinked = relay.registry().links().are_lost();
     let max_peers = match is_unlinked {
         true => MAX_PEERS_WITHOUT_LINKS,
@@ -146,6 +160,17 @@
     Delegation::NotTaken { may_have_run }
 }
 
+/// Returns the time after which a peer has answered or given up a request on a route.
+fn max_processing_time(route: &Route) -> Duration {
+    match &route.target {
+        Target::Gather(_) => {
+            let given_up = route.objective * (1 + DEADLINE_OBJECTIVES);
+            route.timeout.min(given_up.max(MIN_WAIT))
+        }
+        _ => route.timeout,
+    }
+}
+
 /// Result of one attempt to pass a request on to a peer.
 enum Attempted {
     /// The peer answered it.
@@ -215,7 +240,7 @@
 
     /// Sends the request and waits for the reply; returns none if it doesn't arrive in time.
     ///
-    /// The wait is cut short if the peer sends no reply to any request.
+    /// The wait is cut short if the peer is unresponsive.
     async fn exchange(&self, now: Instant, baseline: Duration) -> Option<ExchangeResult> {
         let Self {
             relay,
@@ -242,14 +267,38 @@
             witness: None,
             used: &[],
         });
-        let mut receiver = sent.receiver;
-        let first_wait = time_left.min((self.objective * UNRESPONSIVE_OBJECTIVES).max(MIN_WAIT));
-        let mut result = timeout(first_wait, &mut receiver).await;
-        if result.is_err() && peer.has_replied_since(now) {
-            result = timeout(time_left.saturating_sub(now.elapsed()), receiver).await;
-        }
+        let result = {
+            let unresponsive = pin!(self.unresponsive(now));
+            let deadline = pin!(sleep_until((now + time_left).into()));
+            let given_up = select(unresponsive, deadline);
+            match select(sent.receiver, given_up).await {
+                Either::Left((result, _)) => Some(result),
+                Either::Right(_) => None,
+            }
+        };
         peer.remove_pending(number);
-        result.ok()
+        result
+    }
+
+    /// Completes once the peer is unresponsive: it replies neither to any request nor to a probe for a while.
+    async fn unresponsive(&self, sent_at: Instant) {
+        let max_silence = (self.objective * UNRESPONSIVE_OBJECTIVES).max(MIN_WAIT);
+        let mut since = sent_at;
+        loop {
+            let until = since + max_silence;
+            sleep_until((since + max_silence.mul_f64(PROBE_SHARE)).into()).await;
+            let time_left = until.saturating_duration_since(Instant::now());
+            let replies = liveness::probe(self.peer.address(), time_left).await;
+            sleep_until(until.into()).await;
+            let is_responsive = replies || self.peer.has_replied_since(since);
+            let id = self.caller_request.id.to_str().unwrap_or("unprintable");
+            let ms = sent_at.elapsed().as_millis() as u64;
+            info!(request = id, peer = %self.peer.id(), ms, is_responsive, "peer: no answer for a while.");
+            if !is_responsive {
+                return;
+            }
+            since = until;
+        }
     }
 
     fn failed(&self, id: &str, ms: u64, failure: Option<ExchangeResult>) -> Attempted {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -70,7 +70,7 @@
 /// Latency objectives past `answer_by` after which a query that lacks shards is given up.
 ///
 /// Sub-requests carry this deadline, so that servers drop those that are still queued by then.
-const DEADLINE_OBJECTIVES: u32 = 2;
+pub(crate) const DEADLINE_OBJECTIVES: u32 = 2;
 /// Share of its remaining time that a request to a single service may wait for a server.
 const QUEUE_WAIT_SHARE: f64 = 0.5;
 /// Minimum `Retry-After` of a request under which servers crashed: a report reaches the other instances in a write to the store
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -394,3 +394,40 @@
         assert_eq!(zones(&small), ["there", "there", "there"]);
     });
 }
+
+/// Guards against the loss of a request that a peer works on, only because no reply of the peer has arrived for a while.
+#[test]
+fn request_that_a_busy_peer_still_works_on_is_waited_for() {
+    run(async {
+        let slow = |_| Behavior::Serve(Duration::from_millis(900), b"ok".to_vec());
+        let fake = FakeServer::start("s1", slow);
+        let (small, _large) = fleet(&fake);
+        for request in [common::get("/read/a"), post("/write/a", "x")] {
+            let answer = small.ask(&request).await;
+            assert_eq!((answer.status(), answer.text().as_str()), (200, "ok"));
+        }
+        assert_eq!(fake.arrivals(), 2);
+    });
+}
+
+/// A peer that accepts connections and does nothing, as one that is suspended.
+#[test]
+fn request_to_a_silent_peer_is_given_up_early() {
+    run(async {
+        let fake = FakeServer::start("s1", |_| serve("ok"));
+        let (small, _large) = fleet(&fake);
+        let silent = FakeServer::start("l1", |_| Behavior::Silent);
+        let members = ["l1", "l2", "l3"].map(|name| {
+            let mut member = small.member(name, LARGE_CORES);
+            member.address = silent.address;
+            member
+        });
+        small.relay.registry().set_members(members.to_vec());
+        let asked_at = Instant::now();
+        assert_eq!(small.get("/read/a").await.status(), 502);
+        // Twice the objective of 300 ms; the caller waits for two seconds.
+        let took = asked_at.elapsed();
+        assert!(took < Duration::from_millis(800), "{took:?}");
+        assert_eq!(fake.arrivals(), 0);
+    });
+}
