feat(relay, policy): sub-requests that are late wait behind all others

The test required_shard_whose_server_is_busy_at_the_objective_is_waited_for failed before: 503 in place of 200. The set-up of a server with one connection, in drain.rs and sheds.rs, is one function of tests/common now.

--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -1,4 +1,4 @@
-//! A bounded queue ordered by class, then deadline, that sheds by class, then rank.
+//! A bounded queue ordered by priority, then deadline, that sheds by priority, then rank.
 //!
 //! A query gets a complete answer only if every service replies to its sub-request. If each service shed
 //! at random, each would drop sub-requests of other queries, so that at twice the capacity hardly any
@@ -12,10 +12,28 @@
 
 use config::preset::Class;
 
+/// Order in which items are served, before their deadlines count.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Priority {
+    /// Whether the item has missed its objective; it is served after all that can still meet theirs.
+    pub is_late: bool,
+    /// Class of the request.
+    pub class: Class,
+}
+
+impl From<Class> for Priority {
+    fn from(class: Class) -> Self {
+        Self {
+            is_late: false,
+            class,
+        }
+    }
+}
+
 /// Position of an item in the queue; smaller keys are served first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Key {
-    class: Class,
+    priority: Priority,
     deadline: Instant,
     sequence: u64,
 }
@@ -82,10 +100,17 @@
     }
 
     /// Queues `item`; if the queue is full, sheds the item that is first in shedding order.
-    pub fn push(&mut self, class: Class, deadline: Instant, rank: Rank, item: T) -> Push<T> {
+    pub fn push(
+        &mut self,
+        priority: impl Into<Priority>,
+        deadline: Instant,
+        rank: Rank,
+        item: T,
+    ) -> Push<T> {
         self.last_sequence += 1;
+        let priority = priority.into();
         let key = Key {
-            class,
+            priority,
             deadline,
             sequence: self.last_sequence,
         };
@@ -93,7 +118,7 @@
             self.items.insert(key, Item { rank, item });
             return Push::Queued(key);
         }
-        match self.shed(class, rank) {
+        match self.shed(priority, rank) {
             Some(displaced) => {
                 self.items.insert(key, Item { rank, item });
                 Push::Displaced(key, displaced)
@@ -102,18 +127,18 @@
         }
     }
 
-    /// Removes the item that is first in shedding order, if it comes before an item of `class` and `rank`.
+    /// Removes the item that is first in shedding order, if it comes before an item of `priority` and `rank`.
     ///
-    /// The least urgent class is shed first, and within it the highest rank.
-    pub fn shed(&mut self, class: Class, rank: Rank) -> Option<T> {
-        let last_class = self.items.last_key_value()?.0.class;
+    /// The least urgent priority is shed first, and within it the highest rank.
+    pub fn shed(&mut self, priority: impl Into<Priority>, rank: Rank) -> Option<T> {
+        let last_priority = self.items.last_key_value()?.0.priority;
         let least_urgent = self
             .items
             .iter()
             .rev()
-            .take_while(|(key, _)| key.class == last_class);
+            .take_while(|(key, _)| key.priority == last_priority);
         let (key, candidate) = least_urgent.max_by_key(|(_, item)| item.rank)?;
-        match (last_class, candidate.rank) > (class, rank) {
+        match (last_priority, candidate.rank) > (priority.into(), rank) {
             true => self.remove(&key.clone()),
             false => None,
         }
@@ -135,9 +160,9 @@
     }
 
     /// Returns the number of items that are served before an item pushed now.
-    pub fn ahead(&self, class: Class, deadline: Instant) -> usize {
+    pub fn ahead(&self, priority: impl Into<Priority>, deadline: Instant) -> usize {
         let last = Key {
-            class,
+            priority: priority.into(),
             deadline,
             sequence: u64::MAX,
         };
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -33,6 +33,7 @@
         Window, //
     },
     queue::{
+        Priority,
         Push,
         Queue,
         Rank, //
@@ -255,6 +256,29 @@
     ranks
 }
 
+#[test]
+fn late_items_are_served_after_all_others_and_shed_first() {
+    let now = Instant::now();
+    let rank = Rank::new(0);
+    let mut queue = Queue::new(3);
+    let late = Priority {
+        is_late: true,
+        class: Class::Urgent,
+    };
+    queue.push(late, now, rank, "late");
+    queue.push(Class::Bulk, now + ms(9), rank, "bulk");
+    assert_eq!(queue.ahead(Class::Bulk, now + ms(9)), 1);
+    assert_eq!(queue.ahead(late, now), 2);
+    queue.push(Class::Normal, now + ms(9), rank, "normal");
+    let displaced = queue.push(Class::Bulk, now + ms(5), rank, "sooner");
+    assert!(
+        matches!(displaced, Push::Displaced(_, "late")),
+        "{displaced:?}"
+    );
+    let order: Vec<_> = std::iter::from_fn(|| queue.pop()).collect();
+    assert_eq!(order, ["normal", "sooner", "bulk"]);
+}
+
 #[test]
 fn queue_is_ordered_by_class_then_deadline() {
     let now = Instant::now();
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -273,9 +273,16 @@
                 times_out_at,
             ),
         };
+        // An answer that lacks too many shards is still of use when it is late.
+        let late_until = match &route.target {
+            Target::Gather(_) => deadline,
+            _ => wait_until,
+        };
         let scheduling = Scheduling {
             class: class(route.priority),
             wait_until,
+            late_until,
+            is_late: false,
             answer_by,
             deadline,
             rank: rank(caller_request),
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -25,6 +25,7 @@
     admission, choice,
     queue::{
         Key,
+        Priority,
         Push,
         Queue,
         Rank, //
@@ -67,6 +68,10 @@
     pub class: Class,
     /// When it stops waiting for a server; a request that is sent later would be answered too late.
     pub wait_until: Instant,
+    /// Until when it may wait after that, behind all requests that can still be answered in time.
+    pub late_until: Instant,
+    /// Whether it can't be answered in time any more.
+    pub is_late: bool,
     /// When its answer must be sent to meet the latency objective.
     pub answer_by: Instant,
     /// When its answer is no longer of use.
@@ -80,6 +85,22 @@
 }
 
 impl Scheduling {
+    fn priority(&self) -> Priority {
+        Priority {
+            is_late: self.is_late,
+            class: self.class,
+        }
+    }
+
+    /// Returns how the request waits once it can't be answered in time any more; none if it doesn't.
+    fn late(self) -> Option<Self> {
+        (self.late_until > self.wait_until).then_some(Self {
+            wait_until: self.late_until,
+            is_late: true,
+            ..self
+        })
+    }
+
     /// Returns the time that a server is expected to need at the most.
     pub(crate) fn service_time(&self) -> Duration {
         (self.baseline * DRAIN_BASELINES).min(self.objective)
@@ -266,7 +287,7 @@
         let ahead = self
             .queue
             .borrow()
-            .ahead(scheduling.class, scheduling.deadline);
+            .ahead(scheduling.priority(), scheduling.deadline);
         let servers = self.servers.borrow();
         let available = servers.iter().filter(|server| server.is_available(now));
         let each = available.map(|server| server.throughput(now, scheduling.baseline));
@@ -282,13 +303,27 @@
         waits.filter(|wait| !wait.is_zero()).min()
     }
 
+    /// Waits for a server; a request that may be late waits behind all others once it can't be in time.
     async fn wait(&self, now: Instant, scheduling: Scheduling) -> Result<(), Refusal> {
+        match scheduling.late() {
+            Some(late) if now >= scheduling.wait_until => self.wait_in_queue(now, late).await,
+            Some(late) => match self.wait_in_queue(now, scheduling).await {
+                Err(Refusal::Late | Refusal::Busy) => {
+                    self.wait_in_queue(Instant::now(), late).await
+                }
+                result => result,
+            },
+            None => self.wait_in_queue(now, scheduling).await,
+        }
+    }
+
+    async fn wait_in_queue(&self, now: Instant, scheduling: Scheduling) -> Result<(), Refusal> {
         if self.expected_wait(now, scheduling) > self.wait_left(now, scheduling) {
             return Err(self.late_refusal(Refusal::Busy));
         }
         let (sender, receiver) = oneshot::channel();
         let pushed = self.queue.borrow_mut().push(
-            scheduling.class,
+            scheduling.priority(),
             scheduling.deadline,
             scheduling.rank,
             sender,
@@ -335,7 +370,8 @@
                 Ok(Either::Left((Err(_), _))) => return Err(Refusal::Busy),
                 Ok(Either::Right(_)) => {
                     let now = Instant::now();
-                    if self.expected_wait(now, scheduling) > self.wait_left(now, scheduling) {
+                    let expected_wait = self.expected_wait(now, scheduling);
+                    if expected_wait > self.wait_left(now, scheduling) {
                         return Err(Refusal::Leaving);
                     }
                 }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -245,6 +245,22 @@
     instance
 }
 
+/// Starts an instance with routes and with a server of the service `one`, to which it may open one connection.
+pub fn instance_with_one_connection(
+    routes: fn() -> Vec<Route>,
+    server: &Rc<FakeServer>,
+) -> Instance {
+    let instance = instance_with(routes(), &[("one", server)]);
+    let service = Service {
+        name: "one".into(),
+        health_path: "/health".into(),
+        max_connections: 1,
+    };
+    let table = Table::new(2, routes(), vec![service], Limits::default());
+    instance.relay.set_table(Arc::new(table));
+    instance
+}
+
 /// Builds `GET path` with an id and a deadline of two seconds.
 pub fn get(path: &str) -> String {
     format!("GET {path} HTTP/1.1\r\nhost: host\r\nid: q1\r\nwait-ms: 2000\r\n\r\n")
--- a/crates/relay/tests/drain.rs
+++ b/crates/relay/tests/drain.rs
@@ -2,18 +2,15 @@
 
 mod common;
 
-use std::{
-    rc::Rc,
-    sync::Arc,
-    time::{
-        Duration,
-        Instant, //
-    },
+use std::time::{
+    Duration,
+    Instant, //
 };
 
 use common::{
     get,
     instance_with,
+    instance_with_one_connection,
     post,
     query_route,
     read_and_write_routes,
@@ -21,29 +18,10 @@
     serve,
     Behavior,
     FakeServer,
-    Instance,
     Message,
     RawConnection, //
 };
 use monoio::time::sleep;
-use route::{
-    Limits,
-    Service,
-    Table, //
-};
-
-/// Starts an instance with one server, which it may open one connection to.
-fn instance_with_one_connection(server: &Rc<FakeServer>) -> Instance {
-    let instance = instance_with(read_and_write_routes(), &[("one", server)]);
-    let service = Service {
-        name: "one".into(),
-        health_path: "/health".into(),
-        max_connections: 1,
-    };
-    let table = Table::new(2, read_and_write_routes(), vec![service], Limits::default());
-    instance.relay.set_table(Arc::new(table));
-    instance
-}
 
 /// Returns the answer with the time from `since` to its arrival.
 async fn answer(caller: &mut RawConnection, since: Instant) -> (Message, Duration) {
@@ -56,7 +34,7 @@
 fn requests_that_wait_or_run_are_answered_before_the_shutdown_ends() {
     run(async {
         let fake = FakeServer::start("s1", |_| Behavior::Silent);
-        let instance = instance_with_one_connection(&fake);
+        let instance = instance_with_one_connection(read_and_write_routes, &fake);
         let mut running = RawConnection::open(instance.address).await;
         running.write(post("/write/a", "x")).await;
         while fake.arrivals() == 0 {
--- a/crates/relay/tests/gather.rs
+++ b/crates/relay/tests/gather.rs
@@ -13,12 +13,15 @@
 
 use common::{
     instance_with,
+    instance_with_one_connection,
     query_route,
+    read_and_write_routes,
     run,
     serve,
     Behavior,
     FakeServer, //
 };
+use monoio::time::sleep;
 
 /// Returns a record that starts with `letter`.
 fn record(letter: char) -> String {
@@ -103,6 +106,38 @@
     });
 }
 
+/// Guards against a query that fails at its objective, and is sent again to all shards, as one shard has no server free yet.
+#[test]
+fn required_shard_whose_server_is_busy_at_the_objective_is_waited_for() {
+    /// Queries after which the instance knows how long one takes.
+    const WARM_UP: usize = 40;
+    run(async {
+        let busy = FakeServer::start("s1", |number| match number {
+            number if number == WARM_UP => {
+                Behavior::Serve(Duration::from_millis(700), b"ok".to_vec())
+            }
+            _ => serve(&record('a')),
+        });
+        let routes = || {
+            let mut routes = read_and_write_routes();
+            routes.push(query_route(&["one"], 5, 1.0));
+            routes
+        };
+        let instance = instance_with_one_connection(routes, &busy);
+        for _ in 0..WARM_UP {
+            assert_eq!(instance.get("/all/x").await.status(), 200);
+        }
+        let first = instance.get("/read/x");
+        let query = async {
+            sleep(Duration::from_millis(200)).await;
+            instance.get("/all/x").await
+        };
+        let (first, query) = futures_util::join!(first, query);
+        assert_eq!((first.status(), query.status()), (200, 200));
+        assert_eq!((query.text(), busy.arrivals()), (record('a'), WARM_UP + 2));
+    });
+}
+
 #[test]
 fn query_with_too_few_available_shards_is_refused_without_sub_requests() {
     run(async {
--- a/crates/relay/tests/sheds.rs
+++ b/crates/relay/tests/sheds.rs
@@ -2,17 +2,15 @@
 
 mod common;
 
-use std::{
-    sync::Arc,
-    time::{
-        Duration,
-        Instant, //
-    },
+use std::time::{
+    Duration,
+    Instant, //
 };
 
 use common::{
     get,
     instance_with,
+    instance_with_one_connection,
     post,
     query_route,
     read_and_write_routes,
@@ -22,11 +20,6 @@
     FakeServer,
     RawConnection, //
 };
-use route::{
-    Limits,
-    Service,
-    Table, //
-};
 
 /// Returns whether the `number`th request is among three of four; the first one isn't.
 fn is_shed(number: usize) -> bool {
@@ -142,14 +135,7 @@
             1 => Behavior::Shed,
             _ => serve("ok"),
         });
-        let instance = instance_with(read_and_write_routes(), &[("one", &fake)]);
-        let service = Service {
-            name: "one".into(),
-            health_path: "/health".into(),
-            max_connections: 1,
-        };
-        let table = Table::new(2, read_and_write_routes(), vec![service], Limits::default());
-        instance.relay.set_table(Arc::new(table));
+        let instance = instance_with_one_connection(read_and_write_routes, &fake);
         assert_eq!(instance.get("/read/a").await.status(), 200);
         assert_eq!(instance.ask(&post("/write/a", "x")).await.status(), 200);
         assert_eq!((fake.accepted.get(), fake.connections.get()), (2, 1));
