feat(relay, policy): few sub-requests are in flight at servers that are all late

An instance has a window for each server, which is halved while the median latency of the fastest server of the service is over 0.35 of the objective.

The model's parts that are late wait behind all others now, as in the relay.

--- a/crates/bench/src/model/engine.rs
+++ b/crates/bench/src/model/engine.rs
@@ -2,10 +2,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{
-        BinaryHeap,
-        VecDeque, //
-    },
+    collections::BinaryHeap,
     time::{
         Duration,
         Instant, //
@@ -25,7 +22,7 @@
         Progress,
         Step, //
     },
-    hedge, refusal,
+    concurrency, hedge, refusal,
     retry_budget::{
         Bound,
         Budget,
@@ -62,6 +59,7 @@
         Instance,
         Part,
         Query,
+        Queue,
         Server,
         View, //
     },
@@ -87,16 +85,19 @@
     Hedge,
     /// A query waits for all shards until its deadline.
     Patience,
+    /// Sub-requests are sent to a server on each connection, however long its replies take.
+    Window,
 }
 
 impl Without {
     /// Every variant.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Nothing,
         Self::Admission,
         Self::Service,
         Self::Hedge,
         Self::Patience,
+        Self::Window,
     ];
 }
 
@@ -132,7 +133,7 @@
         .unwrap_or(started_at);
     let new_instance = || Instance {
         views: vec![View::default(); SHARDS * REPLICAS],
-        queues: vec![VecDeque::new(); SHARDS],
+        queues: vec![Queue::default(); SHARDS],
         retry_budgets: vec![Budget::new(Bound::default(), INSTANCES, budget_started_at); SHARDS],
         latencies: Statistics::new(OBJECTIVE),
     };
@@ -256,7 +257,10 @@
             let view = &state.views[server];
             let candidate = Candidate {
                 in_flight: view.in_flight,
-                usable: CONNECTIONS,
+                usable: match self.without {
+                    Without::Window => CONNECTIONS,
+                    _ => view.window.usable(CONNECTIONS),
+                },
                 latency_us: view.slowness.current(self.instant()).max(0.1) * 1_000.0,
                 slow_start_share: 1.0,
                 failures: 0,
@@ -302,10 +306,10 @@
             by_slots_per_s: per_s,
             allowed_per_s: per_s,
         };
-        admission::estimate_wait_at_rate(state.queues[shard].len(), throughput)
+        admission::estimate_wait_at_rate(state.queues[shard].in_time(), throughput)
     }
 
-    /// Sends a part to a free server. If none is free, queues it, or fails it if it would miss the objective.
+    /// Sends a part to a free server. If none is free, queues it, behind all others if it would miss the objective.
     fn dispatch(&mut self, part: usize) {
         let Part { query, shard, .. } = self.parts[part];
         let instance = self.queries[query].instance;
@@ -319,10 +323,8 @@
             .deadlines
             .objective
             .saturating_duration_since(self.instant());
-        match self.estimate_service_delay(instance, shard, &candidates) > remaining {
-            true => self.fail_part(part),
-            false => self.instances[instance].queues[shard].push_back(part),
-        }
+        let is_late = self.estimate_service_delay(instance, shard, &candidates) > remaining;
+        self.instances[instance].queues[shard].push(part, is_late);
     }
 
     fn send(&mut self, part: usize, server: usize) {
@@ -440,10 +442,15 @@
         let latency = self.now - sent_at;
         let state = &mut self.instances[instance];
         let baseline = state.latencies.baseline().as_secs_f64().max(1e-6);
-        state.views[server].in_flight -= 1;
-        state.views[server]
-            .slowness
-            .record(now, latency.as_secs_f64() / baseline);
+        let view = &mut state.views[server];
+        let was_full = view.in_flight >= view.window.usable(CONNECTIONS);
+        view.in_flight -= 1;
+        view.slowness.record(now, latency.as_secs_f64() / baseline);
+        match concurrency::is_late(latency, OBJECTIVE) {
+            true => view.window.record_late(now, CONNECTIONS),
+            false if was_full => view.window.record_in_time(CONNECTIONS),
+            false => {}
+        }
         if !is_done {
             state.latencies.record(now, latency);
             self.parts[part].is_done = true;
@@ -466,7 +473,7 @@
     }
 
     fn dispatch_next_queued(&mut self, instance: usize, shard: usize) {
-        while let Some(part) = self.instances[instance].queues[shard].pop_front() {
+        while let Some(part) = self.instances[instance].queues[shard].pop() {
             if !self.queries[self.parts[part].query].is_over {
                 return self.dispatch(part);
             }
--- a/crates/bench/src/model/state.rs
+++ b/crates/bench/src/model/state.rs
@@ -10,6 +10,7 @@
         Deadlines,
         Progress, //
     },
+    concurrency::Window,
     retry_budget::Budget,
     slowness::Tracker,
 };
@@ -59,18 +60,47 @@
 pub(super) struct View {
     /// Sub-requests that the instance has in flight there.
     pub(super) in_flight: usize,
+    /// Sub-requests that the instance may have in flight there.
+    pub(super) window: Window,
     /// Recent latency as a multiple of the baseline.
     pub(super) slowness: Tracker,
     /// Sequence number of the last sub-request sent there; the least recently used of equal servers is chosen.
     pub(super) last_sequence: u64,
 }
 
+/// Parts that wait for a free server of one shard.
+#[derive(Debug, Default, Clone)]
+pub(super) struct Queue {
+    in_time: VecDeque<usize>,
+    late: VecDeque<usize>,
+}
+
+impl Queue {
+    /// Returns the number of parts that are expected to be served in time.
+    pub(super) fn in_time(&self) -> usize {
+        self.in_time.len()
+    }
+
+    /// Queues a part; a late one waits behind all others.
+    pub(super) fn push(&mut self, part: usize, is_late: bool) {
+        match is_late {
+            true => self.late.push_back(part),
+            false => self.in_time.push_back(part),
+        }
+    }
+
+    /// Removes the part that is sent next.
+    pub(super) fn pop(&mut self) -> Option<usize> {
+        self.in_time.pop_front().or_else(|| self.late.pop_front())
+    }
+}
+
 /// An instance.
 pub(super) struct Instance {
     /// What it knows of each server.
     pub(super) views: Vec<View>,
     /// Parts that wait for a free server, by shard.
-    pub(super) queues: Vec<VecDeque<usize>>,
+    pub(super) queues: Vec<Queue>,
     /// Budgets of hedges and retries, by shard.
     pub(super) retry_budgets: Vec<Budget>,
     /// Latencies of its sub-requests.
--- a/crates/bench/tests/model.rs
+++ b/crates/bench/tests/model.rs
@@ -46,6 +46,13 @@
     assert_policy_helps(Load::Returning, Without::Service);
 }
 
+#[test]
+fn short_queues_at_servers_put_more_queries_in_time_under_overload() {
+    assert_policy_helps(Load::Cold, Without::Window);
+    assert_policy_helps(Load::Lost, Without::Window);
+    assert_policy_helps(Load::Returning, Without::Window);
+}
+
 #[test]
 fn partial_answers_put_more_queries_in_time() {
     assert_policy_helps(Load::Pauses, Without::Patience);
--- a/crates/policy/src/concurrency.rs
+++ b/crates/policy/src/concurrency.rs
@@ -1,4 +1,5 @@
-//! How many of a server's slots may be used: slow start, and fewer slots after the server sheds load.
+//! How many sub-requests a server may have in flight: of its slots, where one instance knows them all, and by its latency, where
+//! many instances share it.
 
 use std::time::{
     Duration,
@@ -87,3 +88,61 @@
         ((self.allowed + 1e-6).floor().min(slow_start_limit) as usize).max(1)
     }
 }
+
+/// Share of the latency objective that a server may take for a sub-request, its own queue included. The rest is left for the
+/// wait at the instance, and for a hedge or a retry.
+const LATENCY_SHARE: f64 = 0.35;
+/// Replies in time, each while all of the window was in use, after which one more sub-request may be in flight.
+const REPLIES_PER_STEP: f64 = 20.0;
+/// Time after a late reply in which further ones don't halve the window again: they were in the server's queue together.
+const LATE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Returns whether a reply has taken so long that fewer sub-requests should be in flight at its server.
+pub fn is_late(latency: Duration, objective: Duration) -> bool {
+    latency > objective.mul_f64(LATENCY_SHARE)
+}
+
+/// How many sub-requests one instance may have in flight at one server.
+///
+/// A server accepts a sub-request on each connection of each instance and serves a few at a time. If queries arrive faster than
+/// it serves them, all connections are in use, and a sub-request waits in the server's queue for longer than its query has
+/// time. The instances see no queue of their own, admit the next query, and nearly all become late. With few in flight,
+/// sub-requests wait at the instances, which serve the urgent ones first and refuse what would be late.
+#[derive(Debug, Clone, Copy)]
+pub struct Window {
+    allowed: f64,
+    late_at: Option<Instant>,
+}
+
+impl Default for Window {
+    /// Returns a window that only the connections limit, as nothing is known of the server yet.
+    fn default() -> Self {
+        Self {
+            allowed: f64::INFINITY,
+            late_at: None,
+        }
+    }
+}
+
+impl Window {
+    /// Returns the number of sub-requests that may be in flight on at most `connections`.
+    pub fn usable(&self, connections: usize) -> usize {
+        connections.min(self.allowed as usize)
+    }
+
+    /// Records a late reply, which halves the window of at most `connections`.
+    pub fn record_late(&mut self, now: Instant, connections: usize) {
+        let since = self.late_at.map(|at| now.saturating_duration_since(at));
+        if since.is_none_or(|since| since >= LATE_INTERVAL) {
+            self.late_at = Some(now);
+            self.allowed = (self.allowed.min(connections as f64) / 2.0).max(1.0);
+        }
+    }
+
+    /// Records a reply in time that arrived while all of the window of at most `connections` was in use.
+    pub fn record_in_time(&mut self, connections: usize) {
+        if self.allowed < connections as f64 {
+            self.allowed += 1.0 / REPLIES_PER_STEP;
+        }
+    }
+}
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -21,7 +21,10 @@
         self,
         Candidate, //
     },
-    concurrency::Limit,
+    concurrency::{
+        self,
+        Limit, //
+    },
     hedge::{
         self,
         Lateness, //
@@ -279,6 +282,24 @@
     assert_eq!(order, ["normal", "sooner", "bulk"]);
 }
 
+/// The server's queue is long for a while, then short again.
+#[test]
+fn window_halves_with_late_replies_and_grows_with_replies_in_time_while_it_is_full() {
+    let now = Instant::now();
+    let mut window = concurrency::Window::default();
+    let mut usable = vec![window.usable(6)];
+    for at_ms in [0, 50, 100, 200, 300] {
+        window.record_late(now + ms(at_ms), 6);
+        usable.push(window.usable(6));
+    }
+    for _ in 0..6 {
+        (0..21).for_each(|_| window.record_in_time(6));
+        usable.push(window.usable(6));
+    }
+    assert_eq!(usable, [6, 3, 3, 1, 1, 1, 2, 3, 4, 5, 6, 6]);
+    assert_eq!(window.usable(2), 2);
+}
+
 #[test]
 fn queue_is_ordered_by_class_then_deadline() {
     let now = Instant::now();
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -490,6 +490,12 @@
                     now,
                     latency_multiple(latency, self.call.scheduling.baseline),
                 );
+                let Scheduling {
+                    baseline,
+                    objective,
+                    ..
+                } = self.call.scheduling;
+                server.adapt_window(now, baseline, objective);
                 self.call.route_latency.record(now, latency);
                 return Some(reply);
             }
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -32,6 +32,10 @@
         self,
         Candidate, //
     },
+    concurrency::{
+        self,
+        Window, //
+    },
     health::{
         Health,
         Transition, //
@@ -114,6 +118,8 @@
     pending: RefCell<Vec<(u64, Instant, Duration)>>,
     health: RefCell<Health>,
     slowness: RefCell<Tracker>,
+    /// None for a peer, which declines what it has no room for.
+    window: Option<Cell<Window>>,
     abandonment: Cell<abandonment::Tracker>,
 }
 
@@ -196,6 +202,7 @@
         now: Instant,
     ) -> Rc<Self> {
         // An id that isn't a valid header value is replaced by one that every server rejects.
+        let is_backend = notices.is_some();
         let target = HeaderValue::from_str(&description.id);
         let target = target.unwrap_or_else(|_| HeaderValue::from_static("unprintable"));
         let warm_at = now + description.warmup;
@@ -224,6 +231,7 @@
             pending: RefCell::default(),
             health: RefCell::default(),
             slowness: RefCell::default(),
+            window: is_backend.then(Cell::default),
             abandonment: Cell::default(),
         })
     }
@@ -344,6 +352,15 @@
         }
     }
 
+    /// Returns the number of sub-requests that may be in flight.
+    fn usable_window(&self, now: Instant) -> usize {
+        let connections = self.usable_connections(now);
+        match &self.window {
+            Some(window) => window.get().usable(connections),
+            None => connections,
+        }
+    }
+
     /// Returns whether it may get work if no server of the service is available.
     pub(crate) fn is_last_resort(&self, now: Instant) -> bool {
         let standing_allows = match self.standing() {
@@ -375,7 +392,7 @@
         Candidate {
             in_flight: self.in_flight.get(),
             usable: match self.limit_wait(now).is_zero() {
-                true => self.usable_connections(now).max(1),
+                true => self.usable_window(now).max(1),
                 false => 0,
             },
             latency_us: slowness * BASELINE_US,
@@ -392,7 +409,7 @@
     /// Returns what it can serve for this instance.
     pub(crate) fn throughput(&self, now: Instant, baseline: Duration) -> Throughput {
         let slowness = self.slowness.borrow().current(now).max(0.1);
-        let slots = self.usable_connections(now);
+        let slots = self.usable_window(now);
         let by_slots_per_s = slots as f64 / (slowness * baseline.as_secs_f64()).max(1e-6);
         let own_rate = self.limit.get().own_rate();
         Throughput {
@@ -501,6 +518,32 @@
         self.slowness.borrow_mut().record(now, multiple);
     }
 
+    /// Returns the median of the latest latencies as a multiple of the baseline.
+    pub(crate) fn slowness(&self, now: Instant) -> f64 {
+        self.slowness.borrow().current(now)
+    }
+
+    /// Adapts the number of sub-requests that may be in flight to the latency of the fastest server of the service, after a reply
+    /// on a route with this baseline latency and objective.
+    ///
+    /// A server that alone is slow is at fault, and gets few sub-requests anyway.
+    pub(crate) fn adapt_window(&self, now: Instant, baseline: Duration, objective: Duration) {
+        let Some(window) = &self.window else {
+            return;
+        };
+        let service = self.service.upgrade();
+        let slowness = service.map_or(1.0, |service| service.min_slowness(now));
+        let latency = baseline.mul_f64(slowness);
+        let connections = self.usable_connections(now);
+        let mut adapted = window.get();
+        match self.in_flight.get() + 1 >= adapted.usable(connections) {
+            _ if concurrency::is_late(latency, objective) => adapted.record_late(now, connections),
+            true => adapted.record_in_time(connections),
+            false => {}
+        }
+        window.set(adapted);
+    }
+
     /// Records a successful exchange.
     pub(crate) fn record_success(&self, now: Instant) {
         self.served_at.set(Some(now));
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -218,6 +218,16 @@
         servers.iter().filter(|one| one.is_available(now)).count()
     }
 
+    /// Returns the slowness of the fastest server that is eligible for work now; 1 if there is none.
+    pub(crate) fn min_slowness(&self, now: Instant) -> f64 {
+        let servers = self.servers.borrow();
+        let available = servers.iter().filter(|one| one.is_available(now));
+        available
+            .map(|one| one.slowness(now))
+            .reduce(f64::min)
+            .unwrap_or(1.0)
+    }
+
     /// Returns the time until the first of the servers that want no requests takes some again; none if there is
     /// no such server.
     pub(crate) fn pause_left(&self, now: Instant) -> Option<Duration> {
--- a/crates/relay/tests/forward.rs
+++ b/crates/relay/tests/forward.rs
@@ -464,3 +464,28 @@
         });
     }
 }
+
+/// Both servers of a service are overloaded: what they are sent waits in their queues for longer than its callers have time.
+#[test]
+fn requests_wait_at_the_instance_while_all_servers_of_a_service_are_late() {
+    run(async {
+        let slow = |_| Behavior::Serve(Duration::from_millis(150), b"ok".to_vec());
+        let fakes = ["s1", "s2"].map(|id| FakeServer::start(id, slow));
+        let servers = fakes.each_ref().map(|fake| ("one", fake));
+        let instance = instance_with(read_and_write_routes(), &servers);
+        for _ in 0..8 {
+            assert_eq!(instance.get("/read/a").await.status(), 200);
+        }
+        let arrivals = || fakes.iter().map(|fake| fake.arrivals()).sum::<usize>();
+        let before = arrivals();
+        let request = post("/write/a", "x");
+        let asked = futures_util::future::join_all((0..6).map(|_| instance.ask(&request)));
+        let sent = async {
+            sleep(Duration::from_millis(75)).await;
+            arrivals() - before
+        };
+        let (answers, sent) = futures_util::join!(asked, sent);
+        assert_eq!(sent, 2, "one to each server");
+        assert!(answers.iter().all(|answer| answer.status() == 200));
+    });
+}
