--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -15,7 +15,7 @@
 /// Order in which items are served, before their deadlines count.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Priority {
-    /// Whether the item has missed its objective; it is served after all that can still meet theirs.
+    /// Whether the item can't meet its objective any more; it is served after all that can.
     pub is_late: bool,
     /// Class of the request.
     pub class: Class,
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -177,7 +177,7 @@
             silent = monitor.silent(),
             servers = self.servers.borrow().len(),
             contact_ms = since_contact.map(|since| since.as_millis() as u64),
-            "links: no backend server replies."
+            "links: silent for a moment, servers are probed."
         );
     }
 }
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -138,6 +138,8 @@
     pub busy: usize,
     /// Maximum number of connections.
     pub connections: usize,
+    /// Exchanges that may be in progress.
+    pub window: usize,
     /// Whether it is ejected after failures.
     pub out: bool,
     /// How much longer it wants no requests, in milliseconds.
@@ -706,6 +708,7 @@
             open: self.open.get(),
             busy: self.in_flight.get(),
             connections: self.max_connections.get(),
+            window: self.usable_window(now),
             out: self.is_ejected(now),
             pause_ms: self.pause_left(now).unwrap_or_default().as_millis() as u64,
             limit_per_s: self.limit.get().per_s(),
