--- a/crates/relay/tests/forward.rs
+++ b/crates/relay/tests/forward.rs
@@ -473,9 +473,12 @@
         let fakes = ["s1", "s2"].map(|id| FakeServer::start(id, slow));
         let servers = fakes.each_ref().map(|fake| ("one", fake));
         let instance = instance_with(read_and_write_routes(), &servers);
-        for _ in 0..8 {
+        // Each late reply halves the window of one server.
+        for _ in 0..16 {
             assert_eq!(instance.get("/read/a").await.status(), 200);
         }
+        // Hedges that nobody waits for any more occupy a server until they end.
+        sleep(Duration::from_millis(400)).await;
         let arrivals = || fakes.iter().map(|fake| fake.arrivals()).sum::<usize>();
         let before = arrivals();
         let request = post("/write/a", "x");
