--- a/review/cases_2.rs
+++ b/review/cases_2.rs
@@ -22,6 +22,8 @@
 
 #[path = "6/case.rs"]
 mod forged_entry;
+#[path = "7/case.rs"]
+mod stop_midway;
 
 const HOST: &str = "review.example";
 /// Bounds of the pages, as in the settings of the small deployments.
@@ -1110,6 +1112,7 @@
     run.note(&format!("case {name}, disruption: {has_trouble}"));
     let verdict = match name {
         "6" => forged_entry::run(&run),
+        "7" => stop_midway::run(&run),
         _ => Err("no such case".to_owned()),
     };
     let (text, code) = match verdict {
