--- a/review/cases_2.rs
+++ b/review/cases_2.rs
@@ -22,6 +22,8 @@
 
 #[path = "6/case.rs"]
 mod forged_entry;
+#[path = "8/case.rs"]
+mod frozen_machines;
 #[path = "7/case.rs"]
 mod stop_midway;
 
@@ -1113,6 +1115,7 @@
     let verdict = match name {
         "6" => forged_entry::run(&run),
         "7" => stop_midway::run(&run),
+        "8" => frozen_machines::run(&run),
         _ => Err("no such case".to_owned()),
     };
     let (text, code) = match verdict {
