--- a/review/cases_2.rs
+++ b/review/cases_2.rs
@@ -24,6 +24,8 @@
 mod forged_entry;
 #[path = "8/case.rs"]
 mod frozen_machines;
+#[path = "9/case.rs"]
+mod popular_story;
 #[path = "7/case.rs"]
 mod stop_midway;
 
@@ -1116,6 +1118,7 @@
         "6" => forged_entry::run(&run),
         "7" => stop_midway::run(&run),
         "8" => frozen_machines::run(&run),
+        "9" => popular_story::run(&run),
         _ => Err("no such case".to_owned()),
     };
     let (text, code) = match verdict {
