--- a/review/cases_2.rs
+++ b/review/cases_2.rs
@@ -20,6 +20,8 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
+#[path = "10/case.rs"]
+mod added_route;
 #[path = "6/case.rs"]
 mod forged_entry;
 #[path = "8/case.rs"]
@@ -1119,6 +1121,7 @@
         "7" => stop_midway::run(&run),
         "8" => frozen_machines::run(&run),
         "9" => popular_story::run(&run),
+        "10" => added_route::run(&run),
         _ => Err("no such case".to_owned()),
     };
     let (text, code) = match verdict {
