--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -38,8 +38,8 @@
         send(addresses[index % 2], "GET", "/story/harbour-fire", 2_000)
     });
     thread::sleep(Duration::from_secs(6));
-    let failed_at = now_ms();
-    let mut back_at = failed_at;
+    let mut killed_at = now_ms();
+    let mut back_at = killed_at;
     if run.has_trouble {
         let crashed_at = Instant::now();
         let wait_until =
@@ -49,6 +49,7 @@
         running.clear();
         wait_until(Duration::from_millis(1_000));
         run.note("all instances are killed");
+        killed_at = now_ms();
         for relay in &mut relays {
             relay.process = None;
         }
@@ -85,7 +86,7 @@
         let served = owed.iter().filter(|one| one.is_served()).count();
         (served, owed.len())
     };
-    let before = share(0, failed_at);
+    let before = share(0, killed_at);
     let after = share(back_at + RECOVERY.as_millis() as u64, u64::MAX);
     run.note(&format!(
         "served before: {before:?}, later than recovery_s after the machines are back: {after:?}"
