--- a/review/cases_2.rs
+++ b/review/cases_2.rs
@@ -1087,8 +1087,6 @@
         eprintln!("backend: ended: {ended:?}");
         std::process::exit(2);
     }
-    // SAFETY: the call only sets an attribute of this process, which ends with its script.
-    unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL as u64) };
     std::process::exit(run_case(command, rest));
 }
 
@@ -1129,6 +1127,9 @@
         Ok(Verdict::Broken) => ("the rule was broken".to_owned(), 1),
         Err(reason) => (format!("the case couldn't run: {reason}"), 2),
     };
+    for (service, backend, id) in run.runs() {
+        run.note(&format!("request {id} ran at {backend} of {service}"));
+    }
     run.note(&text);
     println!("case {name}: {text}");
     let _ = fs::remove_dir_all(&run.folder);
