--- a/review/cases_2.rs
+++ b/review/cases_2.rs
@@ -1090,17 +1090,10 @@
     std::process::exit(run_case(command, rest));
 }
 
-/// Returns a new folder for the files of a run.
-fn temporary_folder() -> io::Result<PathBuf> {
-    let folder = env::temp_dir().join(format!("review-2-{}-{}", std::process::id(), now_ms()));
-    fs::create_dir_all(&folder)?;
-    Ok(folder)
-}
-
 /// Runs a case; returns the exit code of its script.
 fn run_case(name: &str, rest: &[String]) -> i32 {
-    let [record] = rest else { return 2 };
-    let (Ok(record), Ok(folder)) = (File::create(record), temporary_folder()) else {
+    let [record, folder] = rest else { return 2 };
+    let Ok(record) = File::create(record) else {
         return 2;
     };
     let has_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
@@ -1108,7 +1101,7 @@
     let run = Run {
         store,
         store_address,
-        folder,
+        folder: PathBuf::from(folder),
         record: Mutex::new(record),
         started_at: Instant::now(),
         has_trouble,
@@ -1132,6 +1125,5 @@
     }
     run.note(&text);
     println!("case {name}: {text}");
-    let _ = fs::remove_dir_all(&run.folder);
     code
 }
