--- a/crates/tanageryoke/tests/relay.rs
+++ b/crates/tanageryoke/tests/relay.rs
@@ -35,6 +35,7 @@
 
 use adapter::{
     names,
+    wire::OBJECTS_PATH,
     Client,
     Directory, //
 };
@@ -146,6 +147,18 @@
     });
 }
 
+/// Writes entries of another writer, more than a page of a listing holds; all come before the sound one.
+fn write_odd_entries(store: SocketAddr) {
+    const COUNT: usize = 510;
+    for number in 0..COUNT {
+        let object = format!("{{\"meta\":{{\"name\":\"a&+#% {number:03}\"}},\"spec\":{{}}}}");
+        let (kind, length) = (Directory::SERVERS, object.len());
+        let request = format!("POST {OBJECTS_PATH}/{kind} HTTP/1.1\r\nhost: s\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{object}");
+        let reply = send_request(store, &request).unwrap_or_default();
+        assert!(reply.starts_with("HTTP/1.1 200"), "{reply}");
+    }
+}
+
 struct Instance {
     child: Child,
     callers: SocketAddr,
@@ -282,6 +295,21 @@
     }
 }
 
+/// Guards against a service that stops at the next restart, as the servers can't be listed beside entries of another
+/// writer.
+#[test]
+fn instance_that_starts_beside_odd_entries_serves() {
+    let store = start_store();
+    let server = start_server(Duration::ZERO);
+    write_objects(store, CONFIG, server.address);
+    write_odd_entries(store);
+    let instance = start(store);
+    wait_for("readiness", || is_ready(&instance));
+    wait_for("an answer", || {
+        get(instance.callers, "/p/x").starts_with("HTTP/1.1 200")
+    });
+}
+
 /// Guards against planned stops that close connections whose requests wait in the queue or run at a server.
 #[test]
 fn every_request_is_answered_at_a_shutdown_under_load() {
