--- a/crates/web/tests/client.rs
+++ b/crates/web/tests/client.rs
@@ -73,6 +73,40 @@
     });
 }
 
+/// The server sends a malformed status, or a head with a malformed field.
+#[test]
+fn malformed_response_is_a_failure() {
+    let statuses = ["000 X", "099 X", "20 X"];
+    let by_status =
+        statuses.map(|status| format!("HTTP/1.1 {status}\r\ncontent-length: 2\r\n\r\nok"));
+    let fields = [
+        "x odd: 1",
+        "x-odd : 1",
+        " x-odd: 1",
+        "x\u{0}odd: 1",
+        "x\u{1}odd: 1",
+        "x\u{7f}odd: 1",
+        "x\u{e4}odd: 1",
+        "content-length : 2",
+        "content length: 2",
+        ": 1",
+        "x-odd",
+    ];
+    let by_field =
+        fields.map(|field| format!("HTTP/1.1 200 OK\r\n{field}\r\ncontent-length: 2\r\n\r\nok"));
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(async {
+        for response in by_status.into_iter().chain(by_field) {
+            let shown = response.clone();
+            let result = exchange(response.leak().as_bytes()).await;
+            assert_eq!(result, "exchange failed: Malformed, sent: true", "{shown}");
+        }
+    });
+}
+
 #[test]
 fn response_is_complete_or_a_failure() {
     let cases: [(&str, &[u8]); 9] = [
