fix(relay, web): a status that no final response has makes a reply malformed

Callers: a server in trouble that replies 101 switched the caller's connection to a protocol that nobody asked for; statuses from 600 on were passed on as well. In the client of the store, of peers and of health checks an interim response was taken for the final one, which then stood where the next response was expected.

Cause: hyper hands 101 and statuses up to 999 to its user, monoio-http every status from 100 on. Nothing here asked whether the status is one of a final response.

Evidence: relay/malformed reply_whose_status_is_not_final_is_not_passed_on fails without the fix (left: 101, right: 502), web/client malformed_response_is_a_failure too ("100 Continue b\"ok\", kept: true").

Why it works: both readers of replies ask framing::is_final before they look at anything else, and close the connection, as for any malformed reply.

--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -65,6 +65,7 @@
     },
 };
 use monoio_compat::hyper::MonoioIo;
+use web::framing;
 
 pub use crate::metered::peak_buffered_bytes;
 use crate::{
@@ -486,6 +487,9 @@
                 kind: self.failure_kind(error.error()),
                 sent: error.message().is_none(),
             })?;
+        if !framing::is_final(response.status()) {
+            return Err(sent(FailureKind::Malformed));
+        }
         let (head, mut body) = response.into_parts();
         self.allowance.start_body();
         let mut since_yield = 0;
--- a/crates/relay/tests/malformed.rs
+++ b/crates/relay/tests/malformed.rs
@@ -1,4 +1,4 @@
-//! Servers whose replies aren't HTTP: a malformed status, and heads or trailers with a malformed field.
+//! Servers whose replies aren't HTTP: a status that isn't a final one, and heads or trailers with a malformed field.
 
 mod common;
 
@@ -14,12 +14,15 @@
     FakeServer, //
 };
 
-/// Statuses that no reply may have.
-const STATUSES: [&str; 11] = [
+/// Statuses that no server may send as its answer.
+const STATUSES: [&str; 14] = [
     "000 Odd",
     "000",
     "001 Odd",
     "099 Odd",
+    "101 Switching Protocols",
+    "600 Odd",
+    "999 Odd",
     "0 Odd",
     "20 OK",
     "2000 OK",
@@ -153,7 +156,7 @@
 }
 
 #[test]
-fn reply_with_a_malformed_status_is_not_passed_on() {
+fn reply_whose_status_is_not_final_is_not_passed_on() {
     for reply in replies_with_malformed_status() {
         assert_not_passed_on(reply);
     }
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -207,6 +207,9 @@
             Some(Err(_)) => return Err(Failure::sent(FailureKind::Malformed)),
             None => return Err(Failure::sent(FailureKind::Closed)),
         };
+        if !framing::is_final(head.status()) {
+            return Err(Failure::sent(FailureKind::Malformed));
+        }
         framing::check(head.headers(), &self.limits)
             .map_err(|_| Failure::sent(FailureKind::Malformed))?;
         let (head, body) = head.into_parts();
--- a/crates/web/src/framing.rs
+++ b/crates/web/src/framing.rs
@@ -1,4 +1,4 @@
-//! Validation of the message length that the headers declare.
+//! Validation of a message's head: its status and the length that the headers declare.
 
 use http::{
     header::{
@@ -6,6 +6,7 @@
         TRANSFER_ENCODING, //
     },
     HeaderMap,
+    StatusCode, //
 };
 
 use crate::limits::Limits;
@@ -23,6 +24,13 @@
     Oversized,
 }
 
+/// Returns whether the response to a request may have this status: 200 to 599.
+///
+/// Interim responses only precede it, and a switch of protocols is never asked for. Source: RFC 9110, section 15.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Checks that `headers` are within the limits and declare an unambiguous length.
 ///
 /// # Errors
--- a/crates/web/tests/client.rs
+++ b/crates/web/tests/client.rs
@@ -73,10 +73,12 @@
     });
 }
 
-/// The server sends a malformed status, or a head with a malformed field.
+/// The server sends a status that no final response has, or a head with a malformed field.
 #[test]
 fn malformed_response_is_a_failure() {
-    let statuses = ["000 X", "099 X", "20 X"];
+    let statuses = [
+        "000 X", "099 X", "100 X", "101 X", "103 X", "600 X", "999 X", "20 X",
+    ];
     let by_status =
         statuses.map(|status| format!("HTTP/1.1 {status}\r\ncontent-length: 2\r\n\r\nok"));
     let fields = [
