fix(web): a head's length is limited while it is read

Callers: a message whose head has a field name of 64 KiB or more ended the process that read it, with the requests of all its callers. Such a message may be a server's reply to a health check or to serve, a reply of the store or a peer, or a request to the addresses for operators or to serve.

Cause: one limit covered head and body, so a megabyte of a head was read and parsed before its length was checked, and monoio-http panics at a name of 65,536 bytes.

Evidence, without the fix: web/client response_with_a_long_field_name_is_a_failure and web/bad_input request_with_a_long_field_name_is_rejected fail by the panic, and in tanageryoke/relay long_field_name_leaves_the_process_running the process has ended with exit code 101.

Why it works: while a head is read, no more than the limit of heads, 16 KiB, is read, and no read is longer than 32 KiB, so that what is left over from a message and the next head are shorter than such a name. Callers' requests and their replies go through hyper, which refuses long names (relay/malformed).

--- a/crates/tanageryoke/tests/relay.rs
+++ b/crates/tanageryoke/tests/relay.rs
@@ -310,6 +310,27 @@
     });
 }
 
+/// Guards against a head that ends the process, and the requests of other callers with it.
+#[test]
+fn long_field_name_leaves_the_process_running() {
+    const NAME_BYTES: usize = 70_000;
+    let store = start_store();
+    let mut instance = start(store);
+    wait_for("a start", || {
+        get(instance.admin, "/healthz").starts_with("HTTP/1.1 200")
+    });
+    let name = "x".repeat(NAME_BYTES);
+    let request = format!("GET / HTTP/1.1\r\nhost: h\r\n{name}: 1\r\nconnection: close\r\n\r\n");
+    for address in [instance.admin, instance.readiness, instance.callers] {
+        // The instance may close the connection before all bytes are sent.
+        let answer = send_request(address, &request).unwrap_or_default();
+        assert!(!answer.starts_with("HTTP/1.1 200"), "{answer}");
+        thread::sleep(Duration::from_millis(100));
+        assert_eq!(instance.child.try_wait().expect("a state"), None);
+    }
+    assert!(get(instance.admin, "/healthz").starts_with("HTTP/1.1 200"));
+}
+
 /// Guards against planned stops that close connections whose requests wait in the queue or run at a server.
 #[test]
 fn every_request_is_answered_at_a_shutdown_under_load() {
--- a/crates/web/src/bounded.rs
+++ b/crates/web/src/bounded.rs
@@ -15,6 +15,11 @@
     BufResult,
 };
 
+/// Maximum number of bytes of one read, which may go beyond the end of a message.
+///
+/// Together with the head of the next message, they are shorter than a field name that the codec library can't handle.
+const MAX_READ_BYTES: usize = 32 * 1024;
+
 /// Number of bytes that may still be read, shared by a reader and the code that resets it.
 #[derive(Debug, Clone)]
 pub struct Budget(Rc<Cell<usize>>);
@@ -54,6 +59,28 @@
     }
 }
 
+/// A buffer of which no more than `max_bytes` are filled.
+struct Capped<T> {
+    buffer: T,
+    max_bytes: usize,
+}
+
+// SAFETY: All calls go to the inner buffer, and no more bytes are offered than it has.
+unsafe impl<T: IoBufMut> IoBufMut for Capped<T> {
+    fn write_ptr(&mut self) -> *mut u8 {
+        self.buffer.write_ptr()
+    }
+
+    fn bytes_total(&mut self) -> usize {
+        self.buffer.bytes_total().min(self.max_bytes)
+    }
+
+    unsafe fn set_init(&mut self, pos: usize) {
+        // SAFETY: The caller guarantees that the bytes up to `pos` are initialized.
+        unsafe { self.buffer.set_init(pos) }
+    }
+}
+
 fn limit_exceeded() -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, "message exceeds its size limit")
 }
@@ -63,11 +90,15 @@
         if self.budget.is_exhausted() {
             return (Err(limit_exceeded()), buf);
         }
-        let (result, buf) = self.inner.read(buf).await;
+        let capped = Capped {
+            buffer: buf,
+            max_bytes: self.budget.0.get().min(MAX_READ_BYTES),
+        };
+        let (result, Capped { buffer, .. }) = self.inner.read(capped).await;
         if let Ok(read) = &result {
             self.budget.spend(*read);
         }
-        (result, buf)
+        (result, buffer)
     }
 
     async fn readv<T: IoVecBufMut>(&mut self, buf: T) -> BufResult<usize, T> {
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -194,8 +194,7 @@
     }
 
     async fn run_exchange(mut self, request: Request<Bytes>) -> Result<Exchange, Failure> {
-        self.budget
-            .reset(self.limits.max_head_bytes + self.limits.max_body_bytes);
+        self.budget.reset(self.limits.max_head_bytes);
         let request = request.map(payload);
         self.parts
             .encoder
@@ -207,6 +206,8 @@
             Some(Err(_)) => return Err(Failure::sent(FailureKind::Malformed)),
             None => return Err(Failure::sent(FailureKind::Closed)),
         };
+        self.budget
+            .reset(self.limits.max_head_bytes + self.limits.max_body_bytes);
         if !framing::is_final(head.status()) {
             return Err(Failure::sent(FailureKind::Malformed));
         }
--- a/crates/web/src/framing.rs
+++ b/crates/web/src/framing.rs
@@ -57,8 +57,7 @@
 
 /// Returns the total size of the header names and values, in bytes.
 ///
-/// The reader's budget doesn't enforce this limit: it also covers the body, and a single read may
-/// return all of an oversized head.
+/// The reader's budget doesn't enforce this limit: a read may return the head of the next message, too.
 fn header_bytes(headers: &HeaderMap) -> usize {
     headers
         .iter()
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -185,8 +185,7 @@
 
 impl Session<'_> {
     async fn receive(&mut self, stop: &Stop) -> Step {
-        self.budget
-            .reset(self.limits.max_head_bytes + self.limits.max_body_bytes);
+        self.budget.reset(self.limits.max_head_bytes);
         let request = {
             let next = timeout(self.limits.idle_timeout, self.decoder.next());
             let stopped = stop.wait();
@@ -203,6 +202,8 @@
                 _ => return Step::End,
             }
         };
+        self.budget
+            .reset(self.limits.max_head_bytes + self.limits.max_body_bytes);
         if let Err(fault) = framing::check(request.headers(), self.limits) {
             return Step::Reject(Rejection::Framing(fault));
         }
--- a/crates/web/tests/bad_input.rs
+++ b/crates/web/tests/bad_input.rs
@@ -65,15 +65,20 @@
 /// Sends `bytes`, reads until the server closes the connection and returns the first line of the
 /// response.
 async fn send_raw(address: SocketAddr, bytes: &[u8]) -> String {
+    try_send_raw(address, bytes).await.expect("bytes sent")
+}
+
+/// Does the same; returns none if the server closes the connection before all bytes are sent.
+async fn try_send_raw(address: SocketAddr, bytes: &[u8]) -> Option<String> {
     let mut stream = TcpStream::connect(address).await.expect("a connection");
     let (sent, _) = stream.write_all(bytes.to_vec()).await;
-    sent.expect("bytes sent");
+    sent.ok()?;
     let mut response = Vec::new();
     loop {
         let (read, chunk) = stream.read(vec![0; 4096]).await;
         match read {
             Ok(count) if count > 0 => response.extend_from_slice(&chunk[..count]),
-            _ => return first_line(&response),
+            _ => return Some(first_line(&response)),
         }
     }
 }
@@ -143,6 +148,32 @@
     insta::assert_snapshot!(responses);
 }
 
+/// Guards against a request that ends the process: the codec library panics at a field name of 64 KiB. The name follows at
+/// once, or a request whose body is longer.
+#[test]
+fn request_with_a_long_field_name_is_rejected() {
+    let name = "x".repeat(70_000);
+    let request = format!("POST / HTTP/1.1\r\n{name}: 1\r\ncontent-length: 2\r\n\r\nok");
+    let body = "b".repeat(500_000);
+    let first = format!(
+        "POST / HTTP/1.1\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        let limits = Limits::default();
+        monoio::spawn(serve(listener, Rc::new(Slow), limits, Stop::new()));
+        let answer = try_send_raw(address, request.as_bytes()).await;
+        let is_rejected = |line: String| line == "closed" || line.starts_with("HTTP/1.1 413");
+        assert!(answer.is_none_or(is_rejected));
+        // The first line is that of the answer to the first request.
+        try_send_raw(address, (first + &request).as_bytes()).await;
+        let sound = send_raw(address, b"GET / HTTP/1.1\r\nconnection: close\r\n\r\n").await;
+        assert_eq!(sound, "HTTP/1.1 200 OK");
+    });
+}
+
 #[test]
 fn stop_waits_for_the_request_in_flight() {
     let response = run(async {
--- a/crates/web/tests/client.rs
+++ b/crates/web/tests/client.rs
@@ -1,6 +1,10 @@
 //! How the client handles malformed, oversized and truncated responses.
 
-use std::time::Duration;
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::Duration, //
+};
 
 use bytes::Bytes;
 use http::Request;
@@ -18,29 +22,50 @@
     Limits, //
 };
 
+/// Timeout of an exchange.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Length of one write of an endless response.
+const ENDLESS_BLOCK_BYTES: usize = 64 * 1024;
+/// Maximum number of bytes that a server can send of an endless response before it is cut off, socket buffers included.
+const MAX_TAKEN_BYTES: usize = 16 * 1024 * 1024;
+
 /// Sends a request to a server that replies with `reply` and closes the connection; describes the
 /// result.
 async fn exchange(reply: &'static [u8]) -> String {
+    let limits = Limits {
+        max_body_bytes: 1024,
+        ..Limits::default()
+    };
+    exchange_with(limits, reply, b"").await.0
+}
+
+/// Does the same within `limits` and with a server that repeats `repeated` until the connection is closed; also returns the
+/// number of bytes that it has repeated.
+async fn exchange_with(
+    limits: Limits,
+    reply: &'static [u8],
+    repeated: &'static [u8],
+) -> (String, usize) {
+    let sent = Rc::new(Cell::new(0));
+    let count = sent.clone();
     let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
     let address = listener.local_addr().expect("an address");
     monoio::spawn(async move {
         let (mut stream, _) = listener.accept().await.expect("a connection");
         let _ = stream.read(vec![0; 4096]).await;
         let _ = stream.write_all(reply.to_vec()).await;
+        let block = repeated.repeat(ENDLESS_BLOCK_BYTES / repeated.len().max(1));
+        while !block.is_empty() && stream.write_all(block.clone()).await.0.is_ok() {
+            count.set(count.get() + block.len());
+        }
         monoio::time::sleep(Duration::from_millis(20)).await;
     });
-    let limits = Limits {
-        max_body_bytes: 1024,
-        ..Limits::default()
-    };
     let connection = Connection::open(address, limits).await.expect("connected");
     let request = Request::post("/")
         .body(Bytes::from_static(b"{}"))
         .expect("a request");
-    match connection
-        .exchange(request, Duration::from_millis(200))
-        .await
-    {
+    let result = connection.exchange(request, EXCHANGE_TIMEOUT).await;
+    let shown = match result {
         Ok(exchange) => format!(
             "{} {:?}, kept: {}",
             exchange.response.status(),
@@ -48,7 +73,8 @@
             exchange.connection.is_some()
         ),
         Err(failure) => failure.to_string(),
-    }
+    };
+    (shown, sent.get())
 }
 
 /// The server closes the connection within the head or the body.
@@ -109,6 +135,58 @@
     });
 }
 
+/// Guards against a response that ends the process: the codec library panics at a field name of 64 KiB.
+#[test]
+fn response_with_a_long_field_name_is_a_failure() {
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(async {
+        for length in [17_000, 65_535, 65_536, 70_000, 300_000] {
+            let name = "x".repeat(length);
+            let response = format!("HTTP/1.1 200 OK\r\n{name}: 1\r\ncontent-length: 2\r\n\r\nok");
+            let response = response.leak().as_bytes();
+            let (result, _) = exchange_with(Limits::default(), response, b"").await;
+            assert_eq!(result, "exchange failed: Malformed, sent: true", "{length}");
+        }
+    });
+}
+
+#[test]
+fn response_without_end_is_cut_off() {
+    let chunked = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let cases: [(&[u8], &[u8]); 8] = [
+        (b"", b"noise"),
+        (b"HTTP/1.1 200 OK\r\n", b"name: value\r\n"),
+        (b"HTTP/1.1 200 OK\r\nname: ", b"value"),
+        (b"HTTP/1.1 200 OK\r\n", b"name"),
+        (chunked, b"4\r\nbody\r\n"),
+        (chunked, b"0000"),
+        (
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4;",
+            b"name",
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\n",
+            b"body",
+        ),
+    ];
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(async {
+        for (start, repeated) in cases {
+            let (result, sent) = exchange_with(Limits::default(), start, repeated).await;
+            let shown = String::from_utf8_lossy(repeated);
+            assert!(result.starts_with("exchange failed: "), "{shown}: {result}");
+            assert!(!result.contains("Timeout"), "{shown}: {result}");
+            assert!(sent < MAX_TAKEN_BYTES, "{shown}: {sent}");
+        }
+    });
+}
+
 #[test]
 fn response_is_complete_or_a_failure() {
     let cases: [(&str, &[u8]); 9] = [
