--- a/crates/bench/src/store/handler.rs
+++ b/crates/bench/src/store/handler.rs
@@ -225,9 +225,9 @@
         let segments: Vec<_> = path.split('/').collect();
         match (kind, &segments[..]) {
             (Kind::Read, [kind, name]) => self.read(kind, name),
-            (Kind::List, [kind]) => self.list(kind, parameter::decoded(query, "after").as_deref()),
+            (Kind::List, [kind]) => self.list(kind, parameter::text(query, "after").as_deref()),
             (Kind::Instances, [kind]) if self.platform.instance_list.borrow().is_unset() => {
-                self.list(kind, parameter::decoded(query, "after").as_deref())
+                self.list(kind, parameter::text(query, "after").as_deref())
             }
             (Kind::Instances, _) => self.list_instances(),
             (Kind::Write, [kind, rest @ ..]) => self.write(kind, rest.first(), request).await,
--- a/crates/web/src/bounded.rs
+++ b/crates/web/src/bounded.rs
@@ -15,24 +15,26 @@
     BufResult,
 };
 
+use crate::limits::Limits;
+
 /// Maximum number of bytes of one read, which may go beyond the end of a message.
 ///
 /// Together with the head of the next message, they are shorter than a field name that the codec library can't handle.
 const MAX_READ_BYTES: usize = 32 * 1024;
 
-/// Number of bytes that may still be read, shared by a reader and the code that resets it.
-#[derive(Debug, Clone)]
+/// Number of bytes that may still be read, shared by a reader and the code that tells which part of a message follows.
+#[derive(Debug, Clone, Default)]
 pub struct Budget(Rc<Cell<usize>>);
 
 impl Budget {
-    /// Creates a budget of `bytes`.
-    pub fn new(bytes: usize) -> Self {
-        Self(Rc::new(Cell::new(bytes)))
+    /// Allows the bytes of a message's head.
+    pub fn start_head(&self, limits: &Limits) {
+        self.0.set(limits.max_head_bytes);
     }
 
-    /// Sets the budget to `bytes`.
-    pub fn reset(&self, bytes: usize) {
-        self.0.set(bytes);
+    /// Allows the bytes of a message's body, with as many for chunk sizes and trailers as a head has.
+    pub fn start_body(&self, limits: &Limits) {
+        self.0.set(limits.max_head_bytes + limits.max_body_bytes);
     }
 
     /// Returns whether no bytes may be read any more.
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -149,7 +149,7 @@
                 .map_err(|_| Failure::unsent(FailureKind::Connect))?;
         }
         let fd = stream.as_raw_fd();
-        let budget = Budget::new(0);
+        let budget = Budget::default();
         let (read, write) = stream.into_split();
         Ok(Self {
             parts: Box::new(Parts {
@@ -194,7 +194,7 @@
     }
 
     async fn run_exchange(mut self, request: Request<Bytes>) -> Result<Exchange, Failure> {
-        self.budget.reset(self.limits.max_head_bytes);
+        self.budget.start_head(&self.limits);
         let request = request.map(payload);
         self.parts
             .encoder
@@ -206,8 +206,7 @@
             Some(Err(_)) => return Err(Failure::sent(FailureKind::Malformed)),
             None => return Err(Failure::sent(FailureKind::Closed)),
         };
-        self.budget
-            .reset(self.limits.max_head_bytes + self.limits.max_body_bytes);
+        self.budget.start_body(&self.limits);
         if !framing::is_final(head.status()) {
             return Err(Failure::sent(FailureKind::Malformed));
         }
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -148,7 +148,7 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let budget = Budget::new(0);
+    let budget = Budget::default();
     let (read, write) = stream.into_split();
     let mut session = Session {
         encoder: GenericEncoder::new(write),
@@ -185,7 +185,7 @@
 
 impl Session<'_> {
     async fn receive(&mut self, stop: &Stop) -> Step {
-        self.budget.reset(self.limits.max_head_bytes);
+        self.budget.start_head(self.limits);
         let request = {
             let next = timeout(self.limits.idle_timeout, self.decoder.next());
             let stopped = stop.wait();
@@ -202,8 +202,7 @@
                 _ => return Step::End,
             }
         };
-        self.budget
-            .reset(self.limits.max_head_bytes + self.limits.max_body_bytes);
+        self.budget.start_body(self.limits);
         if let Err(fault) = framing::check(request.headers(), self.limits) {
             return Step::Reject(Rejection::Framing(fault));
         }
