--- a/review/cases_3/backend.rs
+++ b/review/cases_3/backend.rs
@@ -209,11 +209,14 @@
             child,
         })
     }
+}
 
-    /// Kills the process.
-    pub fn kill(self) {
-        relay::kill(self.child);
+/// Kills processes at the same moment.
+pub fn kill_together(mut processes: Vec<Process>) {
+    for process in &mut processes {
+        let _ = process.child.kill();
     }
+    processes.into_iter().for_each(|process| relay::kill(process.child));
 }
 
 /// Runs a backend server until it is killed.
