--- a/review/cases_3/case_11.rs
+++ b/review/cases_3/case_11.rs
@@ -39,7 +39,7 @@
     for server in &servers {
         store.put("servers", &server.id, &server.entry("ready"));
     }
-    let settings = Settings::new("front-1", "regina-core", "127.0.0.1", store.address);
+    let settings = Settings::new("front-1", "regina-core", "127.0.0.11", store.address);
     let mut process = match Relay::start(settings, &folder) {
         Ok(process) => process,
         Err(error) => return Verdict::NotRun(error),
--- a/review/cases_3/case_12.rs
+++ b/review/cases_3/case_12.rs
@@ -108,7 +108,8 @@
     let invoices = start_servers(&store, "invoice-hall", 1)?;
     let mut relays = Vec::new();
     for number in 1..=RELAYS {
-        let settings = Settings::new(&format!("front-{number}"), "regina-core", "127.0.0.1", store.address);
+        let (name, ip) = (format!("front-{number}"), format!("127.0.0.{}", 10 + number));
+        let settings = Settings::new(&name, "regina-core", &ip, store.address);
         relays.push(Relay::start(settings, &folder)?);
     }
     for relay in &relays {
