--- a/review/cases_3.rs
+++ b/review/cases_3.rs
@@ -45,10 +45,6 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    if arguments.get(1).is_some_and(|verb| verb == "backend") {
-        backend::run_process(&arguments[2..]);
-        return;
-    }
     let [_, case, folder] = &arguments[..] else {
         eprintln!("usage: cases CASE FOLDER");
         exit(2);
@@ -78,7 +74,9 @@
     let verdict = std::panic::catch_unwind(move || run(&trial, has_trouble));
     relay::kill_all();
     // Settings and logs of the processes.
-    let _ = std::fs::remove_dir_all(relay::temporary_folder());
+    if std::env::var_os("KEEP").is_none() {
+        let _ = std::fs::remove_dir_all(relay::temporary_folder());
+    }
     let verdict = verdict.unwrap_or_else(|_| Verdict::NotRun("a stand-in panicked".to_owned()));
     let (text, code) = match verdict {
         Verdict::Held => ("the rule held".to_owned(), 0),
--- a/review/cases_3/case_13.rs
+++ b/review/cases_3/case_13.rs
@@ -1,4 +1,4 @@
-//! CONFIG: instances in touch apply a version late while two others are frozen.
+//! DRAIN: instances in touch send work to servers that have left while two other instances are frozen.
 
 use std::{
     collections::HashMap,
@@ -21,19 +21,19 @@
 
 const ZONES: [&str; 4] = ["northmere-a", "northmere-b", "northmere-c", "northmere-d"];
 const RELAYS_PER_ZONE: usize = 5;
-const ROUNDS: usize = 4;
+const ROUNDS: usize = 6;
 const FREEZE: Duration = Duration::from_secs(4);
-const CONFIG_APPLY: Duration = Duration::from_millis(3_000);
+const DRAIN: Duration = Duration::from_millis(3_000);
+/// Time for which a server serves after its entry was removed: `drain_ms` and a little longer.
+const SERVES_ON: Duration = Duration::from_millis(3_450);
 /// Time after a freeze until the next one, longer than `stability_window_ms`.
 const CALM: Duration = Duration::from_millis(6_000);
-/// Time between two versions of the configuration.
-const BETWEEN_VERSIONS: Duration = Duration::from_millis(300);
+/// Time between the start of a new server and the removal of the old one's entry.
+const BETWEEN_CHANGES: Duration = Duration::from_millis(300);
 const PAUSE: Duration = Duration::from_millis(60);
 
-fn configuration(version: usize, service: &str) -> String {
-    // Each version changes the timeout.
-    let timeout_ms = 2_000 + version;
-    format!("{{\"version\":{version},\"routes\":[{{\"name\":\"r-story\",\"hostname\":\"pupu76.example\",\"path_prefix\":\"/story/\",\"type\":\"safe\",\"timeout_ms\":{timeout_ms},\"target_latency_ms\":400,\"priority\":2,\"service\":\"{service}\",\"max_attempts\":2}}],\"services\":[{{\"name\":\"storyhook\",\"health_check_path\":\"/health\",\"max_connections\":100}},{{\"name\":\"tallyroom\",\"health_check_path\":\"/health\",\"max_connections\":100}}],\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":262144,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}")
+fn configuration() -> String {
+    "{\"version\":7,\"routes\":[{\"name\":\"r-hold\",\"hostname\":\"pupu76.example\",\"path_prefix\":\"/hold/\",\"type\":\"unsafe\",\"timeout_ms\":2000,\"target_latency_ms\":400,\"priority\":2,\"service\":\"storyhook\",\"max_attempts\":2}],\"services\":[{\"name\":\"storyhook\",\"health_check_path\":\"/health\",\"max_connections\":100}],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":262144,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}".to_owned()
 }
 
 pub fn run(record: &Record, has_trouble: bool) -> Verdict {
@@ -58,12 +58,12 @@
                 while Instant::now() < until {
                     let call = Call {
                         relay: address,
-                        method: "GET",
-                        path: "/story/2f".to_owned(),
+                        method: "POST",
+                        path: "/hold/2f".to_owned(),
                         id: format!("{:016x}", LAST.fetch_add(1, Ordering::Relaxed)),
                         deadline: Duration::from_secs(2),
                     };
-                    let outcome = client::send(&call, None);
+                    let outcome = client::send(&call);
                     let mut sent = sent.lock().expect("requests can be locked");
                     sent.push((call.id, name.clone(), outcome));
                     drop(sent);
@@ -78,17 +78,17 @@
 fn play(record: &Record, has_trouble: bool) -> Result<Verdict, String> {
     let folder = relay::temporary_folder();
     let store = Store::start();
-    let services = ["storyhook", "tallyroom"];
-    store.put("config", "main", &configuration(7, services[0]));
+    store.put("config", "main", &configuration());
     let arrivals = Arrivals::default();
-    for service in services {
-        for (number, zone) in ZONES.iter().enumerate() {
-            let behaviour = backend::served(Duration::from_millis(5), b"the server's bytes".to_vec());
-            let id = format!("i-{service}-{number}");
-            let server = Backend::start(&id, service, zone, &arrivals, behaviour);
-            store.put("servers", &server.id, &server.entry("ready"));
-        }
-    }
+    let start = |number: usize| {
+        let behaviour = backend::served(Duration::from_millis(20), b"the server's bytes".to_vec());
+        let id = format!("i-storyhook-{number}");
+        let zone = ZONES[number % ZONES.len()];
+        let server = Backend::start(&id, "storyhook", zone, &arrivals, behaviour);
+        store.put("servers", &server.id, &server.entry("ready"));
+        server
+    };
+    let mut servers: Vec<Backend> = (0..ZONES.len()).map(start).collect();
     let mut relays = Vec::new();
     for number in 1..=RELAYS_PER_ZONE {
         for zone in ZONES {
@@ -107,13 +107,10 @@
         let names = ["front-northmere-a-1", "front-northmere-b-1"];
         relays.iter().partition(|relay| names.contains(&relay.settings.name.as_str()))
     };
-    let mut violations = 0;
+    let (mut violations, mut lost) = (0, 0);
     for round in 0..ROUNDS {
-        let (old, new) = (services[round % 2], services[(round + 1) % 2]);
-        let version = 9 + round * 4;
-        store.put("config", "main", &configuration(version, old));
-        record.line(&format!("version {version} is acknowledged: {old} as before"));
-        thread::sleep(BETWEEN_VERSIONS);
+        servers.push(start(ZONES.len() + round));
+        thread::sleep(BETWEEN_CHANGES);
         if has_trouble {
             for relay in &frozen {
                 relay.signal("STOP");
@@ -122,48 +119,58 @@
         }
         let frozen_at = Instant::now();
         thread::sleep(Duration::from_millis(30));
-        let version = version + 2;
-        let acknowledged_at = store.put("config", "main", &configuration(version, new));
-        record.line_at(acknowledged_at, &format!("version {version} is acknowledged: {old} to {new}"));
+        let leaving = servers.remove(0);
+        let acknowledged_at = store.delete("servers", &leaving.id);
+        record.line_at(acknowledged_at, &format!("the entry of {} is removed, it serves on", leaving.id));
         let sent = Sent::default();
-        thread::sleep(CONFIG_APPLY.saturating_sub(acknowledged_at.elapsed()));
+        let end = {
+            let leaving = leaving.clone();
+            thread::spawn(move || {
+                thread::sleep(SERVES_ON.saturating_sub(acknowledged_at.elapsed()));
+                leaving.end();
+            })
+        };
+        thread::sleep(DRAIN.saturating_sub(acknowledged_at.elapsed()));
         send_requests(&in_touch, frozen_at + FREEZE + Duration::from_millis(500), &sent);
         for relay in &frozen {
             relay.signal("CONT");
         }
-        violations += judge(record, &sent, &arrivals, acknowledged_at, old);
+        let _ = end.join();
+        let (late, broken) = judge(record, &sent, &arrivals, acknowledged_at, &leaving.id);
+        violations += late;
+        lost += broken;
         thread::sleep(CALM);
     }
-    record.line(&format!("{violations} requests sent later than config_apply_ms after the ack were run by the old service"));
+    record.line(&format!("{violations} requests reached a server later than drain_ms after its entry was removed, {lost} of them were lost"));
     Ok(match violations {
         0 => Verdict::Held,
         _ => Verdict::Broken,
     })
 }
 
-/// Returns how many of the requests that were sent too late for it the old service has run.
-fn judge(record: &Record, sent: &Sent, arrivals: &Arrivals, acknowledged_at: Instant, old: &str) -> usize {
+/// Returns how many of the requests that were sent too late for it a server that has left was sent, and how many of these were
+/// lost.
+fn judge(record: &Record, sent: &Sent, arrivals: &Arrivals, acknowledged_at: Instant, leaving: &str) -> (usize, usize) {
     let mut arrivals = arrivals.lock().expect("arrivals can be locked");
     let by_id: HashMap<&str, &backend::Arrival> =
         arrivals.iter().map(|arrival| (arrival.id.as_str(), arrival)).collect();
     let sent = sent.lock().expect("requests can be locked");
-    let mut violations = 0;
-    let mut served = 0;
+    let (mut violations, mut lost, mut served) = (0, 0, 0);
     for (id, relay, outcome) in sent.iter() {
         served += usize::from(outcome.is_served());
         let Some(arrival) = by_id.get(id.as_str()) else {
             continue;
         };
         let after = outcome.sent_at.saturating_duration_since(acknowledged_at);
-        if arrival.service == old && after > CONFIG_APPLY {
+        if arrival.server == leaving && after > DRAIN {
             violations += 1;
-            let ms = after.as_millis();
-            let (server, text) = (&arrival.server, outcome.text());
-            record.line_at(outcome.sent_at, &format!("{id} sent to {relay} {ms} ms after the ack: run by {server}, {text}"));
+            lost += usize::from(!outcome.is_served());
+            let (ms, text) = (after.as_millis(), outcome.text());
+            record.line_at(arrival.at, &format!("{id} sent to {relay} {ms} ms after the ack reaches {leaving}: {text}"));
         }
     }
-    record.line(&format!("{served} of {} requests were served, {violations} run by {old}", sent.len()));
+    record.line(&format!("{served} of {} requests were served, {violations} reached {leaving} too late", sent.len()));
     drop(by_id);
     arrivals.clear();
-    violations
+    (violations, lost)
 }
--- a/review/cases_3/case_14.rs
+++ b/review/cases_3/case_14.rs
@@ -51,7 +51,7 @@
                         id: format!("{round:04x}{caller:04x}{number:08x}"),
                         deadline: Duration::from_secs(1),
                     };
-                    let outcome = client::send(&call, None);
+                    let outcome = client::send(&call);
                     sent.lock().expect("requests can be locked").push((call.id, outcome));
                     thread::sleep(PAUSE);
                 }
--- a/review/cases_3/case_15.rs
+++ b/review/cases_3/case_15.rs
@@ -100,7 +100,7 @@
                 };
                 let sent = sent.clone();
                 thread::spawn(move || {
-                    let outcome = client::send(&call, None);
+                    let outcome = client::send(&call);
                     sent.lock().expect("requests can be locked").push((call.id, outcome));
                 });
                 thread::sleep(INTERVAL);
--- a/review/cases_3/client.rs
+++ b/review/cases_3/client.rs
@@ -3,7 +3,6 @@
 use std::{
     io::{self, BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpStream},
-    os::fd::FromRawFd,
     time::{Duration, Instant},
 };
 
@@ -51,67 +50,8 @@
     }
 }
 
-const AF_INET: i32 = 2;
-const SOCK_STREAM: i32 = 1;
-const SOL_SOCKET: i32 = 1;
-const SO_RCVBUF: i32 = 8;
-const IPPROTO_TCP: i32 = 6;
-const TCP_MAXSEG: i32 = 2;
-
-/// Segment length and receive buffer of a caller behind a slow link, in bytes: those of an Ethernet, and a small window.
-const SEGMENT_BYTES: i32 = 1_400;
-const WINDOW_BYTES: i32 = 8 * 1024;
-
-#[repr(C)]
-struct SocketAddress {
-    family: u16,
-    port: u16,
-    address: [u8; 4],
-    zero: [u8; 8],
-}
-
-extern "C" {
-    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
-    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
-    fn connect(socket: i32, address: *const SocketAddress, length: u32) -> i32;
-}
-
-/// Connects through a slow link: loopback segments of 64 KiB would let the sender's kernel buffer megabytes.
-fn connect_slowly(address: SocketAddr) -> io::Result<TcpStream> {
-    let SocketAddr::V4(address) = address else {
-        return Err(io::ErrorKind::Unsupported.into());
-    };
-    // SAFETY: the calls get a descriptor that is open, and values of the stated lengths.
-    unsafe {
-        let descriptor = socket(AF_INET, SOCK_STREAM, 0);
-        if descriptor < 0 {
-            return Err(io::Error::last_os_error());
-        }
-        let stream = TcpStream::from_raw_fd(descriptor);
-        let options = [
-            (IPPROTO_TCP, TCP_MAXSEG, SEGMENT_BYTES),
-            (SOL_SOCKET, SO_RCVBUF, WINDOW_BYTES),
-        ];
-        for (level, name, value) in options {
-            if setsockopt(descriptor, level, name, &value, 4) != 0 {
-                return Err(io::Error::last_os_error());
-            }
-        }
-        let target = SocketAddress {
-            family: AF_INET as u16,
-            port: address.port().to_be(),
-            address: address.ip().octets(),
-            zero: [0; 8],
-        };
-        match connect(descriptor, &target, 16) {
-            0 => Ok(stream),
-            _ => Err(io::Error::last_os_error()),
-        }
-    }
-}
-
-/// Sends a request and reads its answer, through a slow link of `bytes_per_s` if that is given.
-pub fn send(call: &Call, bytes_per_s: Option<usize>) -> Outcome {
+/// Sends a request and reads its answer.
+pub fn send(call: &Call) -> Outcome {
     let mut outcome = Outcome {
         sent_at: Instant::now(),
         ended_at: Instant::now(),
@@ -122,19 +62,16 @@
         body: Vec::new(),
         error: None,
     };
-    if let Err(error) = exchange(call, bytes_per_s, &mut outcome) {
+    if let Err(error) = exchange(call, &mut outcome) {
         outcome.error = Some(error.to_string());
     }
     outcome.ended_at = Instant::now();
     outcome
 }
 
-fn exchange(call: &Call, bytes_per_s: Option<usize>, outcome: &mut Outcome) -> io::Result<()> {
+fn exchange(call: &Call, outcome: &mut Outcome) -> io::Result<()> {
     // A caller allows one second for a new connection.
-    let mut stream = match bytes_per_s {
-        Some(_) => connect_slowly(call.relay)?,
-        None => TcpStream::connect_timeout(&call.relay, Duration::from_secs(1))?,
-    };
+    let mut stream = TcpStream::connect_timeout(&call.relay, Duration::from_secs(1))?;
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(call.deadline))?;
     let request = format!(
@@ -151,7 +88,6 @@
     outcome.headers = http::read_headers(&mut reader)?;
     let stated = http::header(&outcome.headers, "content-length");
     outcome.stated = stated.and_then(|length| length.parse().ok()).unwrap_or(0);
-    let began_at = Instant::now();
     let mut buffer = vec![0; 4 * 1024];
     while outcome.received < outcome.stated {
         let left = outcome.stated - outcome.received;
@@ -162,10 +98,6 @@
         }
         outcome.received += count;
         outcome.body.extend_from_slice(&buffer[..count]);
-        if let Some(bytes_per_s) = bytes_per_s {
-            let due = Duration::from_secs_f64(outcome.received as f64 / bytes_per_s as f64);
-            std::thread::sleep(due.saturating_sub(began_at.elapsed()));
-        }
         if outcome.sent_at.elapsed() > call.deadline {
             return Err(io::ErrorKind::TimedOut.into());
         }
--- a/review/cases_3/relay.rs
+++ b/review/cases_3/relay.rs
@@ -3,6 +3,7 @@
 use std::{
     fs::{self, File},
     net::{SocketAddr, TcpListener},
+    os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::Mutex,
@@ -11,6 +12,14 @@
 
 use crate::client;
 
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
+extern "C" {
+    /// With [`PR_SET_PDEATHSIG`], has the kernel end the process with its parent, so that an interrupted case leaves none.
+    fn prctl(option: i32, value: u64) -> i32;
+}
+
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
 /// Kills all processes that the case started and that still run.
@@ -22,16 +31,10 @@
     }
 }
 
-/// Remembers a process that the case started.
-pub fn remember(id: u32) {
+fn remember(id: u32) {
     STARTED.lock().unwrap_or_else(|lock| lock.into_inner()).push(id);
 }
 
-fn forget(id: u32) {
-    let mut started = STARTED.lock().unwrap_or_else(|lock| lock.into_inner());
-    started.retain(|one| *one != id);
-}
-
 fn send_signal(id: u32, name: &str) {
     let status = Command::new("kill")
         .args([&format!("-{name}"), &id.to_string()])
@@ -40,13 +43,6 @@
     let _ = status;
 }
 
-/// Ends a process at once, and waits for its end.
-pub fn kill(mut child: Child) {
-    forget(child.id());
-    let _ = child.kill();
-    let _ = child.wait();
-}
-
 /// Returns a folder for the settings and logs of this run.
 pub fn temporary_folder() -> PathBuf {
     let folder = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
@@ -64,7 +60,6 @@
     pub readiness: SocketAddr,
     pub first_port: u16,
     pub store: SocketAddr,
-    pub is_first_start: bool,
 }
 
 impl Settings {
@@ -89,7 +84,6 @@
             readiness: free(),
             first_port,
             store,
-            is_first_start: true,
         }
     }
 
@@ -102,7 +96,6 @@
             readiness,
             first_port,
             store,
-            is_first_start,
         } = self;
         let last_port = first_port + 1;
         format!(
@@ -123,7 +116,7 @@
   - {first_port}
   - {last_port}
 seeds: []
-bootstrap: {is_first_start}
+bootstrap: true
 loss_counts: false
 limits:
   cpu_share: 0.25
@@ -181,36 +174,32 @@
 /// One running process.
 pub struct Relay {
     pub settings: Settings,
-    child: Option<Child>,
-    folder: PathBuf,
+    child: Child,
 }
 
 impl Relay {
     /// Starts the process with the command of the deploy file.
     pub fn start(settings: Settings, folder: &Path) -> Result<Self, String> {
-        let mut relay = Self {
-            settings,
-            child: None,
-            folder: folder.to_owned(),
-        };
-        relay.restart()?;
-        Ok(relay)
-    }
-
-    /// Starts the process again, with the same settings.
-    pub fn restart(&mut self) -> Result<(), String> {
         let program = Path::new(env!("REPOSITORY")).join("target/release/tanageryoke");
-        let name = &self.settings.name;
-        let path = self.folder.join(format!("{name}.yaml"));
-        fs::write(&path, self.settings.text()).map_err(|error| error.to_string())?;
+        let name = &settings.name;
+        let path = folder.join(format!("{name}.yaml"));
+        fs::write(&path, settings.text()).map_err(|error| error.to_string())?;
         let log = File::options()
             .create(true)
             .append(true)
-            .open(self.folder.join(format!("{name}.log")))
+            .open(folder.join(format!("{name}.log")))
             .map_err(|error| error.to_string())?;
         let kept = ["PATH", "HOME", "JAVA_HOME", "LANG"];
         let kept = kept.iter().filter_map(|name| Some((name, std::env::var_os(name)?)));
-        let child = Command::new(program)
+        let mut command = Command::new(program);
+        // SAFETY: the call takes integers only, and is made between fork and exec.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
+        let child = command
             .arg("relay")
             .env_clear()
             .envs(kept)
@@ -222,8 +211,7 @@
             .spawn()
             .map_err(|error| format!("the relay can't be started: {error}"))?;
         remember(child.id());
-        self.child = Some(child);
-        Ok(())
+        Ok(Self { settings, child })
     }
 
     /// Waits until the process reports itself ready.
@@ -242,31 +230,6 @@
 
     /// Sends the process a signal.
     pub fn signal(&self, name: &str) {
-        if let Some(child) = &self.child {
-            send_signal(child.id(), name);
-        }
-    }
-
-    /// Kills the process.
-    pub fn kill(&mut self) {
-        if let Some(child) = self.child.take() {
-            kill(child);
-        }
-    }
-
-    /// Waits for the end of the process; returns none if it still runs.
-    pub fn wait_for_end(&mut self, timeout: Duration) -> Option<Instant> {
-        let until = Instant::now() + timeout;
-        while Instant::now() < until {
-            let ended = self.child.as_mut().map(|child| child.try_wait());
-            if !matches!(ended, Some(Ok(None))) {
-                if let Some(child) = self.child.take() {
-                    forget(child.id());
-                }
-                return Some(Instant::now());
-            }
-            std::thread::sleep(Duration::from_millis(5));
-        }
-        None
+        send_signal(self.child.id(), name);
     }
 }
--- a/review/cases_3/store.rs
+++ b/review/cases_3/store.rs
@@ -138,12 +138,6 @@
         Instant::now()
     }
 
-    /// Returns the value of an object.
-    pub fn spec(&self, kind: &str, name: &str) -> Option<String> {
-        let key = (kind.to_owned(), name.to_owned());
-        self.lock().objects.get(&key).map(|object| object.spec.clone())
-    }
-
     /// Returns when a watch of a kind last began.
     pub fn watched_at(&self, kind: &str) -> Option<Instant> {
         self.lock().watched_at.get(kind).copied()
