--- a/review/cases_3/case_13.rs
+++ b/review/cases_3/case_13.rs
@@ -113,7 +113,7 @@
         thread::sleep(BETWEEN_CHANGES);
         if has_trouble {
             for relay in &frozen {
-                relay.signal("STOP");
+                relay.freeze();
                 record.line(&format!("{} is frozen", relay.settings.name));
             }
         }
@@ -133,7 +133,7 @@
         thread::sleep(DRAIN.saturating_sub(acknowledged_at.elapsed()));
         send_requests(&in_touch, frozen_at + FREEZE + Duration::from_millis(500), &sent);
         for relay in &frozen {
-            relay.signal("CONT");
+            relay.wake();
         }
         let _ = end.join();
         let (late, broken) = judge(record, &sent, &arrivals, acknowledged_at, &leaving.id);
--- a/review/cases_3/relay.rs
+++ b/review/cases_3/relay.rs
@@ -13,11 +13,14 @@
 use crate::client;
 
 const PR_SET_PDEATHSIG: i32 = 1;
-const SIGKILL: u64 = 9;
+const SIGKILL: i32 = 9;
+const SIGCONT: i32 = 18;
+const SIGSTOP: i32 = 19;
 
 extern "C" {
     /// With [`PR_SET_PDEATHSIG`], has the kernel end the process with its parent, so that an interrupted case leaves none.
     fn prctl(option: i32, value: u64) -> i32;
+    fn kill(process: i32, signal: i32) -> i32;
 }
 
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
@@ -26,8 +29,7 @@
 pub fn kill_all() {
     let started = STARTED.lock().unwrap_or_else(|lock| lock.into_inner());
     for id in started.iter() {
-        send_signal(*id, "CONT");
-        send_signal(*id, "KILL");
+        send_signal(*id, SIGKILL);
     }
 }
 
@@ -35,12 +37,9 @@
     STARTED.lock().unwrap_or_else(|lock| lock.into_inner()).push(id);
 }
 
-fn send_signal(id: u32, name: &str) {
-    let status = Command::new("kill")
-        .args([&format!("-{name}"), &id.to_string()])
-        .stderr(Stdio::null())
-        .status();
-    let _ = status;
+fn send_signal(id: u32, signal: i32) {
+    // SAFETY: the call takes integers only. The process isn't waited for, so that its id isn't given to another one.
+    unsafe { kill(id as i32, signal) };
 }
 
 /// Returns a folder for the settings and logs of this run.
@@ -195,7 +194,7 @@
         // SAFETY: the call takes integers only, and is made between fork and exec.
         unsafe {
             command.pre_exec(|| {
-                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
                 Ok(())
             });
         }
@@ -228,8 +227,13 @@
         Err(format!("{} isn't ready", self.settings.name))
     }
 
-    /// Sends the process a signal.
-    pub fn signal(&self, name: &str) {
-        send_signal(self.child.id(), name);
+    /// Stops the process, which doesn't run until it is continued.
+    pub fn freeze(&self) {
+        send_signal(self.child.id(), SIGSTOP);
+    }
+
+    /// Continues the process.
+    pub fn wake(&self) {
+        send_signal(self.child.id(), SIGCONT);
     }
 }
