--- a/review/cases_3/case_11.rs
+++ b/review/cases_3/case_11.rs
@@ -19,8 +19,8 @@
     Verdict,
 };
 
-/// Backend servers: those of `invoice-hall`; one of them fails two fifths of its requests.
-const SERVERS: usize = 4;
+/// Backend servers, of which one, a share of 0.143, fails two fifths of its requests.
+const SERVERS: usize = 7;
 const FAILED_OF_FIVE: u64 = 2;
 const WORK: Duration = Duration::from_millis(20);
 const TROUBLE: Duration = Duration::from_millis(6_500);
--- a/review/cases_3/case_15.rs
+++ b/review/cases_3/case_15.rs
@@ -21,10 +21,13 @@
 
 /// Time for which the server wants no requests, in seconds.
 const PAUSE_S: u64 = 25;
-/// Three heartbeat intervals, after which the entry of a silent server is removed.
-const EXPIRY: Duration = Duration::from_millis(3_600);
+/// Backend servers of the service, of which one, a share of 0.2, is cut from the store.
+const SERVERS: usize = 5;
 /// Time for which the server doesn't reach the store.
-const CUT: Duration = Duration::from_millis(8_000);
+const CUT: Duration = Duration::from_millis(5_000);
+/// Interval of its heartbeats; the last one before the cut was sent this long before it.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+const LAST_HEARTBEAT: Duration = Duration::from_millis(1_100);
 /// Time after the reply from which requests count, and how many of them may arrive.
 const COUNTED_FROM: Duration = Duration::from_millis(500);
 const MAX_ARRIVALS: usize = 2;
@@ -72,10 +75,15 @@
     let is_overloaded = Arc::new(AtomicBool::new(false));
     let work = Duration::from_millis(30);
     let other = backend::served(work, b"the server's bytes".to_vec());
-    let busy = Backend::start("i-storyhook-1", "storyhook", "northmere-a", &arrivals, pausing(is_overloaded.clone()));
-    let other = Backend::start("i-storyhook-2", "storyhook", "northmere-a", &arrivals, other);
-    for server in [&busy, &other] {
+    let start = |number: usize, behaviour: Behaviour| {
+        let id = format!("i-storyhook-{number}");
+        let server = Backend::start(&id, "storyhook", "northmere-a", &arrivals, behaviour);
         store.put("servers", &server.id, &server.entry("ready"));
+        server
+    };
+    let busy = start(1, pausing(is_overloaded.clone()));
+    for number in 2..=SERVERS {
+        start(number, other.clone());
     }
     let settings = Settings::new("front-1", "northmere-a", "127.0.0.11", store.address);
     let relay = Relay::start(settings, &folder)?;
@@ -120,12 +128,21 @@
     record.line_at(paused_at, &format!("{} answers 503 with Retry-After: {PAUSE_S}", busy.id));
     if has_trouble {
         record.line(&format!("{} doesn't reach the store any more", busy.id));
-        thread::sleep(EXPIRY);
+        let expires_at = paused_at + HEARTBEAT * 3 - LAST_HEARTBEAT;
+        thread::sleep(expires_at.saturating_duration_since(Instant::now()));
         store.delete("servers", &busy.id);
         record.line(&format!("the entry of {} has expired", busy.id));
-        thread::sleep(CUT - EXPIRY);
+        let ends_at = paused_at + CUT;
+        thread::sleep(ends_at.saturating_duration_since(Instant::now()));
+        record.line(&format!("{} reaches the store again", busy.id));
+        // The first heartbeat after the cut.
+        let mut beats_at = paused_at + HEARTBEAT - LAST_HEARTBEAT;
+        while beats_at < ends_at {
+            beats_at += HEARTBEAT;
+        }
+        thread::sleep(beats_at.saturating_duration_since(Instant::now()));
         store.put("servers", &busy.id, &busy.entry("ready"));
-        record.line(&format!("{} reaches the store, its entry is back", busy.id));
+        record.line(&format!("the entry of {} is back with its heartbeat", busy.id));
     }
     thread::sleep((Duration::from_secs(PAUSE_S)).saturating_sub(paused_at.elapsed()));
     let ends_at = Instant::now();
