--- a/review/cases_3/case_13.rs
+++ b/review/cases_3/case_13.rs
@@ -27,7 +27,7 @@
 /// Time for which a server serves after its entry was removed: `drain_ms` and a little longer.
 const SERVES_ON: Duration = Duration::from_millis(3_450);
 /// Time after a freeze until the next one, longer than `stability_window_ms`.
-const CALM: Duration = Duration::from_millis(6_000);
+const CALM: Duration = Duration::from_millis(4_600);
 /// Time between the start of a new server and the removal of the old one's entry.
 const BETWEEN_CHANGES: Duration = Duration::from_millis(300);
 const PAUSE: Duration = Duration::from_millis(60);
@@ -131,7 +131,7 @@
             })
         };
         thread::sleep(DRAIN.saturating_sub(acknowledged_at.elapsed()));
-        send_requests(&in_touch, frozen_at + FREEZE + Duration::from_millis(500), &sent);
+        send_requests(&in_touch, frozen_at + FREEZE - Duration::from_millis(100), &sent);
         for relay in &frozen {
             relay.wake();
         }
