fix(relay): a server's failure after a run isn't answered as a refusal

Cause: an error reply was passed on unchanged whatever its status. Ruled out: a retry or a late copy (one attempt, one arrival), a refusal by the instance (the reply had the server's signature).

Evidence: the new tests relay/forward failure_after_a_run_is_not_answered_as_not_run and relay/peers ..._by_a_peer fail on: "left: 503, right: 502" and "left: (503, Some("s1-0")), right: (502, None)".

The call now ends with Cause::Unstated(status), which is answered 502 without the server's headers and body; requests that may run again are answered as before. The outcome "refused" in logs and counters follows the instance's own refusals, not the status 503.

All tests of relay pass. No request takes another way, so that store calls and connections don't change.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -28,6 +28,7 @@
     FutureExt,
     StreamExt, //
 };
+use http::StatusCode;
 use monoio::time::sleep_until;
 use policy::{
     health::Transition,
@@ -54,6 +55,7 @@
     },
     reply::{
         classify,
+        denies_run,
         Fault,
         Verdict, //
     },
@@ -86,6 +88,8 @@
     Broken(connection::FailureKind),
     /// A server's reply was invalid or belonged to another request.
     Wrong(Fault),
+    /// A server replied with a status by which a caller would take a request that may have run for one that hasn't.
+    Unstated(StatusCode),
     /// No reply arrived before the deadline.
     Late,
 }
@@ -516,7 +520,7 @@
                 self.call.meter.failed.add(1);
                 self.may_have_run = true;
                 self.record_server_failure(&server, now);
-                self.keep_failure(PendingFailure::Reply(reply));
+                self.keep_failure(self.failure_to_report(reply));
             }
             Verdict::Wrong(fault) => {
                 self.call.meter.wrong.add(1);
@@ -589,6 +593,19 @@
         }
     }
 
+    /// Returns the failure that a server's error reply is reported as.
+    ///
+    /// The caller of a request that must run at most once repeats it after a status that denies the run.
+    fn failure_to_report(&self, reply: Reply) -> PendingFailure {
+        let status = reply.status();
+        match self.call.kind {
+            Kind::AtMostOnce if denies_run(status) => {
+                PendingFailure::Cause(Cause::Unstated(status))
+            }
+            _ => PendingFailure::Reply(reply),
+        }
+    }
+
     /// Keeps a failure to report. A server's error reply is kept over any later failure, as it is the
     /// most informative one for the caller.
     fn keep_failure(&mut self, failure: PendingFailure) {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -528,7 +528,7 @@
         let outcome = match status {
             status if status.is_success() && detail.missing > 0 => "partial",
             status if status.is_success() => "served",
-            StatusCode::SERVICE_UNAVAILABLE => "refused",
+            _ if answer::is_refusal(answer) => "refused",
             _ => "failed",
         };
         self.meter.record_latency(outcome, latency);
--- a/crates/relay/src/reply.rs
+++ b/crates/relay/src/reply.rs
@@ -46,6 +46,19 @@
         .is_some_and(|id| id != request)
 }
 
+/// Returns whether a status tells a caller that its request hasn't run and never will.
+///
+/// Of a server's reply only the not-run header states that.
+pub fn denies_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
+
 /// Classifies the reply to the request with the given id.
 pub fn classify(reply: &Reply, request: &HeaderValue, names: &HeaderNames) -> Verdict {
     let headers = reply.headers();
--- a/crates/relay/tests/forward.rs
+++ b/crates/relay/tests/forward.rs
@@ -166,6 +166,37 @@
     });
 }
 
+/// Guards against a server's failure after a run that reaches the caller under a status by which callers send the request again.
+#[test]
+fn failure_after_a_run_is_not_answered_as_not_run() {
+    const STATUSES: [&str; 3] = [
+        "503 Service Unavailable",
+        "429 Too Many Requests",
+        "408 Request Timeout",
+    ];
+    run(async {
+        let start = |status| {
+            let fields = || "retry-after: 1\r\n".to_owned();
+            FakeServer::start("s1", move |_| Behavior::Reply(status, fields(), "failed"))
+        };
+        for status in STATUSES {
+            let failing = start(status);
+            let instance = instance_with(read_and_write_routes(), &[("one", &failing)]);
+            let answer = instance.ask(&post("/write/a", "x")).await;
+            assert_eq!(answer.status(), 502, "{status}");
+            let of_server = [answer.header("signed"), answer.header("retry-after")];
+            assert_eq!(of_server, [None, None], "{status}");
+            assert_eq!(failing.arrivals(), 1, "{status}");
+            // One that may run again is answered as the server did.
+            let failing = start(status);
+            let instance = instance_with(read_and_write_routes(), &[("one", &failing)]);
+            let answer = instance.get("/read/a").await;
+            assert!(answer.start.ends_with(status), "{}", answer.start);
+            assert_eq!(answer.header("signed"), Some("s1-0"), "{status}");
+        }
+    });
+}
+
 #[test]
 fn shed_request_is_refused_with_retry_after() {
     run(async {
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -70,6 +70,19 @@
     });
 }
 
+/// Guards against a server's failure after a run that a peer passes on as a refusal.
+#[test]
+fn failure_after_a_run_is_not_answered_as_not_run_by_a_peer() {
+    run(async {
+        let status = "503 Service Unavailable";
+        let failing = FakeServer::start("s1", move |_| Behavior::Reply(status, String::new(), ""));
+        let (small, _large) = fleet(&failing);
+        let answer = small.ask(&post("/write/a", "x")).await;
+        assert_eq!((answer.status(), answer.header("signed")), (502, None));
+        assert_eq!((delegated(&small), failing.arrivals()), (1, 1));
+    });
+}
+
 #[test]
 fn draining_or_outdated_peers_decline_and_nothing_runs_twice() {
     run(async {
