--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -9,7 +9,6 @@
         HashMap,
         VecDeque, //
     },
-    net::SocketAddr,
     pin::pin,
     rc::Rc,
     time::{
@@ -18,20 +17,17 @@
     },
 };
 
-use bytes::Bytes;
 use futures_util::future::{
     select,
     Either, //
 };
-use http::Method;
 use monoio::time::timeout;
 use platform::{
     Failure,
-    Store,
-    Transport, //
+    Store, //
 };
 use policy::watchers::{
-    self,
+    patience,
     Shortage, //
 };
 use tracing::{
@@ -39,11 +35,12 @@
     info, //
 };
 
+use self::watchers::{
+    Denial,
+    Question,
+    Watchers, //
+};
 use crate::{
-    feed::{
-        self,
-        Query, //
-    },
     mirror::{
         Position,
         Reading, //
@@ -53,16 +50,10 @@
     relay::Relay,
 };
 
-/// Timeout for connecting to a watcher.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time that a watcher's reply may take in addition to the wait.
-const REPLY_MARGIN: Duration = Duration::from_millis(400);
-/// Timeout of a complete listing, which may be hundreds of kilobytes on a slow link.
-const LIST_TIMEOUT: Duration = Duration::from_millis(1_500);
+mod watchers;
+
 /// Wait for a change that another watcher has already read.
 const CHANGED_WAIT: Duration = Duration::from_millis(200);
-/// Time for which a watcher that failed is asked only if no other one is left.
-const FAILED_PAUSE: Duration = Duration::from_millis(2_000);
 /// Maximum wait for the first list of instances before the store is asked anyway.
 const MAX_ROLE_WAIT: Duration = Duration::from_millis(8_000);
 
@@ -86,23 +77,6 @@
     Unsupplied,
 }
 
-/// Why a watcher doesn't supply a reading.
-#[derive(Debug, Clone, Copy)]
-enum Denial {
-    /// It doesn't reply.
-    Silent(Failure),
-    /// Its reply isn't a reading that this instance can use.
-    Unusable(Failure),
-}
-
-impl Denial {
-    fn failure(self) -> Failure {
-        match self {
-            Self::Silent(failure) | Self::Unusable(failure) => failure,
-        }
-    }
-}
-
 /// Reads of one kind of objects.
 #[derive(Debug, Clone, Copy)]
 struct Reads {
@@ -123,11 +97,7 @@
 pub struct Source<S> {
     store: Rc<S>,
     relay: Rc<Relay>,
-    transports: RefCell<HashMap<SocketAddr, Rc<Transport>>>,
-    /// When watchers last failed to supply a kind.
-    failed_at: RefCell<HashMap<(SocketAddr, &'static str), Instant>>,
-    /// Generation of each watcher's readings of a kind, as it last stated it.
-    generations: RefCell<HashMap<(SocketAddr, &'static str), u64>>,
+    watchers: Watchers,
     reads: RefCell<HashMap<&'static str, Reads>>,
     /// Latest era that a watcher stated.
     era: Cell<u64>,
@@ -139,10 +109,8 @@
     pub fn new(store: Rc<S>, relay: Rc<Relay>) -> Rc<Self> {
         Rc::new(Self {
             store,
+            watchers: Watchers::new(relay.clone()),
             relay,
-            transports: RefCell::default(),
-            failed_at: RefCell::default(),
-            generations: RefCell::default(),
             reads: RefCell::default(),
             era: Cell::new(0),
             started_at: Instant::now(),
@@ -264,25 +232,25 @@
     /// Asks one watcher whether it supplies this instance; the next one is asked at the next read.
     async fn find_supply(&self, kind: &'static str, after: Option<Position>, max_age: Duration) {
         let (turn, latest) = self.next_turn(kind);
-        let watchers = self.watchers_to_ask(kind, turn);
+        let watchers = self.watchers.to_ask(kind, turn);
         let (Some(watcher), Some(_)) = (watchers.first(), after) else {
             return;
         };
-        let known = (watcher.address, kind);
-        let query = Query {
+        let question = Question {
             kind,
             after,
             wait: Duration::ZERO,
-            generation: self.generations.borrow().get(&known).copied(),
             is_probe: true,
+            max_age,
+            latest,
         };
-        match self.ask(watcher, known, query, max_age, latest).await {
+        match self.watchers.ask(watcher, question).await {
             Ok(_) => {
                 info!(kind, watcher = %watcher.name, "source: a watcher supplies this instance again.");
-                self.record_supply(known);
+                self.record_supply(watcher, kind);
                 self.with_reads(kind, |reads| reads.is_direct = false);
             }
-            Err(_) => self.record_failed(known),
+            Err(_) => self.watchers.record_failed(watcher, kind),
         }
     }
 
@@ -298,24 +266,14 @@
         })
     }
 
-    fn watchers_to_ask(&self, kind: &'static str, turn: u64) -> Vec<Member> {
-        let registry = self.relay.registry();
-        registry.watchers_to_ask(turn, |watcher| self.has_failed(watcher, kind))
-    }
-
-    fn record_supply(&self, known: (SocketAddr, &'static str)) {
-        self.failed_at.borrow_mut().remove(&known);
-        self.with_reads(known.1, |reads| {
+    fn record_supply(&self, watcher: &Member, kind: &'static str) {
+        self.watchers.record_supply(watcher, kind);
+        self.with_reads(kind, |reads| {
             reads.supplied_at = Instant::now();
             reads.was_supplied = true;
         });
     }
 
-    fn record_failed(&self, known: (SocketAddr, &'static str)) {
-        let mut failed_at = self.failed_at.borrow_mut();
-        failed_at.insert(known, Instant::now());
-    }
-
     /// Asks watchers in turn until one supplies a reading; if none does for a while, the store is read next.
     async fn read_feed(
         &self,
@@ -330,7 +288,7 @@
             Some(_) => turn,
         };
         let local_zone = self.relay.registry().local_zone();
-        let watchers = self.watchers_to_ask(kind, turn);
+        let watchers = self.watchers.to_ask(kind, turn);
         let mut tries: VecDeque<(Member, bool)> = watchers
             .into_iter()
             .map(|watcher| {
@@ -347,18 +305,15 @@
                 true => CHANGED_WAIT,
                 false => limits.feed_wait,
             };
-            let known = (watcher.address, kind);
-            let query = Query {
+            let question = Question {
                 kind,
                 after,
                 wait,
-                generation: self.generations.borrow().get(&known).copied(),
                 is_probe,
+                max_age: limits.max_age,
+                latest,
             };
-            match self
-                .ask(&watcher, known, query, limits.max_age, latest)
-                .await
-            {
+            match self.watchers.ask(&watcher, question).await {
                 Ok(None) => {
                     is_changed = true;
                     tries.push_back((watcher, false));
@@ -366,7 +321,7 @@
                 // This watcher lacks the changes.
                 Ok(Some(reading)) if is_changed && is_empty(&reading) && !tries.is_empty() => {}
                 Ok(Some(reading)) => {
-                    self.record_supply(known);
+                    self.record_supply(&watcher, kind);
                     self.era.set(self.era.get().max(reading.listing.era));
                     self.relay.meter().supplied.add(1);
                     return Ok(reading);
@@ -377,65 +332,19 @@
                 Err(denial) => {
                     debug!(watcher = %watcher.name, kind, failure = %denial.failure(), "source: watcher doesn't supply.");
                     is_any_reachable |= matches!(denial, Denial::Unusable(_));
-                    self.record_failed(known);
+                    self.watchers.record_failed(&watcher, kind);
                 }
             }
         }
         // Not all of them are asked in one read.
-        let next = self.watchers_to_ask(kind, turn);
+        let next = self.watchers.to_ask(kind, turn);
         let has_untried = next
             .first()
-            .is_some_and(|watcher| !self.has_failed(watcher, kind));
+            .is_some_and(|watcher| !self.watchers.has_failed(watcher, kind));
         self.turn_to_store(kind, is_any_reachable || has_untried);
         Err(ReadError::Unsupplied)
     }
 
-    /// Returns whether the watcher failed to supply the kind a short while ago.
-    fn has_failed(&self, watcher: &Member, kind: &'static str) -> bool {
-        let failed_at = self.failed_at.borrow();
-        let failed_at = failed_at.get(&(watcher.address, kind));
-        failed_at.is_some_and(|at| at.elapsed() < FAILED_PAUSE)
-    }
-
-    /// Asks one watcher; `latest` is the latest position that was read.
-    async fn ask(
-        &self,
-        watcher: &Member,
-        known: (SocketAddr, &'static str),
-        query: Query<'_>,
-        max_age: Duration,
-        latest: Option<Position>,
-    ) -> Result<Option<Reading>, Denial> {
-        let transport = {
-            let mut transports = self.transports.borrow_mut();
-            let transport = transports
-                .entry(watcher.address)
-                .or_insert_with(|| Rc::new(Transport::new(watcher.address, CONNECT_TIMEOUT)));
-            transport.clone()
-        };
-        let request = transport
-            .request(Method::GET, &query.target())
-            .body(Bytes::new())
-            .map_err(|_| Denial::Unusable(Failure::Invalid))?;
-        let wait = match query.after {
-            Some(_) => query.wait + REPLY_MARGIN,
-            None => LIST_TIMEOUT,
-        };
-        let response = transport.send(request, wait).await;
-        let response = response.map_err(Denial::Silent)?;
-        if let Some(generation) = feed::stated_generation(&response) {
-            self.generations.borrow_mut().insert(known, generation);
-        }
-        let reading = feed::parse_reply(&response, max_age).map_err(Denial::Unusable)?;
-        match &reading {
-            // It is behind what this instance has read elsewhere.
-            Some(reading) if Some(Position::of(&reading.listing)) < latest => {
-                Err(Denial::Unusable(Failure::Unavailable))
-            }
-            _ => Ok(reading),
-        }
-    }
-
     /// Has the store read next if no watcher has supplied the kind for long enough.
     fn turn_to_store(&self, kind: &'static str, may_be_supplied: bool) {
         let name = self.relay.registry().local_name();
@@ -446,7 +355,7 @@
                 false => Shortage::Unreachable,
             };
             let unsupplied = reads.supplied_at.elapsed();
-            reads.is_direct = unsupplied >= watchers::patience(&name, shortage);
+            reads.is_direct = unsupplied >= patience(&name, shortage);
             if reads.is_direct {
                 let ms = unsupplied.as_millis() as u64;
                 info!(
--- /dev/null
+++ b/crates/relay/src/source/watchers.rs
@@ -0,0 +1,176 @@
+//! Asks instances that watch the store, and remembers which of them don't supply this instance.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use bytes::Bytes;
+use http::Method;
+use platform::{
+    Failure,
+    Transport, //
+};
+
+use crate::{
+    feed::{
+        self,
+        Query, //
+    },
+    mirror::{
+        Position,
+        Reading, //
+    },
+    peers::Member,
+    relay::Relay,
+};
+
+/// Timeout for connecting to a watcher.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time that a watcher's reply may take in addition to the wait.
+const REPLY_MARGIN: Duration = Duration::from_millis(400);
+/// Timeout of a complete listing, which may be hundreds of kilobytes on a slow link.
+const LIST_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time for which a watcher that failed is asked only if no other one is left.
+const FAILED_PAUSE: Duration = Duration::from_millis(2_000);
+
+/// Why a watcher doesn't supply a reading.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Denial {
+    /// It doesn't reply.
+    Silent(Failure),
+    /// Its reply isn't a reading that this instance can use.
+    Unusable(Failure),
+}
+
+impl Denial {
+    pub(super) fn failure(self) -> Failure {
+        match self {
+            Self::Silent(failure) | Self::Unusable(failure) => failure,
+        }
+    }
+}
+
+/// What is asked of a watcher.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Question {
+    /// Kind of objects.
+    pub(super) kind: &'static str,
+    /// Position after which changes are wanted; none for all objects.
+    pub(super) after: Option<Position>,
+    /// How long the watcher waits for a change.
+    pub(super) wait: Duration,
+    /// Whether only the existence of changes is of interest.
+    pub(super) is_probe: bool,
+    /// Maximum age of the reading.
+    pub(super) max_age: Duration,
+    /// Latest position that this instance has read; an earlier one isn't used.
+    pub(super) latest: Option<Position>,
+}
+
+/// The watchers as this instance knows them.
+#[derive(Debug)]
+pub(super) struct Watchers {
+    relay: Rc<Relay>,
+    transports: RefCell<HashMap<SocketAddr, Rc<Transport>>>,
+    /// When watchers last failed to supply a kind.
+    failed_at: RefCell<HashMap<(SocketAddr, &'static str), Instant>>,
+    /// Generation of each watcher's readings of a kind, as it last stated it.
+    generations: RefCell<HashMap<(SocketAddr, &'static str), u64>>,
+}
+
+impl Watchers {
+    /// Creates watchers of which nothing is known yet.
+    pub(super) fn new(relay: Rc<Relay>) -> Self {
+        Self {
+            relay,
+            transports: RefCell::default(),
+            failed_at: RefCell::default(),
+            generations: RefCell::default(),
+        }
+    }
+
+    /// Returns the watchers to ask for the read number `turn` of a kind, in order.
+    pub(super) fn to_ask(&self, kind: &'static str, turn: u64) -> Vec<Member> {
+        let registry = self.relay.registry();
+        registry.watchers_to_ask(turn, |watcher| self.has_failed(watcher, kind))
+    }
+
+    /// Returns whether the watcher failed to supply the kind a short while ago.
+    pub(super) fn has_failed(&self, watcher: &Member, kind: &'static str) -> bool {
+        let failed_at = self.failed_at.borrow();
+        let failed_at = failed_at.get(&(watcher.address, kind));
+        failed_at.is_some_and(|at| at.elapsed() < FAILED_PAUSE)
+    }
+
+    /// Records that a watcher supplied a reading of a kind.
+    pub(super) fn record_supply(&self, watcher: &Member, kind: &'static str) {
+        self.failed_at.borrow_mut().remove(&(watcher.address, kind));
+    }
+
+    /// Records that a watcher didn't supply a reading of a kind.
+    pub(super) fn record_failed(&self, watcher: &Member, kind: &'static str) {
+        let mut failed_at = self.failed_at.borrow_mut();
+        failed_at.insert((watcher.address, kind), Instant::now());
+    }
+
+    fn transport(&self, address: SocketAddr) -> Rc<Transport> {
+        let mut transports = self.transports.borrow_mut();
+        let transport = transports
+            .entry(address)
+            .or_insert_with(|| Rc::new(Transport::new(address, CONNECT_TIMEOUT)));
+        transport.clone()
+    }
+
+    /// Asks one watcher; returns none if it holds changes and was only asked whether there are any.
+    pub(super) async fn ask(
+        &self,
+        watcher: &Member,
+        question: Question,
+    ) -> Result<Option<Reading>, Denial> {
+        let Question {
+            kind,
+            after,
+            wait,
+            is_probe,
+            max_age,
+            latest,
+        } = question;
+        let known = (watcher.address, kind);
+        let query = Query {
+            kind,
+            after,
+            wait,
+            generation: self.generations.borrow().get(&known).copied(),
+            is_probe,
+        };
+        let transport = self.transport(watcher.address);
+        let request = transport
+            .request(Method::GET, &query.target())
+            .body(Bytes::new())
+            .map_err(|_| Denial::Unusable(Failure::Invalid))?;
+        let reply_timeout = match after {
+            Some(_) => wait + REPLY_MARGIN,
+            None => LIST_TIMEOUT,
+        };
+        let response = transport.send(request, reply_timeout).await;
+        let response = response.map_err(Denial::Silent)?;
+        if let Some(generation) = feed::stated_generation(&response) {
+            self.generations.borrow_mut().insert(known, generation);
+        }
+        let reading = feed::parse_reply(&response, max_age).map_err(Denial::Unusable)?;
+        match &reading {
+            // It is behind what this instance has read elsewhere.
+            Some(reading) if Some(Position::of(&reading.listing)) < latest => {
+                Err(Denial::Unusable(Failure::Unavailable))
+            }
+            _ => Ok(reading),
+        }
+    }
+}
