fix(relay, policy): silent watchers hold a change back for one poll, however many they are

Cause: an instance that doesn't watch the store waited 1.5 s and 0.4 s for the reply of one watcher after the other, each wait with a limit of its own and none for all; after 2 s a silent one was asked again in its turn. Ruled out: the pause after a change of servers (0.4 s), the store's own delay, the last-resort use of a server that is known to leave.

The watchers of one read now hold it together; after that, all that are left are asked at the same time. A silent one is asked last until it replies, which is found out beside other reads. How long a read is held follows from the shorter one of the drain time and the time of a configuration, so that a cut-off watcher and a silent one in a row fit into it: 0.8 s at 3 s, 1.5 s as before from 4.4 s on. The batch pause of small instances follows from it as well (3 s before, 2.5 s at 5 s). Routes, servers, instances and crashes are all read this way.

Tests: the order of watchers has all of them now, not three, so that reads_are_spread_over_watchers_and_zones expects all; loss_of_half_of_the_watchers_leaves_a_supply still looks at the first three. change_is_in_force_although_half_of_the_watchers_are_cut_off_silently waited 1.5 s before it cut the other half off, while the first half was still deaf, so that all four were; it waits for the first half now, and its limit is unchanged.

--- a/crates/bench/src/soak/topology.rs
+++ b/crates/bench/src/soak/topology.rs
@@ -51,6 +51,8 @@
 pub const GRACE: Duration = Duration::from_secs(6);
 /// Time for which a draining server continues to serve.
 pub const SERVER_DRAIN: Duration = Duration::from_secs(2);
+/// Time after which a configuration has to be in force.
+const CONFIGURATION_TIME: Duration = Duration::from_secs(5);
 /// Timeout of the route for queries.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(600);
 /// Timeout of the other routes.
@@ -267,6 +269,7 @@
             store: store_link,
             retry_budget: RETRY_BUDGET,
             server_drain_time: SERVER_DRAIN,
+            configuration_time: CONFIGURATION_TIME,
             server_heartbeat: HEARTBEAT,
             grace: GRACE,
             is_first_start: false,
--- a/crates/policy/src/watchers.rs
+++ b/crates/policy/src/watchers.rs
@@ -13,11 +13,19 @@
 const MAX_DIRECT_FLEET: usize = 12;
 /// Minimum number of watchers, so that the loss of a zone leaves some.
 const MIN_WATCHERS: usize = 4;
-/// Maximum number of watchers that are asked before a read fails.
-pub const MAX_TRIES: usize = 3;
 /// Age beyond which what an instance holds of the store is too old to pass on: a watch of the store that is lost
 /// is noticed within less.
 pub const MAX_AGE: Duration = Duration::from_millis(3_600);
+/// Range of the time for which a watcher holds a read.
+const MIN_POLL_WAIT: Duration = Duration::from_millis(500);
+const MAX_POLL_WAIT: Duration = Duration::from_millis(1_500);
+/// Part of the time within which a change must take effect that isn't spent on holding reads: the reply of a silent watcher
+/// is waited for, then those of the others.
+const MAX_POLL_OVERHEAD: Duration = Duration::from_millis(1_000);
+/// Pause after a change of servers, so that many changes are read in one call.
+pub const CHANGE_PAUSE: Duration = Duration::from_millis(400);
+/// Maximum pause after a change of servers if peers answer the requests.
+const MAX_BATCH_PAUSE: Duration = Duration::from_millis(3_000);
 /// Time without a supply after which an instance asks the store itself, and the range over which instances are
 /// spread that lack a supply at the same time.
 const MIN_UNSUPPLIED: Duration = Duration::from_millis(2_000);
@@ -91,10 +99,36 @@
     }
     order.extend(near);
     order.extend(far);
-    order.truncate(MAX_TRIES);
     order
 }
 
+/// Returns how long a watcher holds a read of changes that must take effect within `limit`.
+///
+/// A change can be held back by two reads in a row: by a watcher that is cut off from the store without knowing it, and by one
+/// that is silent.
+pub fn poll_wait(limit: Duration) -> Duration {
+    let wait = limit.saturating_sub(MAX_POLL_OVERHEAD + CHANGE_PAUSE) / 2;
+    wait.clamp(MIN_POLL_WAIT, MAX_POLL_WAIT)
+}
+
+/// Returns the pause after a change of servers, which must take effect within `limit`, if peers answer the requests: a watcher that
+/// is asked after it may be silent.
+pub fn batch_pause(limit: Duration) -> Duration {
+    let pause = limit.saturating_sub(MAX_POLL_OVERHEAD + poll_wait(limit));
+    pause.clamp(CHANGE_PAUSE, MAX_BATCH_PAUSE)
+}
+
+/// How a watcher has replied to an instance lately, best first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Reliability {
+    /// It supplied it, or wasn't asked.
+    Sound,
+    /// It replied without a reading that could be used.
+    Failing,
+    /// It hasn't replied since.
+    Silent,
+}
+
 /// Why no watcher supplies an instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Shortage {
--- a/crates/policy/tests/watchers.rs
+++ b/crates/policy/tests/watchers.rs
@@ -6,11 +6,14 @@
 };
 
 use policy::watchers::{
+    batch_pause,
     choose,
     order,
     patience,
+    poll_wait,
     Candidate,
-    Shortage, //
+    Shortage,
+    CHANGE_PAUSE, //
 };
 
 /// A fleet of `small` and `large` instances, dealt to the zones in turn.
@@ -94,7 +97,7 @@
         assert_ne!(watchers[firsts[0]].zone, watchers[firsts[1]].zone);
         for turn in 0..10 {
             let order = order(local, &watchers, turn);
-            assert_eq!(order.len(), 3);
+            assert_eq!(order.len(), watchers.len());
             assert!(order
                 .iter()
                 .all(|index| watchers[*index].name != local.name));
@@ -122,7 +125,7 @@
         .collect();
     let is_lost = |index: usize| index.is_multiple_of(2);
     for local in &candidates {
-        let asked = (0..2).flat_map(|turn| order(local, &watchers, turn));
+        let asked = (0..2).flat_map(|turn| order(local, &watchers, turn).into_iter().take(3));
         assert!(asked.into_iter().any(|index| !is_lost(index)), "{local:?}");
     }
     let mut seconds = [0; 6];
@@ -153,3 +156,19 @@
         "{fifths:?}"
     );
 }
+
+/// A change is held back by a watcher that is cut off and then by one that is silent, whose reply is waited for 0.4 s more than
+/// the read is held; the others reply 0.4 s later at most. Changes of servers are read after a pause.
+#[test]
+fn reads_that_hold_a_change_back_fit_into_its_limit() {
+    let replies = Duration::from_millis(800);
+    let limits_ms = [3_000, 4_000, 5_000, 6_000, 19_000];
+    let times_ms = limits_ms.map(|limit_ms| {
+        let limit = Duration::from_millis(limit_ms);
+        let (wait, pause) = (poll_wait(limit), batch_pause(limit));
+        assert!(wait * 2 + replies + CHANGE_PAUSE < limit, "{wait:?}");
+        assert!(wait + replies + pause < limit, "{pause:?}");
+        (limit_ms, wait.as_millis(), pause.as_millis())
+    });
+    insta::assert_debug_snapshot!(times_ms);
+}
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -62,17 +62,9 @@
 const WATCH_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Timeout of one watch if peers, which are more up to date, answer the requests.
 const DELEGATING_WATCH_TIMEOUT: Duration = Duration::from_millis(12_000);
-/// How long a watcher holds a read whose changes must take effect within seconds. Reads ask watchers in turn, so a
-/// change that one of them lacks is learned from another one after this time.
-const FEED_WAIT: Duration = Duration::from_millis(1_500);
 /// How long a watcher holds a read whose changes aren't urgent, and the maximum age of its reading.
 const RELAXED_FEED_WAIT: Duration = Duration::from_millis(5_000);
 const RELAXED_MAX_AGE: Duration = Duration::from_millis(40_000);
-/// Pause after a change of servers, so that many changes are read in one call. A draining server keeps
-/// serving for several times as long.
-const SERVERS_PAUSE: Duration = Duration::from_millis(400);
-/// Pause after a change of servers if peers answer the requests.
-const BATCH_PAUSE: Duration = Duration::from_millis(3_000);
 /// Initial and maximum backoff after a failed call to the store.
 pub(crate) const MIN_BACKOFF: Duration = Duration::from_millis(100);
 pub(crate) const MAX_BACKOFF: Duration = Duration::from_millis(500);
@@ -92,7 +84,7 @@
             true => WATCH_TIMEOUT,
             false => DELEGATING_WATCH_TIMEOUT,
         },
-        feed_wait: FEED_WAIT,
+        feed_wait: watchers::poll_wait(relay.registry().change_time()),
         max_age: watchers::MAX_AGE,
     }
 }
@@ -368,8 +360,8 @@
 
     fn pause(&self) -> Duration {
         match is_urgent(&self.relay) {
-            true => SERVERS_PAUSE,
-            false => BATCH_PAUSE,
+            true => watchers::CHANGE_PAUSE,
+            false => watchers::batch_pause(self.relay.registry().change_time()),
         }
     }
 
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -6,6 +6,7 @@
         RefCell, //
     },
     collections::{
+        BTreeMap,
         HashMap,
         HashSet, //
     },
@@ -39,7 +40,8 @@
     standby, subset,
     watchers::{
         self,
-        Candidate, //
+        Candidate,
+        Reliability, //
     },
 };
 use route::{
@@ -86,6 +88,8 @@
     pub retry_budget: Bound,
     /// Time for which a draining server keeps serving.
     pub drain_time: Duration,
+    /// Time after which a configuration has to be in force.
+    pub configuration_time: Duration,
     /// Interval at which servers confirm their entries.
     pub heartbeat: Duration,
     /// Names of the headers in servers' replies.
@@ -492,28 +496,35 @@
         watches && self.watchers.borrow().len() < self.instances()
     }
 
-    /// Returns the watchers to ask for the read number `turn` of this instance, in order: those that have failed lately
-    /// only after the others.
+    /// Returns the time within which a change of routes or servers must take effect.
+    pub(crate) fn change_time(&self) -> Duration {
+        let settings = self.settings.borrow();
+        settings.drain_time.min(settings.configuration_time)
+    }
+
+    /// Returns the watchers to ask for the read number `turn` of this instance, in order, the most reliable ones first.
     pub(crate) fn watchers_to_ask(
         &self,
         turn: u64,
-        has_failed: impl Fn(&Member) -> bool,
+        reliability: impl Fn(&Member) -> Reliability,
     ) -> Vec<Member> {
         let watchers = self.watchers.borrow();
         let settings = self.settings.borrow();
-        let (failed, sound): (Vec<&Member>, Vec<&Member>) =
-            watchers.iter().partition(|watcher| has_failed(watcher));
-        let order = |watchers: Vec<&Member>| {
+        let mut groups: BTreeMap<Reliability, Vec<&Member>> = BTreeMap::new();
+        for watcher in watchers.iter() {
+            groups
+                .entry(reliability(watcher))
+                .or_default()
+                .push(watcher);
+        }
+        let ordered = |watchers: Vec<&Member>| {
             let candidates: Vec<Candidate<'_>> =
                 watchers.iter().map(|watcher| candidate(watcher)).collect();
             let order = watchers::order(&candidate(&settings.local), &candidates, turn);
             let members = order.into_iter().map(|index| watchers[index].clone());
             members.collect::<Vec<_>>()
         };
-        let mut ordered = order(sound);
-        ordered.extend(order(failed));
-        ordered.truncate(watchers::MAX_TRIES);
-        ordered
+        groups.into_values().flat_map(ordered).collect()
     }
 
     /// Returns the instances that answer requests for this one.
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -5,10 +5,8 @@
         Cell,
         RefCell, //
     },
-    collections::{
-        HashMap,
-        VecDeque, //
-    },
+    collections::HashMap,
+    future::Future,
     pin::pin,
     rc::Rc,
     time::{
@@ -30,15 +28,18 @@
     patience,
     Shortage, //
 };
-use tracing::{
-    debug,
-    info, //
-};
+use tracing::info;
 
-use self::watchers::{
-    Denial,
-    Question,
-    Watchers, //
+use self::{
+    poll::{
+        Outcome,
+        Poll,
+        Read, //
+    },
+    watchers::{
+        Question,
+        Watchers, //
+    },
 };
 use crate::{
     mirror::{
@@ -50,10 +51,9 @@
     relay::Relay,
 };
 
+mod poll;
 mod watchers;
 
-/// Wait for a change that another watcher has already read.
-const CHANGED_WAIT: Duration = Duration::from_millis(200);
 /// Maximum wait for the first list of instances before the store is asked anyway.
 const MAX_ROLE_WAIT: Duration = Duration::from_millis(8_000);
 
@@ -210,11 +210,8 @@
         limits: Limits,
     ) -> Result<Reading, ReadError> {
         let read = self.read_store(kind, after, limits.store_wait);
-        let supply = pin!(self.find_supply(kind, after, limits.max_age));
-        let result = match select(pin!(read), supply).await {
-            Either::Left((result, _)) => result,
-            Either::Right(((), read)) => read.await,
-        };
+        let supply = self.find_supply(kind, after, limits.max_age);
+        let result = run_beside(read, supply).await;
         let is_answered = matches!(
             result,
             Ok(_) | Err(ReadError::Failed(Failure::Compacted | Failure::Restored))
@@ -274,7 +271,7 @@
         });
     }
 
-    /// Asks watchers in turn until one supplies a reading; if none does for a while, the store is read next.
+    /// Asks watchers until one supplies a reading; if none does for a while, the store is read next.
     async fn read_feed(
         &self,
         kind: &'static str,
@@ -287,62 +284,29 @@
             None => turn * 2,
             Some(_) => turn,
         };
+        let read = Read {
+            kind,
+            after,
+            latest,
+            limits,
+        };
+        let to_ask = self.watchers.to_ask(kind, turn);
         let local_zone = self.relay.registry().local_zone();
-        let watchers = self.watchers.to_ask(kind, turn);
-        let mut tries: VecDeque<(Member, bool)> = watchers
-            .into_iter()
-            .map(|watcher| {
-                // Changes may be long, and traffic between zones is billed.
-                let is_probe = after.is_some() && watcher.zone != local_zone;
-                (watcher, is_probe)
-            })
-            .collect();
-        // Whether a watcher is known to hold changes.
-        let mut is_changed = false;
-        let mut is_any_reachable = false;
-        while let Some((watcher, is_probe)) = tries.pop_front() {
-            let wait = match is_changed {
-                true => CHANGED_WAIT,
-                false => limits.feed_wait,
-            };
-            let question = Question {
-                kind,
-                after,
-                wait,
-                is_probe,
-                max_age: limits.max_age,
-                latest,
-            };
-            match self.watchers.ask(&watcher, question).await {
-                Ok(None) => {
-                    is_changed = true;
-                    tries.push_back((watcher, false));
-                }
-                // This watcher lacks the changes.
-                Ok(Some(reading)) if is_changed && is_empty(&reading) && !tries.is_empty() => {}
-                Ok(Some(reading)) => {
-                    self.record_supply(&watcher, kind);
-                    self.era.set(self.era.get().max(reading.listing.era));
-                    self.relay.meter().supplied.add(1);
-                    return Ok(reading);
-                }
-                Err(Denial::Unusable(failure @ (Failure::Compacted | Failure::Restored))) => {
-                    return Err(ReadError::Failed(failure));
-                }
-                Err(denial) => {
-                    debug!(watcher = %watcher.name, kind, failure = %denial.failure(), "source: watcher doesn't supply.");
-                    is_any_reachable |= matches!(denial, Denial::Unusable(_));
-                    self.watchers.record_failed(&watcher, kind);
-                }
+        let poll = Poll::new(&self.watchers, read, to_ask, &local_zone);
+        let recheck = self.watchers.recheck(kind, after, limits.max_age);
+        match run_beside(poll.run(), recheck).await {
+            Outcome::Supplied(watcher, reading) => {
+                self.record_supply(&watcher, kind);
+                self.era.set(self.era.get().max(reading.listing.era));
+                self.relay.meter().supplied.add(1);
+                Ok(reading)
+            }
+            Outcome::Relist(failure) => Err(ReadError::Failed(failure)),
+            Outcome::Unsupplied { is_any_reachable } => {
+                self.turn_to_store(kind, is_any_reachable);
+                Err(ReadError::Unsupplied)
             }
         }
-        // Not all of them are asked in one read.
-        let next = self.watchers.to_ask(kind, turn);
-        let has_untried = next
-            .first()
-            .is_some_and(|watcher| !self.watchers.has_failed(watcher, kind));
-        self.turn_to_store(kind, is_any_reachable || has_untried);
-        Err(ReadError::Unsupplied)
     }
 
     /// Has the store read next if no watcher has supplied the kind for long enough.
@@ -381,6 +345,10 @@
     }
 }
 
-fn is_empty(reading: &Reading) -> bool {
-    reading.listing.objects.is_empty() && reading.listing.deleted.is_empty()
+/// Runs a read, and another task until the read ends.
+async fn run_beside<T>(read: impl Future<Output = T>, beside: impl Future<Output = ()>) -> T {
+    match select(pin!(read), pin!(beside)).await {
+        Either::Left((result, _)) => result,
+        Either::Right(((), read)) => read.await,
+    }
 }
--- a/crates/relay/src/source/watchers.rs
+++ b/crates/relay/src/source/watchers.rs
@@ -17,6 +17,8 @@
     Failure,
     Transport, //
 };
+use policy::watchers::Reliability;
+use tracing::info;
 
 use crate::{
     feed::{
@@ -34,10 +36,11 @@
 /// Timeout for connecting to a watcher.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time that a watcher's reply may take in addition to the wait.
-const REPLY_MARGIN: Duration = Duration::from_millis(400);
+pub(super) const REPLY_MARGIN: Duration = Duration::from_millis(400);
 /// Timeout of a complete listing, which may be hundreds of kilobytes on a slow link.
 const LIST_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Time for which a watcher that failed is asked only if no other one is left.
+/// Time for which a watcher that failed is asked after the others only, and after which one that is silent is asked
+/// again beside them.
 const FAILED_PAUSE: Duration = Duration::from_millis(2_000);
 
 /// Why a watcher doesn't supply a reading.
@@ -81,6 +84,8 @@
     transports: RefCell<HashMap<SocketAddr, Rc<Transport>>>,
     /// When watchers last failed to supply a kind.
     failed_at: RefCell<HashMap<(SocketAddr, &'static str), Instant>>,
+    /// Watchers that haven't replied, with the time of the last attempt, until they reply.
+    silent_at: RefCell<HashMap<SocketAddr, Instant>>,
     /// Generation of each watcher's readings of a kind, as it last stated it.
     generations: RefCell<HashMap<(SocketAddr, &'static str), u64>>,
 }
@@ -92,6 +97,7 @@
             relay,
             transports: RefCell::default(),
             failed_at: RefCell::default(),
+            silent_at: RefCell::default(),
             generations: RefCell::default(),
         }
     }
@@ -99,14 +105,49 @@
     /// Returns the watchers to ask for the read number `turn` of a kind, in order.
     pub(super) fn to_ask(&self, kind: &'static str, turn: u64) -> Vec<Member> {
         let registry = self.relay.registry();
-        registry.watchers_to_ask(turn, |watcher| self.has_failed(watcher, kind))
+        registry.watchers_to_ask(turn, |watcher| self.reliability(watcher, kind))
     }
 
-    /// Returns whether the watcher failed to supply the kind a short while ago.
-    pub(super) fn has_failed(&self, watcher: &Member, kind: &'static str) -> bool {
+    fn reliability(&self, watcher: &Member, kind: &'static str) -> Reliability {
         let failed_at = self.failed_at.borrow();
         let failed_at = failed_at.get(&(watcher.address, kind));
-        failed_at.is_some_and(|at| at.elapsed() < FAILED_PAUSE)
+        match failed_at {
+            _ if self.is_silent(watcher) => Reliability::Silent,
+            Some(at) if at.elapsed() < FAILED_PAUSE => Reliability::Failing,
+            _ => Reliability::Sound,
+        }
+    }
+
+    /// Returns whether the watcher hasn't replied when it was last asked.
+    pub(super) fn is_silent(&self, watcher: &Member) -> bool {
+        self.silent_at.borrow().contains_key(&watcher.address)
+    }
+
+    /// Asks a watcher that has been silent for a while whether it replies again.
+    pub(super) async fn recheck(
+        &self,
+        kind: &'static str,
+        after: Option<Position>,
+        max_age: Duration,
+    ) {
+        let is_due = |watcher: &Member| {
+            let silent_at = self.silent_at.borrow();
+            let at = silent_at.get(&watcher.address);
+            at.is_some_and(|at| at.elapsed() >= FAILED_PAUSE)
+        };
+        let due = self.to_ask(kind, 0).into_iter().find(is_due);
+        if let (Some(watcher), Some(_)) = (due, after) {
+            let question = Question {
+                kind,
+                after,
+                wait: Duration::ZERO,
+                is_probe: true,
+                max_age,
+                latest: None,
+            };
+            // Whether it replies is recorded.
+            let _ = self.ask(&watcher, question).await;
+        }
     }
 
     /// Records that a watcher supplied a reading of a kind.
@@ -133,6 +174,31 @@
         &self,
         watcher: &Member,
         question: Question,
+    ) -> Result<Option<Reading>, Denial> {
+        let result = self.exchange(watcher, question).await;
+        let was_silent = match &result {
+            Err(Denial::Silent(_)) => self
+                .silent_at
+                .borrow_mut()
+                .insert(watcher.address, Instant::now()),
+            _ => self.silent_at.borrow_mut().remove(&watcher.address),
+        };
+        match &result {
+            Err(Denial::Silent(failure)) if was_silent.is_none() => {
+                info!(watcher = %watcher.name, kind = question.kind, %failure, "source: watcher is silent.");
+            }
+            Ok(_) | Err(Denial::Unusable(_)) if was_silent.is_some() => {
+                info!(watcher = %watcher.name, kind = question.kind, "source: watcher replies again.");
+            }
+            _ => {}
+        }
+        result
+    }
+
+    async fn exchange(
+        &self,
+        watcher: &Member,
+        question: Question,
     ) -> Result<Option<Reading>, Denial> {
         let Question {
             kind,
--- a/crates/relay/tests/common/cut.rs
+++ b/crates/relay/tests/common/cut.rs
@@ -1,4 +1,4 @@
-//! A link between one instance and one server that can be cut.
+//! A link between one instance and one server, or another instance, that can be cut.
 
 use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
@@ -32,6 +32,8 @@
     Open,
     /// Open connections transfer nothing, and new ones aren't accepted.
     Silent,
+    /// Open connections transfer nothing, and neither do new ones, which the kernel accepts for a suspended process.
+    Suspended,
     /// Open connections are closed, and new ones are refused.
     Closed,
     /// Open connections transfer bytes, and new ones are refused.
@@ -43,27 +45,23 @@
 /// Maximum time to fill a queue; one that is full already accepts nothing.
 const FILL_TIMEOUT: Duration = Duration::from_millis(20);
 
-/// A link to a server, which the instance knows by the link's address.
+/// A link to a server or an instance, which is known by the link's address.
 pub struct Link {
-    address: SocketAddr,
+    /// Address that it listens on.
+    pub address: SocketAddr,
     target: SocketAddr,
-    description: Description,
     condition: Cell<Condition>,
     changed: Notification,
 }
 
 impl Link {
-    /// Creates an open link to a server of `service`.
-    pub fn new(fake: &FakeServer, service: &str) -> Rc<Self> {
+    /// Creates an open link to `target`.
+    pub fn to(target: SocketAddr) -> Rc<Self> {
         let listener = std::net::TcpListener::bind(any_address()).expect("a listener");
         let address = listener.local_addr().expect("an address");
         let link = Rc::new(Self {
             address,
-            target: fake.address,
-            description: Description {
-                address,
-                ..fake.description(service)
-            },
+            target,
             condition: Cell::new(Condition::Open),
             changed: Notification::default(),
         });
@@ -71,11 +69,6 @@
         link
     }
 
-    /// Returns the server as the instance at this end knows it.
-    pub fn description(&self) -> Description {
-        self.description.clone()
-    }
-
     /// Changes the condition.
     pub fn set(&self, condition: Condition) {
         self.condition.set(condition);
@@ -115,6 +108,9 @@
                     self.wait_while(|now| now != Condition::Open).await;
                     listener = std::net::TcpListener::bind(self.address).expect("the same port");
                 }
+                Condition::Suspended => {
+                    self.wait_while(|now| now == Condition::Suspended).await;
+                }
                 Condition::Open => {}
             }
         }
@@ -141,7 +137,8 @@
             let Ok(length @ 1..) = read else {
                 return;
             };
-            self.wait_while(|now| now == Condition::Silent).await;
+            self.wait_while(|now| matches!(now, Condition::Silent | Condition::Suspended))
+                .await;
             if to.write_all(bytes[..length].to_vec()).await.0.is_err() {
                 return;
             }
@@ -151,22 +148,30 @@
 }
 
 /// Servers of some services as one instance reaches them.
-pub struct Links(Vec<Rc<Link>>);
+pub struct Links(Vec<(Rc<Link>, Description)>);
 
 impl Links {
     /// Creates open links to servers, given as `(service, server)`.
     pub fn new(servers: &[(Arc<str>, Rc<FakeServer>)]) -> Self {
-        let link = |(service, fake): &(Arc<str>, Rc<FakeServer>)| Link::new(fake, service);
+        let link = |(service, fake): &(Arc<str>, Rc<FakeServer>)| {
+            let link = Link::to(fake.address);
+            let description = Description {
+                address: link.address,
+                ..fake.description(service)
+            };
+            (link, description)
+        };
         Self(servers.iter().map(link).collect())
     }
 
     /// Returns the servers as the instance knows them.
     pub fn descriptions(&self) -> Vec<Description> {
-        self.0.iter().map(|link| link.description()).collect()
+        let descriptions = self.0.iter().map(|(_, description)| description);
+        descriptions.cloned().collect()
     }
 
     /// Changes the condition of all links.
     pub fn set(&self, condition: Condition) {
-        self.0.iter().for_each(|link| link.set(condition));
+        self.0.iter().for_each(|(link, _)| link.set(condition));
     }
 }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -189,6 +189,7 @@
             span: Duration::from_secs(10),
         },
         drain_time: Duration::from_secs(3),
+        configuration_time: Duration::from_secs(3),
         heartbeat: Duration::ZERO,
         names: Rc::new(names()),
     };
--- a/crates/relay/tests/common/node.rs
+++ b/crates/relay/tests/common/node.rs
@@ -1,6 +1,7 @@
 //! An instance that follows the store.
 
 use std::{
+    net::SocketAddr,
     rc::Rc,
     time::{
         Duration,
@@ -18,6 +19,7 @@
 };
 
 use super::{
+    cut,
     instance_in_zone,
     store::{
         Link,
@@ -38,6 +40,31 @@
 impl Node {
     /// Starts an instance that follows the store.
     pub fn start(store: &Rc<SharedStore>, name: &str, zone: &str, cores: f64) -> Self {
+        Self::start_at(store, name, zone, cores, |address| address)
+    }
+
+    /// Starts an instance that follows the store, and a link through which other instances reach it.
+    pub fn start_linked(
+        store: &Rc<SharedStore>,
+        name: &str,
+        zone: &str,
+        cores: f64,
+    ) -> (Self, Rc<cut::Link>) {
+        let mut link = None;
+        let node = Self::start_at(store, name, zone, cores, |address| {
+            link.insert(cut::Link::to(address)).address
+        });
+        (node, link.expect("a link to the instance"))
+    }
+
+    /// Starts an instance whose entry names the address that `entry_address` returns for its own one.
+    fn start_at(
+        store: &Rc<SharedStore>,
+        name: &str,
+        zone: &str,
+        cores: f64,
+        entry_address: impl FnOnce(SocketAddr) -> SocketAddr,
+    ) -> Self {
         let instance = instance_in_zone(name, zone, cores);
         let link = Link::new(store);
         let source = Source::new(link.clone(), instance.relay.clone());
@@ -51,6 +78,7 @@
         monoio::spawn(quarantine::report::<Objects>(source.clone()));
         let member = Member {
             zone: zone.into(),
+            address: entry_address(instance.peer_address),
             ..instance.member(name, cores)
         };
         monoio::spawn(roster::instances::<Objects>(
--- a/crates/relay/tests/watchers.rs
+++ b/crates/relay/tests/watchers.rs
@@ -11,6 +11,10 @@
 };
 
 use common::{
+    cut::{
+        self,
+        Condition, //
+    },
     node::Node,
     run,
     store::{
@@ -21,7 +25,10 @@
     }, //
 };
 use monoio::time::sleep;
-use relay::registry::StoreRole;
+use relay::{
+    registry::StoreRole,
+    server::Standing, //
+};
 
 /// Time within which a change must be in force on a reader although a watcher that it asks is cut off, dead or
 /// silent: half of the shortest drain time of the large fleets.
@@ -59,6 +66,18 @@
     }
 }
 
+/// Writes entries of small instances in these zones that don't run.
+fn put_lost_instances_in(store: &SharedStore, zones: &[&str], count: usize) {
+    for index in 0..count {
+        let entry = InstanceEntry {
+            zone: zones[index % zones.len()].to_owned(),
+            cores: 0.05,
+            ..lost_entry()
+        };
+        store.put("instances", &format!("other-{index}"), &entry);
+    }
+}
+
 /// Writes entries of large instances that don't run.
 fn put_lost_instances(store: &SharedStore, count: usize) {
     for index in 0..count {
@@ -80,15 +99,7 @@
             address: "127.0.0.1:9".parse().expect("an address"),
         };
         store.put("servers", "s1", &server);
-        for index in 0..12 {
-            let entry = InstanceEntry {
-                address: "127.0.0.1:9".parse().expect("an address"),
-                zone: zones[index % zones.len()].to_owned(),
-                cores: 0.05,
-                leaving: false,
-            };
-            store.put("instances", &format!("other-{index}"), &entry);
-        }
+        put_lost_instances_in(&store, zones, 12);
         let start_watcher = |index: usize| {
             let zone = zones[index % zones.len()];
             Node::start(&store, &format!("watcher-{index}"), zone, 0.5)
@@ -149,9 +160,12 @@
             fleet.change(version);
             let delay = fleet.reader.time_until_version(version, MAX_DELAY).await;
             assert!(delay < MAX_DELAY, "{delay:?}");
-            half.iter()
-                .for_each(|index| fleet.watchers[*index].link.is_silent.set(false));
-            sleep(Duration::from_millis(1_500)).await;
+            for index in half {
+                let watcher = &fleet.watchers[index];
+                watcher.link.is_silent.set(false);
+                // Its lost watch ends by a timeout. Before that, the other half would be the only one to supply the reader.
+                watcher.time_until_version(version, MAX_UNSUPPLIED).await;
+            }
         }
     });
 }
@@ -380,3 +394,130 @@
         assert!(ids.contains(&"s2".to_owned()), "{ids:?}");
     });
 }
+
+/// Four watchers, each in a zone of its own and behind a link, and a reader in each zone.
+struct LinkedFleet {
+    store: Rc<SharedStore>,
+    watchers: Vec<(Node, Rc<cut::Link>)>,
+    readers: Vec<Node>,
+}
+
+impl LinkedFleet {
+    const ZONES: [&'static str; 4] = ["a", "b", "c", "d"];
+
+    async fn start() -> Self {
+        let store = Rc::new(SharedStore::default());
+        put_version(&store, 1);
+        put_lost_instances_in(&store, &Self::ZONES, 12);
+        let watcher = |index: usize| {
+            let name = format!("watcher-{index}");
+            Node::start_linked(&store, &name, Self::ZONES[index], 0.5)
+        };
+        let watchers: Vec<_> = (0..4).map(watcher).collect();
+        sleep(Duration::from_millis(100)).await;
+        let reader = |index: usize| {
+            let name = format!("reader-{index}");
+            Node::start(&store, &name, Self::ZONES[index], 0.1)
+        };
+        let readers: Vec<_> = (0..4).map(reader).collect();
+        // The readers list the instances again after a pause.
+        sleep(Duration::from_millis(4_000)).await;
+        for reader in &readers {
+            assert_eq!(reader.version(), 1);
+            let registry = reader.instance.relay.registry();
+            assert_eq!(registry.store_role(), StoreRole::Reader);
+        }
+        Self {
+            store,
+            watchers,
+            readers,
+        }
+    }
+
+    fn set(&self, condition: Condition, indexes: &[usize]) {
+        for index in indexes {
+            self.watchers[*index].1.set(condition);
+        }
+    }
+
+    fn put_server(&self, name: &str) {
+        let server = ServerEntry {
+            service: "one".to_owned(),
+            address: "127.0.0.1:9".parse().expect("an address"),
+        };
+        self.store.put("servers", name, &server);
+    }
+
+    /// Changes the configuration and withdraws a server; returns how long it takes until all readers act on both.
+    async fn change(&self, server: &str) -> Duration {
+        let version = self.readers[0].version() + 1;
+        put_version(&self.store, version);
+        self.store.put("servers", server, &"gone");
+        let changed_at = Instant::now();
+        let uses = |reader: &Node| {
+            let servers = reader.instance.relay.registry().servers();
+            let ready = |one: &Rc<relay::server::Server>| {
+                &**one.id() == server && one.standing() == Standing::Ready
+            };
+            servers.iter().any(ready)
+        };
+        let is_applied = |reader: &Node| reader.version() >= version && !uses(reader);
+        while !self.readers.iter().all(is_applied) && changed_at.elapsed() < MAX_UNSUPPLIED {
+            sleep(Duration::from_millis(10)).await;
+        }
+        changed_at.elapsed()
+    }
+}
+
+/// Guards against changes that are held back by each of several suspended watchers in turn: the reader asked one after the other.
+#[test]
+fn changes_are_in_force_in_time_although_three_of_four_watchers_are_suspended() {
+    run(async {
+        let fleet = LinkedFleet::start().await;
+        fleet.put_server("s1");
+        sleep(Duration::from_millis(1_000)).await;
+        fleet.set(Condition::Suspended, &[0, 1, 2]);
+        let delay = fleet.change("s1").await;
+        assert!(delay < SHORTEST_CONFIGURATION_LIMIT, "{delay:?}");
+        // They are suspended on, and don't hold the next change back again.
+        let delay = fleet.change("s2").await;
+        assert!(delay < SHORTEST_CONFIGURATION_LIMIT, "{delay:?}");
+    });
+}
+
+/// Guards against changes that are held back by watchers of different faults in turn: one is cut off from the store and doesn't
+/// know it yet, and two don't reply.
+#[test]
+fn changes_are_in_force_in_time_although_watchers_are_cut_off_and_silent() {
+    run(async {
+        let fleet = LinkedFleet::start().await;
+        fleet.put_server("s1");
+        sleep(Duration::from_millis(1_000)).await;
+        fleet.watchers[3].0.link.is_silent.set(true);
+        fleet.set(Condition::Silent, &[0]);
+        fleet.set(Condition::Suspended, &[1]);
+        let delay = fleet.change("s1").await;
+        assert!(delay < SHORTEST_CONFIGURATION_LIMIT, "{delay:?}");
+    });
+}
+
+/// Guards against a watcher that is left out for good after it was silent, so that its readers read the store instead.
+#[test]
+fn watcher_that_replies_again_supplies_readers() {
+    run(async {
+        let fleet = LinkedFleet::start().await;
+        fleet.set(Condition::Suspended, &[0, 1, 2]);
+        fleet.change("s1").await;
+        // Each is asked again beside the one that is left.
+        fleet.set(Condition::Open, &[0]);
+        sleep(Duration::from_millis(5_000)).await;
+        fleet.set(Condition::Suspended, &[3]);
+        fleet.change("s1").await;
+        let calls = |reader: &Node| reader.link.calls.get();
+        let before: Vec<usize> = fleet.readers.iter().map(calls).collect();
+        let delay = fleet.change("s1").await;
+        assert!(delay < SHORTEST_CONFIGURATION_LIMIT, "{delay:?}");
+        let after: Vec<usize> = fleet.readers.iter().map(calls).collect();
+        assert_eq!(before, after);
+    });
+}
--- a/crates/tanageryoke/src/commands/relay.rs
+++ b/crates/tanageryoke/src/commands/relay.rs
@@ -141,6 +141,7 @@
         local: member(platform_settings),
         retry_budget: platform_settings.retry_budget,
         drain_time: platform_settings.server_drain_time,
+        configuration_time: platform_settings.configuration_time,
         heartbeat: platform_settings.server_heartbeat,
         names: Rc::new(adapter::names::headers()),
     }
