--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -71,6 +71,7 @@
 use crate::{
     answer,
     feed,
+    hop,
     in_flight::InFlight,
     liveness,
     peer::{
@@ -279,15 +280,15 @@
     id: &str,
     arrived_at: Instant,
 ) -> Response<Bytes> {
-    let Some(hop) = peer::take_hop_info(request.headers_mut()) else {
+    let Some(sender) = hop::Sender::take_from(request.headers_mut()) else {
         return answer::with_text(StatusCode::BAD_REQUEST, "expected a query of a peer");
     };
-    if let Err(decline) = peer::admit(relay, hop) {
+    if let Err(decline) = peer::admit(relay, sender) {
         return peer::decline_answer(relay, decline);
     }
     let arrival = Arrival {
         arrived_at,
-        waited: hop.waited(),
+        waited: sender.waited,
         origin: Origin::Peer,
     };
     let mut answer = respond(relay, request, id, arrival).await;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod forward;
 pub mod gather;
 pub mod headers;
+mod hop;
 mod in_flight;
 pub mod latency;
 pub mod links;
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -41,7 +41,7 @@
         Failure,
         Reply, //
     },
-    liveness,
+    hop, liveness,
     relay::{
         Relay,
         DEADLINE_OBJECTIVES, //
@@ -54,10 +54,6 @@
     service::Service,
 };
 
-/// In a request: the latest configuration version that the sender knows of, whether the store is available to it, the
-/// time that the caller has waited, in microseconds, and 1, as the sender is to be told of later versions
-/// before they are used. In a reply: the time that the peer took, in microseconds.
-const HOP_HEADER: HeaderName = HeaderName::from_static("tanageryoke-hop");
 /// In a reply: ids of servers that said that they are leaving, separated by commas.
 const LEAVING_HEADER: HeaderName = HeaderName::from_static("tanageryoke-leaving");
 /// In a reply: ids of servers that name a limit, each with `=` and the limit, separated by commas.
@@ -225,7 +221,7 @@
                 relay.meter().declined.add(1);
                 Attempted::Declined { is_abandoned }
             }
-            Some(Ok(Ok(reply))) if reply.headers().contains_key(HOP_HEADER) => {
+            Some(Ok(Ok(reply))) if reply.headers().contains_key(hop::HEADER) => {
                 peer.record_success(Instant::now());
                 peer.record_latency(Instant::now(), latency_multiple(now.elapsed(), baseline));
                 record_hop_overhead(relay, &reply, now.elapsed());
@@ -253,9 +249,7 @@
             .min(caller_request.time_left(now).unwrap_or(self.reply_timeout));
         let stated_wait = caller_request.time_left(now).unwrap_or(time_left);
         let mut request = caller_request.outgoing(relay.names(), peer.target(), stated_wait);
-        request
-            .headers_mut()
-            .insert(HOP_HEADER, hop_header(relay, caller_request, now));
+        sender(relay, caller_request, now).add_to(request.headers_mut());
         let number = self.service.next_exchange();
         let sent = peer.send(Exchange {
             request,
@@ -322,7 +316,7 @@
 
 /// Records the hop overhead: the time that a hop took less the time that the peer reports.
 fn record_hop_overhead(relay: &Relay, reply: &Reply, took: Duration) {
-    let peer_took = reply.headers().get(HOP_HEADER);
+    let peer_took = reply.headers().get(hop::HEADER);
     let peer_took = peer_took.and_then(|value| value.to_str().ok()?.parse().ok());
     if let Some(peer_took) = peer_took.map(Duration::from_micros) {
         let overhead = took.saturating_sub(peer_took);
@@ -342,14 +336,16 @@
     }
 }
 
-fn hop_header(relay: &Relay, caller_request: &CallerRequest, now: Instant) -> HeaderValue {
-    let version = relay.known_version();
-    let reaches_store = u8::from(!relay.registry().is_store_unavailable());
+/// Returns what a peer is told of this instance with a request.
+fn sender(relay: &Relay, caller_request: &CallerRequest, now: Instant) -> hop::Sender {
     let elapsed_here = now.saturating_duration_since(caller_request.arrived_at);
     let hop_overhead = relay.registry().peers().hop_overhead();
-    let waited_us = (caller_request.waited + elapsed_here + hop_overhead).as_micros();
-    let text = format!("{version};{reaches_store};{waited_us};1");
-    HeaderValue::from_str(&text).unwrap_or_else(|_| HeaderValue::from_static("0;0;0;1"))
+    hop::Sender {
+        version: relay.known_version(),
+        reaches_store: !relay.registry().is_store_unavailable(),
+        waited: caller_request.waited + elapsed_here + hop_overhead,
+        learns_versions: true,
+    }
 }
 
 /// Records the version that a peer states which declined a request; returns whether it is later than the known ones.
@@ -363,7 +359,7 @@
 /// Removes the headers that instances exchange, which a server's reply must not set.
 pub(crate) fn remove_hop_headers(headers: &mut HeaderMap) {
     for name in [
-        HOP_HEADER,
+        hop::HEADER,
         LEAVING_HEADER,
         LIMITS_HEADER,
         DECLINED_HEADER,
@@ -402,43 +398,6 @@
     }
 }
 
-/// State of the peer that sent a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct HopInfo {
-    version: u64,
-    reaches_store: bool,
-    waited: Duration,
-    /// Whether the sender is told of a later version before it is used; instances of earlier releases aren't.
-    learns_versions: bool,
-}
-
-impl HopInfo {
-    /// Returns the time that the caller had waited, including the expected hop overhead.
-    pub(crate) fn waited(self) -> Duration {
-        self.waited
-    }
-}
-
-/// Maximum waited time that is accepted; longer ones are clamped, so that sums of times stay in range.
-const MAX_WAITED: Duration = Duration::from_secs(60);
-
-/// Removes and parses the sender's state in the headers of a peer's request; none if it isn't one.
-pub fn take_hop_info(headers: &mut HeaderMap) -> Option<HopInfo> {
-    let value = headers.remove(HOP_HEADER)?;
-    let mut fields = value.to_str().ok()?.split(';');
-    let version = fields.next()?.parse().ok()?;
-    let reaches_store = fields.next()? == "1";
-    // Instances of earlier releases don't send the waited time.
-    let waited = fields.next();
-    let waited = waited.and_then(|waited| waited.parse().ok());
-    Some(HopInfo {
-        version,
-        reaches_store,
-        waited: Duration::from_micros(waited.unwrap_or(0)).min(MAX_WAITED),
-        learns_versions: fields.next() == Some("1"),
-    })
-}
-
 /// Why an instance declines a peer's request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Decline {
@@ -464,15 +423,17 @@
 /// # Errors
 ///
 /// Returns the reason why the request is declined.
-pub(crate) fn admit(relay: &Relay, hop: HopInfo) -> Result<(), Decline> {
+pub(crate) fn admit(relay: &Relay, sender: hop::Sender) -> Result<(), Decline> {
     let version = relay.table().map_or(0, |table| table.version());
     match () {
         () if relay.is_draining() => Err(Decline::Leaving),
         () if relay.in_flight() > MAX_IN_FLIGHT => Err(Decline::Full),
         () if relay.registry().links().are_lost() => Err(Decline::Unlinked),
-        () if version < hop.version => Err(Decline::Older),
-        () if relay.registry().is_store_unavailable() && hop.reaches_store => Err(Decline::CutOff),
-        () if version > hop.version && hop.learns_versions => Err(Decline::Newer),
+        () if version < sender.version => Err(Decline::Older),
+        () if relay.registry().is_store_unavailable() && sender.reaches_store => {
+            Err(Decline::CutOff)
+        }
+        () if version > sender.version && sender.learns_versions => Err(Decline::Newer),
         () => Ok(()),
     }
 }
@@ -481,7 +442,7 @@
 /// themselves.
 pub(crate) fn mark_as_peer_answer(relay: &Relay, answer: &mut Response<Bytes>, took: Duration) {
     let took_us = HeaderValue::from(took.as_micros() as u64);
-    answer.headers_mut().insert(HOP_HEADER, took_us);
+    answer.headers_mut().insert(hop::HEADER, took_us);
     let leaving = relay.registry().leaving_servers();
     let first = leaving.len().saturating_sub(MAX_LEAVING);
     insert_list(answer, LEAVING_HEADER, &leaving[first..].join(","));
