fix(relay): a request that is passed on isn't taken for a call between instances

The same for OPTIONS *, and at any instance that has lost its links.

Cause: at the address for peers, the path and the method were looked at before the header that marks a request that is passed on, so that a peer answered a caller's request from its own reading of the store; the sender took it for lost. Ruled out: the route's version (the large instances serve it), the peer's state (the first route is served through the same peers).

Evidence: 40 lines "peer: request failed." with "not from an instance, status 503 Service Unavailable" at the small instance. relay/peers request_that_looks_like_a_call_between_instances_is_served_through_a_peer fails on: (502, "no answer of a peer").

What has the header of a hop is a caller's request; only the rest can be a call of an instance. Each instance sets that header on what it passes on. A caller's own header of the name, which was lost on this way, follows the instance's and reaches the server.

All tests of relay pass. The order of two checks changes; calls to the store, connections and messages between instances are the same.

--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -216,19 +216,12 @@
 ) -> Response<Full<Bytes>> {
     let arrived_at = Instant::now();
     activity.is_busy.set(true);
-    // A poll waits for seconds, so it isn't one of the requests in flight that a shutdown waits for.
-    match feed::Query::parse(request.uri()) {
-        Some(query) if origin == Origin::Peer => {
-            let answer = feed::answer(relay, query).await;
-            activity.is_busy.set(false);
-            activity.last_used_at.set(Instant::now());
-            return answer.map(Full::new);
-        }
-        _ => {}
-    }
-    if origin == Origin::Peer && liveness::is_probe(&request) {
+    // A caller may choose any method and path, also those of a call between instances.
+    if origin == Origin::Peer && !hop::is_passed_on(request.headers()) {
+        let answer = answer_instance(relay, &request).await;
         activity.is_busy.set(false);
-        return answer::with_text(StatusCode::OK, "alive").map(Full::new);
+        activity.last_used_at.set(Instant::now());
+        return answer.map(Full::new);
     }
     let id = request.headers().get(&relay.names().request);
     let id = id.and_then(|id| id.to_str().ok()).unwrap_or("none");
@@ -265,6 +258,17 @@
     answer.map(Full::new)
 }
 
+/// Answers a call of another instance on its own behalf.
+///
+/// A poll waits for seconds, so it isn't one of the requests in flight that a shutdown waits for.
+async fn answer_instance(relay: &Relay, request: &Request<Incoming>) -> Response<Bytes> {
+    match feed::Query::parse(request.uri()) {
+        Some(query) => feed::answer(relay, query).await,
+        None if liveness::is_probe(request) => answer::with_text(StatusCode::OK, "alive"),
+        None => answer::with_text(StatusCode::BAD_REQUEST, "expected a call of an instance"),
+    }
+}
+
 /// Arrival of a request.
 #[derive(Debug, Clone, Copy)]
 struct Arrival {
@@ -281,7 +285,7 @@
     arrived_at: Instant,
 ) -> Response<Bytes> {
     let Some(sender) = hop::Sender::take_from(request.headers_mut()) else {
-        return answer::with_text(StatusCode::BAD_REQUEST, "expected a query of a peer");
+        return answer::with_text(StatusCode::BAD_REQUEST, "the sender's state can't be read");
     };
     if let Err(decline) = peer::admit(relay, sender) {
         return peer::decline_answer(relay, decline);
--- a/crates/relay/src/hop.rs
+++ b/crates/relay/src/hop.rs
@@ -1,4 +1,7 @@
 //! The header by which a request that is passed on to a peer states what its sender knows.
+//!
+//! Requests that have it are callers', whatever their method, target and other headers. A caller's own header of the same
+//! name follows it and is passed on.
 
 use std::time::Duration;
 
@@ -60,13 +63,30 @@
         HeaderValue::from_str(&text).unwrap_or_else(|_| HeaderValue::from_static("0;0;0;1"))
     }
 
-    /// Adds the state to the headers of a request that is passed on.
+    /// Adds the state to the headers of a request that is passed on, before a caller's own header of the name.
     pub(crate) fn add_to(self, headers: &mut HeaderMap) {
+        let of_caller: Vec<HeaderValue> = headers.get_all(HEADER).iter().cloned().collect();
         headers.insert(HEADER, self.value());
+        append_all(headers, of_caller);
     }
 
     /// Removes and parses the state in the headers of a peer's request; none if it isn't one.
     pub(crate) fn take_from(headers: &mut HeaderMap) -> Option<Self> {
-        Self::parse(&headers.remove(HEADER)?)
+        let mut values: Vec<HeaderValue> = headers.get_all(HEADER).iter().cloned().collect();
+        let own = (!values.is_empty()).then(|| values.remove(0))?;
+        headers.remove(HEADER);
+        append_all(headers, values);
+        Self::parse(&own)
     }
 }
+
+fn append_all(headers: &mut HeaderMap, values: Vec<HeaderValue>) {
+    for value in values {
+        headers.append(HEADER, value);
+    }
+}
+
+/// Returns whether a peer passed a request on.
+pub(crate) fn is_passed_on(headers: &HeaderMap) -> bool {
+    headers.contains_key(HEADER)
+}
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -105,6 +105,45 @@
     });
 }
 
+/// Guards against a caller's request that a peer takes for a call of the instance itself, by its path, method or headers.
+#[test]
+fn request_that_looks_like_a_call_between_instances_is_served_through_a_peer() {
+    run(async {
+        let fake = FakeServer::start("s1", |_| serve("ok"));
+        let (small, large) = fleet(&fake);
+        let to_service = || route::Target::Service("one".into());
+        let routes = ["read", "feed"];
+        let routes = routes.map(|name| common::route(name, route::Kind::Idempotent, to_service()));
+        for instance in large.iter().chain([&small]) {
+            instance
+                .relay
+                .set_table(Arc::new(table(2, routes.to_vec())));
+        }
+        for path in [
+            "/feed/servers",
+            "/feed/",
+            "/feed/config?era=1&after=2&wait_ms=3",
+        ] {
+            let answer = small.get(path).await;
+            assert_eq!(
+                (answer.status(), answer.text().as_str()),
+                (200, "ok"),
+                "{path}"
+            );
+        }
+        let own_header =
+            common::get("/read/a").replace("host: host", "host: host\r\ntanageryoke-hop: 9");
+        assert_eq!(small.ask(&own_header).await.status(), 200);
+        let received = fake.requests.borrow().last().cloned().expect("a request");
+        assert_eq!(received.header("tanageryoke-hop"), Some("9"));
+        let asterisk = common::get("*").replacen("GET", "OPTIONS", 1);
+        assert_eq!(small.ask(&asterisk).await.status(), 404);
+        assert_eq!(large[0].ask(&asterisk).await.status(), 404);
+        assert_eq!(delegated(&small), 5);
+        assert_eq!(fake.arrivals(), 4);
+    });
+}
+
 /// Part of the fleet, including the large instances that are tried first, is cut off from the store and has
 /// an older configuration.
 #[test]
