fix(policy, relay): crashes at one moment count once, whoever's equal requests they hit

Cause: whether crashes followed each other was known within one attempt only. Reports of several callers and instances for equal requests were added up by server, so that one moment made three crashes. Ruled out: a request that harms servers (it is served before and after), a crash that was counted twice by server (four servers, four reports).

Each crash has the turn of its sub-request: how many crashes, one after the other, were known of the request when it was sent. One of each turn counts. From the second turn on a sub-request takes a new connection: its server was up when it accepted it. A report that adds nothing isn't written.

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -6,7 +6,7 @@
 //!
 //! Servers also crash by themselves, and all requests that they run are lost with them. One crash therefore proves
 //! nothing, and neither do many at the same moment: the request is refused after crashes of several servers that
-//! began to run it one after the other, and a success clears it.
+//! began to run it one after the other, each once the crash before was known, and a success clears it.
 
 use std::{
     collections::{
@@ -40,6 +40,20 @@
     }
 }
 
+/// Number of crashes, one after the other, that were known of a request when a sub-request of it was sent.
+///
+/// Crashes under sub-requests of the same turn may have one cause other than the request, such as the loss of a rack, whichever
+/// callers and instances sent them. They count as one.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Turn(pub usize);
+
+impl Turn {
+    /// Returns the turn of what is sent once a crash of this turn is known.
+    fn next(self) -> Self {
+        Self(self.0.saturating_add(1))
+    }
+}
+
 /// A crash of a server while it ran a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Crash {
@@ -47,6 +61,8 @@
     pub server: Arc<str>,
     /// Time of day, in milliseconds since the Unix epoch.
     pub at_ms: u64,
+    /// Turn of the sub-request that the server ran.
+    pub turn: Turn,
 }
 
 /// Crashes by request.
@@ -78,9 +94,15 @@
     Duration::from_millis(now_ms.saturating_sub(crash.at_ms))
 }
 
+/// Returns whether a crash adds nothing to those that are known: one of its turn counts already, or another instance has seen
+/// the server crash.
+fn is_counted(known: &[Crash], crash: &Crash) -> bool {
+    let mut recent = known.iter().filter(|one| age(one, crash.at_ms) < MEMORY);
+    recent.any(|one| one.turn == crash.turn || one.server == crash.server)
+}
+
 fn add(crashes: &mut Vec<Crash>, crash: Crash) {
-    // A server crashes once, however many instances have seen it.
-    if !crashes.iter().any(|known| known.server == crash.server) {
+    if !is_counted(crashes, &crash) {
         crashes.push(crash);
     }
 }
@@ -91,15 +113,15 @@
         self.agreed.is_empty() && self.pending.is_empty()
     }
 
-    fn recent(&self, fingerprint: Fingerprint, now_ms: u64) -> Vec<&Crash> {
+    /// Returns the crashes that count, one of each turn.
+    fn recent(&self, fingerprint: Fingerprint, now_ms: u64) -> Vec<Crash> {
         let agreed = self.agreed.get(&fingerprint).into_iter().flatten();
         let agreed = agreed.filter(|_| !self.cleared.contains(&fingerprint));
         let pending = self.pending.get(&fingerprint).into_iter().flatten();
-        let mut crashes: Vec<&Crash> = Vec::new();
+        let mut crashes: Vec<Crash> = Vec::new();
         for crash in agreed.chain(pending) {
-            let is_known = crashes.iter().any(|known| known.server == crash.server);
-            if !is_known && age(crash, now_ms) < MEMORY {
-                crashes.push(crash);
+            if age(crash, now_ms) < MEMORY {
+                add(&mut crashes, crash.clone());
             }
         }
         crashes
@@ -110,6 +132,13 @@
         self.recent(fingerprint, now_ms).len()
     }
 
+    /// Returns the turn of a sub-request of the request that is sent now.
+    pub fn turn(&self, fingerprint: Fingerprint, now_ms: u64) -> Turn {
+        let crashes = self.recent(fingerprint, now_ms);
+        let last = crashes.iter().map(|crash| crash.turn).max();
+        last.map_or(Turn::default(), Turn::next)
+    }
+
     /// Returns for how much longer the request is refused; none if it isn't.
     pub fn refused_for(&self, fingerprint: Fingerprint, now_ms: u64) -> Option<Duration> {
         let mut crashes = self.recent(fingerprint, now_ms);
@@ -124,6 +153,7 @@
             self.own.push_back((fingerprint, crash.clone()));
             add(self.pending.entry(fingerprint).or_default(), crash);
         }
+        self.drop_counted();
         while self.own.len() > MAX_OWN {
             self.own.pop_front();
         }
@@ -141,6 +171,24 @@
     pub fn set_agreed(&mut self, cases: Cases) {
         self.cleared.retain(|cleared| cases.contains_key(cleared));
         self.agreed = cases;
+        self.drop_counted();
+    }
+
+    /// Drops the crashes that needn't be written, as the store holds one that counts for them.
+    fn drop_counted(&mut self) {
+        let Self {
+            agreed,
+            cleared,
+            pending,
+            ..
+        } = self;
+        pending.retain(|fingerprint, crashes| {
+            let held = agreed.get(fingerprint);
+            let held = held.filter(|_| !cleared.contains(fingerprint));
+            let held = held.map_or(&[][..], Vec::as_slice);
+            crashes.retain(|crash| !is_counted(held, crash));
+            !crashes.is_empty()
+        });
     }
 
     /// Records that the store was restored from an older copy, which may lack reports of this instance.
@@ -191,16 +239,10 @@
     /// What was reported or cleared since the proposal was made is still to be written.
     pub fn accepted(&mut self, proposal: Proposal) {
         let Proposal { cases, cleared } = proposal;
-        let is_full = cases.len() >= MAX_CASES;
-        self.pending.retain(|fingerprint, crashes| {
-            let held = cases.get(fingerprint);
-            let is_held = |crash: &Crash| {
-                held.is_some_and(|held| held.iter().any(|one| one.server == crash.server))
-            };
-            crashes.retain(|crash| !is_held(crash));
-            // A full proposal has left out what is oldest.
-            !crashes.is_empty() && !is_full
-        });
+        // A full proposal has left out what is oldest.
+        if cases.len() >= MAX_CASES {
+            self.pending.clear();
+        }
         self.cleared.retain(|one| !cleared.contains(one));
         self.set_agreed(cases);
     }
@@ -209,8 +251,8 @@
 /// Crashes under one attempt of a caller, which may have sent sub-requests to many services.
 #[derive(Debug, Default)]
 pub struct Attempt {
-    /// Crashes under the request that were known when the attempt began.
-    known: usize,
+    /// Turn of the sub-requests that are sent before a crash under this attempt is known.
+    first_turn: Turn,
     /// Servers that crashed under this attempt.
     servers: usize,
     /// Crashes of servers that began to run the request one after the other.
@@ -236,31 +278,24 @@
     Missing,
 }
 
-/// Place of a sub-request among the crashes of its attempt.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Turn(usize);
-
 impl Attempt {
-    /// Begins an attempt of a request under which `known` crashes are known.
-    pub fn new(known: usize) -> Self {
+    /// Begins an attempt whose first sub-requests have the given turn.
+    pub fn new(first_turn: Turn) -> Self {
         Self {
-            known,
+            first_turn,
             ..Self::default()
         }
     }
 
     /// Returns the turn of a sub-request that is sent now.
     pub fn turn(&self) -> Turn {
-        Turn(self.in_turn.len())
+        Turn(self.first_turn.0.saturating_add(self.in_turn.len()))
     }
 
-    /// Records that a server crashed under the sub-request of a turn.
-    ///
-    /// Crashes under sub-requests of the same turn count as one: they may have one cause other than the request,
-    /// such as the loss of a rack.
-    pub fn record(&mut self, turn: Turn, crash: Crash) {
+    /// Records that a server crashed under a sub-request.
+    pub fn record(&mut self, crash: Crash) {
         self.servers += 1;
-        match turn == self.turn() {
+        match crash.turn == self.turn() {
             true => self.in_turn.push(crash),
             false => self.simultaneous = self.simultaneous.take().or(Some(crash)),
         }
@@ -268,7 +303,7 @@
 
     /// Returns whether crashes under the request were known before the attempt.
     pub fn is_suspected(&self) -> bool {
-        self.known > 0
+        self.first_turn > Turn::default()
     }
 
     /// Returns whether a retry may be sent to a service of which `crashed` servers crashed under this attempt.
@@ -333,8 +368,10 @@
         }
         let mut report = self.in_turn[self.reported..].to_vec();
         self.reported = self.in_turn.len();
+        let turn = self.turn();
         if self.unproven.is_some() {
-            report.extend(self.simultaneous.take());
+            let simultaneous = self.simultaneous.take();
+            report.extend(simultaneous.map(|crash| Crash { turn, ..crash }));
         }
         report
     }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -442,6 +442,8 @@
                 turn,
             }),
             used: &self.used_connections,
+            // It shows that the server is up after the crashes that are known.
+            needs_new_connection: turn > Turn::default(),
         });
         self.used_connections.push(sent.connection);
         self.call.meter.exchanges.add(1);
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -260,6 +260,7 @@
             is_at_most_once: false,
             witness: None,
             used: &[],
+            needs_new_connection: false,
         });
         let result = {
             let unresponsive = pin!(self.unresponsive(now));
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -109,12 +109,12 @@
     /// Begins to track the crashes under one attempt of a caller.
     pub(crate) fn track(self: &Rc<Self>, request: &CallerRequest) -> Rc<Tracker> {
         let fingerprint = request.fingerprint();
-        let known = self.state.borrow().crashes(fingerprint, now_ms());
+        let turn = self.state.borrow().turn(fingerprint, now_ms());
         Rc::new(Tracker {
             quarantine: self.clone(),
             request: request.id.clone(),
             fingerprint,
-            attempt: RefCell::new(Attempt::new(known)),
+            attempt: RefCell::new(Attempt::new(turn)),
             proof_changed: Notification::default(),
             is_served: Cell::new(false),
         })
@@ -248,6 +248,7 @@
             server = %server.id(),
             service = %server.description().service,
             ?cause,
+            turn = turn.0,
             is_up,
             has_crashed,
             "call: connection ended without a reply."
@@ -268,8 +269,9 @@
         let crash = Crash {
             server: id,
             at_ms: now_ms(),
+            turn,
         };
-        self.attempt.borrow_mut().record(turn, crash);
+        self.attempt.borrow_mut().record(crash);
     }
 
     /// Begins calls to several services.
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -171,6 +171,8 @@
     /// Connections that have carried the same request, where a late second copy of an earlier reply would have the id of the
     /// request, too. They carry it again only if it may be repeated and no other connection is idle.
     pub(crate) used: &'a [connection::Id],
+    /// Whether it is sent on a new connection.
+    pub(crate) needs_new_connection: bool,
 }
 
 /// A request that was sent.
@@ -444,6 +446,7 @@
             is_at_most_once,
             witness,
             used,
+            needs_new_connection,
         } = exchange;
         let (reply, receiver) = oneshot::channel();
         let now = Instant::now();
@@ -459,11 +462,12 @@
             reply,
             witness,
         };
-        let other = |server: &Self| match is_at_most_once {
-            true => None,
-            false => server.pop_idle(&[]),
+        let next_idle = || match () {
+            () if needs_new_connection => None,
+            () if is_at_most_once => self.pop_idle(used),
+            () => self.pop_idle(used).or_else(|| self.pop_idle(&[])),
         };
-        while let Some(handle) = self.pop_idle(used).or_else(|| other(self)) {
+        while let Some(handle) = next_idle() {
             let connection = handle.id();
             match handle.send(job) {
                 Ok(()) => {
--- a/crates/relay/tests/common/store.rs
+++ b/crates/relay/tests/common/store.rs
@@ -26,7 +26,8 @@
 use policy::quarantine::{
     Cases,
     Crash,
-    Fingerprint, //
+    Fingerprint,
+    Turn, //
 };
 use relay::{
     follow::{
@@ -307,8 +308,8 @@
 pub struct CaseEntry {
     /// Fingerprint, in hexadecimal.
     pub fingerprint: String,
-    /// Servers and times.
-    pub crashes: Vec<(Arc<str>, u64)>,
+    /// Servers, times and turns.
+    pub crashes: Vec<(Arc<str>, u64, usize)>,
 }
 
 /// Encoding of the tests' objects.
@@ -375,7 +376,7 @@
     }
 
     fn quarantine(cases: &Cases) -> Box<RawValue> {
-        let crash = |crash: &Crash| (crash.server.clone(), crash.at_ms);
+        let crash = |crash: &Crash| (crash.server.clone(), crash.at_ms, crash.turn.0);
         let entries: Vec<CaseEntry> = cases
             .iter()
             .map(|(fingerprint, crashes)| CaseEntry {
@@ -391,7 +392,11 @@
         let read = |entry: CaseEntry| {
             let fingerprint = u128::from_str_radix(&entry.fingerprint, 16).expect("a number");
             let crashes = entry.crashes.into_iter();
-            let crashes = crashes.map(|(server, at_ms)| Crash { server, at_ms });
+            let crashes = crashes.map(|(server, at_ms, turn)| Crash {
+                server,
+                at_ms,
+                turn: Turn(turn),
+            });
             (Fingerprint(fingerprint), crashes.collect())
         };
         Ok(entries.into_iter().map(read).collect())
--- a/crates/relay/tests/quarantine.rs
+++ b/crates/relay/tests/quarantine.rs
@@ -299,6 +299,70 @@
     });
 }
 
+/// Guards against a popular request that is refused although it harms nothing: all servers of its service crash at the same moment,
+/// each under the requests of several callers at both instances.
+#[test]
+fn popular_request_is_served_after_its_servers_have_crashed_together() {
+    run(async {
+        let servers = (0..4).map(|index| ("one".to_owned(), start_server(index)));
+        // Without another server that can be reached, the links might be lost.
+        let servers = servers.chain([("two".to_owned(), start_server(4))]);
+        let fleet = Fleet::start_over(&[1.0; 2], Vec::new(), servers.collect()).await;
+        let crashing = &fleet.servers[..4];
+        let request = |number: usize| get("/read/slow").replace("q1", &format!("q{number}"));
+        let requests: Vec<String> = (0..16).map(request).collect();
+        let asked = requests.iter().enumerate().map(|(number, request)| {
+            let node = &fleet.nodes[number % fleet.nodes.len()];
+            node.instance.ask(request)
+        });
+        let crash = async {
+            sleep(Duration::from_millis(60)).await;
+            let busy = crashing.iter().filter(|server| server.is_busy.get());
+            let busy = busy.count();
+            crashing.iter().for_each(|server| server.crashed.set());
+            busy
+        };
+        let (_, busy) = futures_util::join!(futures_util::future::join_all(asked), crash);
+        assert!(busy >= 3, "{busy} servers ran the request");
+        fleet.remove_crashed();
+        let back = start_server(10);
+        let entry = ServerEntry {
+            service: "one".to_owned(),
+            address: back.address,
+        };
+        fleet.store.put("servers", &back.id, &entry);
+        sleep(Duration::from_secs(1)).await;
+        for node in &fleet.nodes {
+            assert_eq!(node.instance.ask(&request(99)).await.status(), 200);
+            assert_eq!(node.instance.relay.meter().quarantined.get(), 0);
+        }
+    });
+}
+
+/// Guards against a crash that is taken for a second one: the request was sent on a connection whose server was already gone.
+#[test]
+fn request_with_a_known_crash_is_sent_on_a_new_connection() {
+    run(async {
+        let fleet = Fleet::start(1, 3).await;
+        let node = &fleet.nodes[0];
+        node.instance.ask(&post("/write/deadly", "x")).await;
+        fleet.remove_crashed();
+        let left = fleet.servers.iter().filter(|one| !one.crashed.is_set());
+        let left: Vec<_> = left.collect();
+        for _ in 0..8 {
+            assert_eq!(node.instance.get("/read/a").await.status(), 200);
+        }
+        let accepted = |server: &&Rc<FakeServer>| server.accepted.get();
+        let before: Vec<usize> = left.iter().map(accepted).collect();
+        assert!(before.iter().all(|accepted| *accepted > 0), "{before:?}");
+        node.instance.ask(&post("/write/deadly", "x")).await;
+        let after: Vec<usize> = left.iter().map(accepted).collect();
+        let opened = after.iter().sum::<usize>() - before.iter().sum::<usize>();
+        // One for the request, and one to the other server, which shows that the links aren't lost.
+        assert_eq!((opened, fleet.crashed()), (2, 2));
+    });
+}
+
 /// A connection that ends is no crash: the server accepts the next one.
 #[test]
 fn request_whose_connections_are_reset_goes_on_being_sent() {
