--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -33,8 +33,7 @@
 use self::{
     poll::{
         Outcome,
-        Poll,
-        Read, //
+        Poll, //
     },
     watchers::{
         Question,
@@ -68,6 +67,18 @@
     pub(crate) max_age: Duration,
 }
 
+/// What is read.
+#[derive(Debug, Clone, Copy)]
+struct Read {
+    /// Kind of objects.
+    kind: &'static str,
+    /// Position after which changes are wanted; none for all objects.
+    after: Option<Position>,
+    /// Latest position that this instance has read; an earlier one isn't used.
+    latest: Option<Position>,
+    limits: Limits,
+}
+
 /// Why a read failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ReadError {
@@ -210,7 +221,7 @@
         limits: Limits,
     ) -> Result<Reading, ReadError> {
         let read = self.read_store(kind, after, limits.store_wait);
-        let supply = self.find_supply(kind, after, limits.max_age);
+        let supply = self.find_supply(kind, after, limits);
         let result = run_beside(read, supply).await;
         let is_answered = matches!(
             result,
@@ -227,21 +238,19 @@
     }
 
     /// Asks one watcher whether it supplies this instance; the next one is asked at the next read.
-    async fn find_supply(&self, kind: &'static str, after: Option<Position>, max_age: Duration) {
+    async fn find_supply(&self, kind: &'static str, after: Option<Position>, limits: Limits) {
         let (turn, latest) = self.next_turn(kind);
-        let watchers = self.watchers.to_ask(kind, turn);
-        let (Some(watcher), Some(_)) = (watchers.first(), after) else {
-            return;
-        };
-        let question = Question {
+        let read = Read {
             kind,
             after,
-            wait: Duration::ZERO,
-            is_probe: true,
-            max_age,
             latest,
+            limits,
+        };
+        let watchers = self.watchers.to_ask(kind, turn);
+        let (Some(watcher), Some(_)) = (watchers.first(), after) else {
+            return;
         };
-        match self.watchers.ask(watcher, question).await {
+        match self.watchers.ask(watcher, Question::probe(read)).await {
             Ok(_) => {
                 info!(kind, watcher = %watcher.name, "source: a watcher supplies this instance again.");
                 self.record_supply(watcher, kind);
@@ -293,7 +302,7 @@
         let to_ask = self.watchers.to_ask(kind, turn);
         let local_zone = self.relay.registry().local_zone();
         let poll = Poll::new(&self.watchers, read, to_ask, &local_zone);
-        let recheck = self.watchers.recheck(kind, after, limits.max_age);
+        let recheck = self.watchers.recheck(read);
         match run_beside(poll.run(), recheck).await {
             Outcome::Supplied(watcher, reading) => {
                 self.record_supply(&watcher, kind);
--- a/crates/relay/src/source/poll.rs
+++ b/crates/relay/src/source/poll.rs
@@ -23,15 +23,9 @@
         Watchers,
         REPLY_MARGIN, //
     },
-    Limits,
-};
-use crate::{
-    mirror::{
-        Position,
-        Reading, //
-    },
-    peers::Member,
+    Read,
 };
+use crate::{mirror::Reading, peers::Member};
 
 /// Wait for a change that another watcher has already read.
 const CHANGED_WAIT: Duration = Duration::from_millis(200);
@@ -52,19 +46,6 @@
     },
 }
 
-/// What is read.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Read {
-    /// Kind of objects.
-    pub(super) kind: &'static str,
-    /// Position after which changes are wanted; none for all objects.
-    pub(super) after: Option<Position>,
-    /// Latest position that this instance has read.
-    pub(super) latest: Option<Position>,
-    /// Limits of the read.
-    pub(super) limits: Limits,
-}
-
 /// A watcher to ask.
 #[derive(Debug)]
 struct Try {
@@ -155,12 +136,9 @@
             () => self.held_until.saturating_duration_since(Instant::now()),
         };
         Question {
-            kind: self.read.kind,
-            after: self.read.after,
+            read: self.read,
             wait,
             is_probe: next.is_probe,
-            max_age: self.read.limits.max_age,
-            latest: self.read.latest,
         }
     }
 
--- a/crates/relay/src/source/watchers.rs
+++ b/crates/relay/src/source/watchers.rs
@@ -20,6 +20,7 @@
 use policy::watchers::Reliability;
 use tracing::info;
 
+use super::Read;
 use crate::{
     feed::{
         self,
@@ -63,18 +64,23 @@
 /// What is asked of a watcher.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Question {
-    /// Kind of objects.
-    pub(super) kind: &'static str,
-    /// Position after which changes are wanted; none for all objects.
-    pub(super) after: Option<Position>,
+    /// The read.
+    pub(super) read: Read,
     /// How long the watcher waits for a change.
     pub(super) wait: Duration,
     /// Whether only the existence of changes is of interest.
     pub(super) is_probe: bool,
-    /// Maximum age of the reading.
-    pub(super) max_age: Duration,
-    /// Latest position that this instance has read; an earlier one isn't used.
-    pub(super) latest: Option<Position>,
+}
+
+impl Question {
+    /// Asks whether there are changes now.
+    pub(super) fn probe(read: Read) -> Self {
+        Self {
+            read,
+            wait: Duration::ZERO,
+            is_probe: true,
+        }
+    }
 }
 
 /// The watchers as this instance knows them.
@@ -124,29 +130,16 @@
     }
 
     /// Asks a watcher that has been silent for a while whether it replies again.
-    pub(super) async fn recheck(
-        &self,
-        kind: &'static str,
-        after: Option<Position>,
-        max_age: Duration,
-    ) {
+    pub(super) async fn recheck(&self, read: Read) {
         let is_due = |watcher: &Member| {
             let silent_at = self.silent_at.borrow();
             let at = silent_at.get(&watcher.address);
             at.is_some_and(|at| at.elapsed() >= FAILED_PAUSE)
         };
-        let due = self.to_ask(kind, 0).into_iter().find(is_due);
-        if let (Some(watcher), Some(_)) = (due, after) {
-            let question = Question {
-                kind,
-                after,
-                wait: Duration::ZERO,
-                is_probe: true,
-                max_age,
-                latest: None,
-            };
+        let due = self.to_ask(read.kind, 0).into_iter().find(is_due);
+        if let (Some(watcher), Some(_)) = (due, read.after) {
             // Whether it replies is recorded.
-            let _ = self.ask(&watcher, question).await;
+            let _ = self.ask(&watcher, Question::probe(read)).await;
         }
     }
 
@@ -185,10 +178,10 @@
         };
         match &result {
             Err(Denial::Silent(failure)) if was_silent.is_none() => {
-                info!(watcher = %watcher.name, kind = question.kind, %failure, "source: watcher is silent.");
+                info!(watcher = %watcher.name, kind = question.read.kind, %failure, "source: watcher is silent.");
             }
             Ok(_) | Err(Denial::Unusable(_)) if was_silent.is_some() => {
-                info!(watcher = %watcher.name, kind = question.kind, "source: watcher replies again.");
+                info!(watcher = %watcher.name, kind = question.read.kind, "source: watcher replies again.");
             }
             _ => {}
         }
@@ -201,13 +194,11 @@
         question: Question,
     ) -> Result<Option<Reading>, Denial> {
         let Question {
-            kind,
-            after,
+            read,
             wait,
             is_probe,
-            max_age,
-            latest,
         } = question;
+        let Read { kind, after, .. } = read;
         let known = (watcher.address, kind);
         let query = Query {
             kind,
@@ -230,10 +221,11 @@
         if let Some(generation) = feed::stated_generation(&response) {
             self.generations.borrow_mut().insert(known, generation);
         }
-        let reading = feed::parse_reply(&response, max_age).map_err(Denial::Unusable)?;
+        let reading =
+            feed::parse_reply(&response, read.limits.max_age).map_err(Denial::Unusable)?;
         match &reading {
             // It is behind what this instance has read elsewhere.
-            Some(reading) if Some(Position::of(&reading.listing)) < latest => {
+            Some(reading) if Some(Position::of(&reading.listing)) < read.latest => {
                 Err(Denial::Unusable(Failure::Unavailable))
             }
             _ => Ok(reading),
--- a/crates/relay/tests/watchers.rs
+++ b/crates/relay/tests/watchers.rs
@@ -395,7 +395,7 @@
     });
 }
 
-/// Four watchers, each in a zone of its own and behind a link, and a reader in each zone.
+/// Four watchers, each in a zone of its own and behind a link, a reader in each zone, and the server `s1`.
 struct LinkedFleet {
     store: Rc<SharedStore>,
     watchers: Vec<(Node, Rc<cut::Link>)>,
@@ -422,6 +422,12 @@
         let readers: Vec<_> = (0..4).map(reader).collect();
         // The readers list the instances again after a pause.
         sleep(Duration::from_millis(4_000)).await;
+        let server = ServerEntry {
+            service: "one".to_owned(),
+            address: "127.0.0.1:9".parse().expect("an address"),
+        };
+        store.put("servers", "s1", &server);
+        sleep(Duration::from_millis(1_000)).await;
         for reader in &readers {
             assert_eq!(reader.version(), 1);
             let registry = reader.instance.relay.registry();
@@ -440,32 +446,24 @@
         }
     }
 
-    fn put_server(&self, name: &str) {
-        let server = ServerEntry {
-            service: "one".to_owned(),
-            address: "127.0.0.1:9".parse().expect("an address"),
-        };
-        self.store.put("servers", name, &server);
-    }
-
-    /// Changes the configuration and withdraws a server; returns how long it takes until all readers act on both.
-    async fn change(&self, server: &str) -> Duration {
+    /// Changes the configuration and withdraws the server; all readers must act on both in time.
+    async fn change(&self) {
         let version = self.readers[0].version() + 1;
         put_version(&self.store, version);
-        self.store.put("servers", server, &"gone");
+        self.store.put("servers", "s1", &"gone");
         let changed_at = Instant::now();
-        let uses = |reader: &Node| {
+        let uses_server = |reader: &Node| {
             let servers = reader.instance.relay.registry().servers();
-            let ready = |one: &Rc<relay::server::Server>| {
-                &**one.id() == server && one.standing() == Standing::Ready
-            };
-            servers.iter().any(ready)
+            servers
+                .iter()
+                .any(|server| server.standing() == Standing::Ready)
         };
-        let is_applied = |reader: &Node| reader.version() >= version && !uses(reader);
+        let is_applied = |reader: &Node| reader.version() >= version && !uses_server(reader);
         while !self.readers.iter().all(is_applied) && changed_at.elapsed() < MAX_UNSUPPLIED {
             sleep(Duration::from_millis(10)).await;
         }
-        changed_at.elapsed()
+        let delay = changed_at.elapsed();
+        assert!(delay < SHORTEST_CONFIGURATION_LIMIT, "{delay:?}");
     }
 }
 
@@ -474,14 +472,10 @@
 fn changes_are_in_force_in_time_although_three_of_four_watchers_are_suspended() {
     run(async {
         let fleet = LinkedFleet::start().await;
-        fleet.put_server("s1");
-        sleep(Duration::from_millis(1_000)).await;
         fleet.set(Condition::Suspended, &[0, 1, 2]);
-        let delay = fleet.change("s1").await;
-        assert!(delay < SHORTEST_CONFIGURATION_LIMIT, "{delay:?}");
+        fleet.change().await;
         // They are suspended on, and don't hold the next change back again.
-        let delay = fleet.change("s2").await;
-        assert!(delay < SHORTEST_CONFIGURATION_LIMIT, "{delay:?}");
+        fleet.change().await;
     });
 }
 
@@ -491,13 +485,10 @@
 fn changes_are_in_force_in_time_although_watchers_are_cut_off_and_silent() {
     run(async {
         let fleet = LinkedFleet::start().await;
-        fleet.put_server("s1");
-        sleep(Duration::from_millis(1_000)).await;
         fleet.watchers[3].0.link.is_silent.set(true);
         fleet.set(Condition::Silent, &[0]);
         fleet.set(Condition::Suspended, &[1]);
-        let delay = fleet.change("s1").await;
-        assert!(delay < SHORTEST_CONFIGURATION_LIMIT, "{delay:?}");
+        fleet.change().await;
     });
 }
 
@@ -507,16 +498,15 @@
     run(async {
         let fleet = LinkedFleet::start().await;
         fleet.set(Condition::Suspended, &[0, 1, 2]);
-        fleet.change("s1").await;
+        fleet.change().await;
         // Each is asked again beside the one that is left.
         fleet.set(Condition::Open, &[0]);
         sleep(Duration::from_millis(5_000)).await;
         fleet.set(Condition::Suspended, &[3]);
-        fleet.change("s1").await;
+        fleet.change().await;
         let calls = |reader: &Node| reader.link.calls.get();
         let before: Vec<usize> = fleet.readers.iter().map(calls).collect();
-        let delay = fleet.change("s1").await;
-        assert!(delay < SHORTEST_CONFIGURATION_LIMIT, "{delay:?}");
+        fleet.change().await;
         let after: Vec<usize> = fleet.readers.iter().map(calls).collect();
         assert_eq!(before, after);
     });
