test(bench): stand-in servers fail with every status that callers take for a refusal

The soak's servers failed with 500 only, so that a failure that is passed on as a refusal couldn't show. The status of a failure follows from its signature now, and the check compares the two; before, it accepted 500 from any signature and nothing else, so it is stricter.

--- a/crates/bench/src/servers/content.rs
+++ b/crates/bench/src/servers/content.rs
@@ -1,6 +1,7 @@
 //! Content of replies, made so that a checker can tell which run of which server a reply comes from.
 
 use bytes::Bytes;
+use http::StatusCode;
 use xxhash_rust::xxh3::{
     xxh3_128,
     xxh3_64, //
@@ -15,6 +16,14 @@
 /// Upper bound of the length of a generated request body, in bytes.
 const MAX_REQUEST_BODY_BYTES: u64 = 3_000;
 
+/// Statuses of a server's failures after a run. A caller takes the last three for a statement that nothing has run.
+const FAILURES: [StatusCode; 4] = [
+    StatusCode::INTERNAL_SERVER_ERROR,
+    StatusCode::SERVICE_UNAVAILABLE,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::REQUEST_TIMEOUT,
+];
+
 /// Path prefix of queries, which a server answers with records.
 pub const QUERY_PREFIX: &str = "/all/";
 /// Path prefix of requests that may run several times.
@@ -84,6 +93,12 @@
     repeat_text(&signature.to_string(), MAX_REPLY_BODY_BYTES)
 }
 
+/// Returns the status of the reply if the run ends in a failure.
+pub fn failure_status(signature: &Signature) -> StatusCode {
+    let index = xxh3_64(signature.to_string().as_bytes()) % FAILURES.len() as u64;
+    FAILURES[index as usize]
+}
+
 /// Returns the body of a request that isn't a query or a read.
 pub fn request_body(request: &str) -> Bytes {
     repeat_text(request, MAX_REQUEST_BODY_BYTES)
--- a/crates/bench/src/servers/handler.rs
+++ b/crates/bench/src/servers/handler.rs
@@ -67,7 +67,7 @@
     Close,
     /// Sends bytes that are not HTTP and closes the connection.
     Noise,
-    /// Replies with status 500.
+    /// Replies with a status of a failure, without stating that nothing has run.
     Fail,
     /// Omits the signature header.
     Unsigned,
@@ -276,7 +276,12 @@
                 self.socket.write(b"\x00\xff?? this is no reply\r\n\r\n");
                 self.socket.shutdown();
             }
-            ReplyFault::Fail => *reply.status_mut() = StatusCode::INTERNAL_SERVER_ERROR,
+            ReplyFault::Fail => {
+                let signed = reply.headers().get(signature);
+                let signed = signed.and_then(|signed| Signature::parse(signed.to_str().ok()?));
+                let status = signed.map(|signed| content::failure_status(&signed));
+                *reply.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+            }
             ReplyFault::Unsigned => drop(reply.headers_mut().remove(signature)),
             ReplyFault::Endless => {
                 self.socket.write(b"HTTP/1.1 200 OK\r\n");
--- a/crates/bench/src/soak/answer.rs
+++ b/crates/bench/src/soak/answer.rs
@@ -38,11 +38,8 @@
         (200..300, Kind::Query, _) => check_query(names, id, answer, versions),
         (200..300, _, Some(signed)) => check_signed(id, &signed, answer.body().as_ref()),
         (200..300, _, None) => Err("a success without a signature".to_owned()),
-        // The only failure that servers sign has status 500.
-        (status, _, Some(_)) if status != 500 => {
-            Err(format!("{status} with the signature of a server"))
-        }
-        _ => Ok(Vec::new()),
+        (status, _, Some(signed)) => check_failure(id, &signed, status),
+        (_, _, None) => Ok(Vec::new()),
     }
 }
 
@@ -72,6 +69,14 @@
     }
 }
 
+fn check_failure(id: &str, signed: &str, status: u16) -> Result<Vec<String>, String> {
+    let signature = own_signature(id, signed)?;
+    match content::failure_status(&signature) == status {
+        true => Ok(Vec::new()),
+        false => Err(format!("{status} with the signature of {signed}")),
+    }
+}
+
 fn check_query(
     names: &HeaderNames,
     id: &str,
--- a/crates/bench/tests/soak.rs
+++ b/crates/bench/tests/soak.rs
@@ -388,6 +388,7 @@
         Ok(vec!["read-0".to_owned()])
     );
     let foreign = signature("read-0", "other");
+    let failed = content::failure_status(&signed).as_u16();
     let verdicts = [
         check_answer(Kind::Read, 200, &[], &body),
         check_answer(Kind::Read, 200, &headers(&signed), &body[1..]),
@@ -399,8 +400,13 @@
         ),
         check_answer(Kind::Read, 200, &[("signature", "noise".to_owned())], &body),
         check_answer(Kind::Read, 502, &headers(&signed), b""),
-        check_answer(Kind::Read, 500, &headers(&signed), b""),
+        check_answer(Kind::Read, failed, &headers(&signed), b""),
+        check_answer(Kind::Read, failed, &headers(&foreign), b""),
     ];
+    let others = [500, 503, 429, 408];
+    for status in others.into_iter().filter(|status| *status != failed) {
+        assert!(check_answer(Kind::Read, status, &headers(&signed), b"").is_err());
+    }
     insta::assert_debug_snapshot!(verdicts);
 }
 
